--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,15 @@
+include(GoogleTest)
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json url)
+find_package(CapnProto REQUIRED)
+find_package(fmt REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(GTest REQUIRED)
+find_package(benchmark REQUIRED)
+find_library(POPT_LIBRARY popt REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+
+add_library(camphor_gtest INTERFACE)
+target_link_libraries(camphor_gtest INTERFACE GTest::gtest GTest::gmock GTest::gtest_main
+                      ${RAPIDCHECK_LIBRARY})
--- /dev/null
+++ b/core/replication/rollout_record.cc
@@ -0,0 +1,21 @@
+#include "core/replication/rollout_record.h"
+
+#include <cassert>
+#include <tuple>
+
+namespace camphor {
+
+RolloutRecord RolloutRecord::Merge(const RolloutRecord& left,
+                                   const RolloutRecord& right) {
+  assert(left.id == right.id);
+  const auto order = [](const RolloutRecord& record) {
+    return std::tie(record.stage, record.share_ppm, record.stage_since,
+                    record.reason);
+  };
+  RolloutRecord merged = order(left) < order(right) ? right : left;
+  merged.hurry = left.hurry || right.hurry;
+  merged.recorded = left.recorded || right.recorded;
+  return merged;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/core/routing/effective_routing.h
@@ -0,0 +1,78 @@
+#ifndef CAMPHORHILL_CORE_ROUTING_EFFECTIVE_ROUTING_H_
+#define CAMPHORHILL_CORE_ROUTING_EFFECTIVE_ROUTING_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "core/base/endpoint.h"
+#include "core/base/identifier.h"
+#include "core/config/config_head.h"
+#include "core/config/pool_spec.h"
+#include "core/config/route_rule.h"
+#include "core/replication/host_record.h"
+
+namespace camphor {
+
+/// One target as a proxy sees it. Immutable value type.
+struct RoutedTarget {
+  TargetInfo info;       ///< what its host announced
+  HostId host;           ///< host that it runs on
+  FailureDomain domain;  ///< failure domain of that host
+  Endpoint forward{};  ///< the host's listener for requests from other proxies
+  bool local = false;  ///< true when it runs on this host
+
+  auto operator<=>(const RoutedTarget&) const = default;
+};
+
+/// One target version of a pool and its part of the traffic. Immutable value
+/// type.
+struct VersionGroup {
+  TargetVersion version;        ///< which version
+  std::uint32_t share_ppm = 0;  ///< share of the pool's requests, in
+                                ///< millionths; the groups add up to all
+  std::vector<RoutedTarget>
+      targets{};  ///< targets that may be sent this share, sorted by id
+
+  auto operator<=>(const VersionGroup&) const = default;
+};
+
+/// One pool as a proxy serves it. Immutable value type.
+struct PoolRouting {
+  PoolSpec spec;                       ///< limits
+  RolloutId rollout{};                 ///< rollout under way; empty if none
+  std::vector<VersionGroup> groups{};  ///< one or two: the old version first
+
+  auto operator<=>(const PoolRouting&) const = default;
+};
+
+/// One route and the pool that it is joined to. Immutable value type.
+struct RoutedRule {
+  RouteRule rule;          ///< the row of the table
+  std::uint32_t pool = 0;  ///< index into EffectiveRouting::pools; always valid
+
+  auto operator<=>(const RoutedRule&) const = default;
+};
+
+/// All that a proxy needs to place a request, published as one immutable value.
+///
+/// Derived from the configuration snapshot, host records, rollout records and
+/// poison records; a route can not point at a pool that is not here, since it
+/// holds an index.
+struct EffectiveRouting {
+  ConfigHead head{};  ///< configuration that this serves
+  std::vector<RoutedRule>
+      routes{};  ///< in match order: the first that matches wins
+  std::vector<PoolRouting> pools{};  ///< sorted by name
+  std::set<std::uint64_t> poison{};  ///< fingerprints that are refused
+
+  auto operator<=>(const EffectiveRouting&) const = default;
+};
+
+using EffectiveRoutingPtr = std::shared_ptr<const EffectiveRouting>;
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_CORE_ROUTING_EFFECTIVE_ROUTING_H_
--- /dev/null
+++ b/proxy/proxy_server.h
@@ -0,0 +1,93 @@
+#ifndef CAMPHORHILL_PROXY_PROXY_SERVER_H_
+#define CAMPHORHILL_PROXY_PROXY_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/base/endpoint.h"
+#include "core/base/identifier.h"
+#include "core/base/time.h"
+#include "core/routing/effective_routing.h"
+#include "core/routing/request_sample.h"
+
+namespace camphor {
+
+/// What is known of an idempotency claim.
+enum class ClaimStatus : std::uint8_t {
+  kGranted,         ///< this request alone may run under the key
+  kAlreadyClaimed,  ///< another attempt holds the key: this one must not run
+  kNotMade,  ///< no claim stands: the request was not run and may be sent again
+  kUnknown,  ///< it can not be said whether the claim stands: this attempt must
+             ///< not run
+};
+
+using ClaimCallback = std::function<void(ClaimStatus)>;
+
+/// Serves callers on one listener and other hosts' proxies on another, both on
+/// one thread.
+///
+/// Callers' requests are matched to a route, placed on a target, and sent to
+/// the target itself when it is local or else to the forward listener of its
+/// host. Hooks run on the proxy thread and must be quick.
+class ProxyServer {
+ public:
+  struct Options {
+    Endpoint caller_listen{};   ///< where callers connect; port 0 takes any
+    Endpoint forward_listen{};  ///< where other hosts' proxies connect; port 0
+                                ///< takes any
+    HostId host;                ///< this host
+    FailureDomain domain;       ///< preferred when targets are chosen
+    std::string mesh_key;  ///< proves on the forward listener that the sender
+                           ///< is a host of the mesh
+    std::function<EffectiveRoutingPtr()>
+        routing{};  ///< routing in force; null before the first
+    std::function<Endpoint(const TargetId&)>
+        local_target{};  ///< address of a target of this host; port 0 if gone
+    std::function<void(RequestSample&&)>
+        on_sample{};  ///< a request to a target ended
+    std::function<void(std::uint64_t fingerprint, const TargetId&)>
+        on_target_death{};  ///< a target died under a request
+    std::function<void(std::string key, std::uint64_t fingerprint,
+                       ClaimCallback)>
+        claim{};  ///< claims an idempotency key
+  };
+
+  explicit ProxyServer(Options options);
+  ~ProxyServer();
+
+  /// Starts both listeners. Returns false, with last_reason set, when an
+  /// address can not be had.
+  bool Start();
+
+  /// Stops taking new connections and requests; requests in flight go on.
+  void BeginDrain();
+
+  /// Requests in flight now. Thread safety: any thread.
+  std::uint64_t in_flight() const;
+
+  /// Closes everything and joins the thread.
+  void Stop();
+
+  /// Addresses in use after Start. Thread safety: any thread.
+  Endpoint caller_endpoint() const;
+  Endpoint forward_endpoint() const;
+
+  /// State as JSON text for the dump. Thread safety: any thread.
+  std::string DumpJson() const;
+
+  /// Metrics in the Prometheus text format. Thread safety: any thread.
+  std::string MetricsText() const;
+
+  /// Why the last call failed.
+  const std::string& last_reason() const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_PROXY_PROXY_SERVER_H_
--- /dev/null
+++ b/unit_tests/core/replication/record_merge_test.cc
@@ -0,0 +1,73 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "core/replication/host_record.h"
+#include "core/replication/poison_record.h"
+#include "core/replication/rollout_record.h"
+
+namespace camphor {
+namespace {
+
+HostRecord AnyHostRecord() {
+  return {.host = HostId("h"),
+          .incarnation = *rc::gen::inRange<std::uint64_t>(0, 3),
+          .sequence = *rc::gen::inRange<std::uint64_t>(0, 3),
+          .status = static_cast<HostStatus>(*rc::gen::inRange(0, 4)),
+          .config_version = *rc::gen::inRange<std::uint64_t>(0, 3)};
+}
+
+RolloutRecord AnyRolloutRecord() {
+  return {.id = RolloutId("r"),
+          .stage = static_cast<RolloutStage>(*rc::gen::inRange(0, 6)),
+          .share_ppm = *rc::gen::inRange<std::uint32_t>(0, 3),
+          .hurry = *rc::gen::arbitrary<bool>(),
+          .recorded = *rc::gen::arbitrary<bool>()};
+}
+
+PoisonRecord AnyPoisonRecord() {
+  PoisonRecord record{
+      .fingerprint = 1,
+      .expires = WallTime(Milliseconds(*rc::gen::inRange(0, 3)))};
+  const int deaths = *rc::gen::inRange(0, 3);
+  for (int death = 0; death < deaths; ++death) {
+    record.deaths.insert(TargetId(std::to_string(*rc::gen::inRange(0, 4))));
+  }
+  return record;
+}
+
+template <typename Record>
+void CheckMergeLaws(const std::function<Record()>& any) {
+  EXPECT_TRUE(rc::check([&any] {
+    const Record a = any();
+    const Record b = any();
+    const Record c = any();
+    RC_ASSERT(Record::Merge(a, b) == Record::Merge(b, a));
+    RC_ASSERT(Record::Merge(a, a) == a);
+    RC_ASSERT(Record::Merge(Record::Merge(a, b), c) ==
+              Record::Merge(a, Record::Merge(b, c)));
+  }));
+}
+
+TEST(HostRecordMerge, AnyRecords_ObeyTheMergeLaws) {
+  CheckMergeLaws<HostRecord>(AnyHostRecord);
+}
+
+TEST(RolloutRecordMerge, AnyRecords_ObeyTheMergeLaws) {
+  CheckMergeLaws<RolloutRecord>(AnyRolloutRecord);
+}
+
+TEST(PoisonRecordMerge, AnyRecords_ObeyTheMergeLaws) {
+  CheckMergeLaws<PoisonRecord>(AnyPoisonRecord);
+}
+
+TEST(RolloutRecordMerge, RolledBackAgainstDone_KeepsRolledBack) {
+  const RolloutRecord done{.id = RolloutId("r"),
+                           .stage = RolloutStage::kDone,
+                           .share_ppm = 1'000'000};
+  const RolloutRecord back{.id = RolloutId("r"),
+                           .stage = RolloutStage::kRolledBack};
+  EXPECT_EQ(RolloutRecord::Merge(done, back).stage, RolloutStage::kRolledBack);
+}
+
+}  // namespace
+}  // namespace camphor
