--- a/core/routing/effective_routing.h
+++ b/core/routing/effective_routing.h
@@ -65,8 +65,10 @@
   ConfigHead head{};  ///< configuration that this serves
   std::vector<RoutedRule>
       routes{};  ///< in match order: the first that matches wins
-  std::vector<PoolRouting> pools{};  ///< sorted by name
-  std::set<std::uint64_t> poison{};  ///< fingerprints that are refused
+  std::vector<PoolRouting> pools{};    ///< sorted by name
+  std::set<std::uint64_t> poison{};    ///< fingerprints that are refused
+  std::set<std::uint64_t> suspects{};  ///< fingerprints that one target died
+                                       ///< under: run apart from each other
 
   auto operator<=>(const EffectiveRouting&) const = default;
 };
--- /dev/null
+++ b/core/routing/power_of_two_balancer.cc
@@ -0,0 +1,248 @@
+#include "core/routing/power_of_two_balancer.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace camphor {
+namespace {
+
+constexpr double kWhole = 1'000'000;
+constexpr double kLatencyWeight = 0.1;  // of the newest sample
+constexpr double kFailureWeight = 0.1;  // of the newest sample
+constexpr double kFailurePenalty = 20;  // factor of the cost at only failures
+constexpr double kColdestPart = 0.1;    // of a target that was just announced
+constexpr double kUnknownLatencyUs = 1000;
+constexpr Milliseconds kFirstBackoff{20};  // after one refusal
+constexpr Milliseconds kLongestBackoff{1000};
+constexpr std::uint32_t kMostDoublings = 6;
+
+}  // namespace
+
+PowerOfTwoBalancer::PowerOfTwoBalancer(Options options)
+    : options_(std::move(options)),
+      outliers_(options_.outliers),
+      random_(options_.random_seed) {}
+
+void PowerOfTwoBalancer::SetRouting(const EffectiveRoutingPtr& routing,
+                                    MonoTime now) {
+  if (routing == routing_) return;
+
+  // Credits go on by the route's name, since indices change.
+  for (std::size_t route = 0; route < new_version_credit_.size(); ++route) {
+    saved_credit_[routing_->routes[route].rule.name] =
+        new_version_credit_[route];
+  }
+  routing_ = routing;
+  new_version_credit_.clear();
+  std::uniform_real_distribution<double> phase(0, 1);
+  for (const RoutedRule& route : routing->routes) {
+    // A random phase keeps a thousand proxies from starting in step.
+    const auto saved = saved_credit_.find(route.rule.name);
+    new_version_credit_.push_back(saved == saved_credit_.end() ? phase(random_)
+                                                               : saved->second);
+  }
+  saved_credit_.clear();
+
+  // Evidence of targets that are gone is forgotten.
+  std::unordered_map<TargetId, TargetStats> kept;
+  const bool first = stats_.empty();
+  for (const PoolRouting& pool : routing->pools) {
+    for (const VersionGroup& group : pool.groups) {
+      for (const RoutedTarget& target : group.targets) {
+        const auto known = stats_.find(target.info.id);
+        if (known != stats_.end()) {
+          kept.insert(*known);
+          continue;
+        }
+        // At this proxy's own start only targets that say so are cold.
+        const bool cold =
+            !first || target.info.status == TargetStatus::kWarming;
+        kept[target.info.id].first_seen =
+            cold ? now : now - options_.slow_start;
+      }
+    }
+  }
+  stats_ = std::move(kept);
+
+  pools_.clear();
+  for (const PoolRouting& pool : routing->pools) {
+    PoolView& view = pools_.emplace_back();
+    for (std::uint32_t group = 0; group < pool.groups.size(); ++group) {
+      GroupView& group_view = view.groups.emplace_back();
+      group_view.group = group;
+      const std::vector<RoutedTarget>& targets = pool.groups[group].targets;
+      for (std::uint32_t index = 0; index < targets.size(); ++index) {
+        const bool own = targets[index].domain == options_.domain;
+        (own ? group_view.own_domain : group_view.others).push_back(index);
+        group_view.stats.push_back(&stats_[targets[index].info.id]);
+      }
+      view.targets += targets.size();
+    }
+  }
+}
+
+std::optional<Placement> PowerOfTwoBalancer::Choose(
+    std::uint32_t route, std::span<const Placement> tried, MonoTime now) {
+  assert(routing_ && route < routing_->routes.size());
+  const std::uint32_t pool = routing_->routes[route].pool;
+  const std::optional<std::uint32_t> group = ChooseGroup(route);
+  if (!group) return std::nullopt;
+  const std::optional<Placement> chosen =
+      ChooseTarget({.pool = pool, .group = *group}, tried, now);
+  if (chosen) return chosen;
+
+  // A version without a usable target leaves its share to the other one, if
+  // that one may have any.
+  const std::vector<VersionGroup>& groups = routing_->pools[pool].groups;
+  for (std::uint32_t other = 0; other < groups.size(); ++other) {
+    if (other == *group || groups[other].share_ppm == 0) continue;
+    return ChooseTarget({.pool = pool, .group = other}, tried, now);
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint32_t> PowerOfTwoBalancer::ChooseGroup(
+    std::uint32_t route) {
+  const PoolRouting& pool = routing_->pools[routing_->routes[route].pool];
+  if (pool.groups.empty()) return std::nullopt;
+  if (pool.groups.size() == 1) return 0;
+  const std::uint32_t share = pool.groups[1].share_ppm;
+  if (share == 0) return 0;
+  double& credit = new_version_credit_[route];
+  credit += share / kWhole;
+  if (credit < 1) return 0;
+  credit -= 1;
+  return 1;
+}
+
+std::optional<Placement> PowerOfTwoBalancer::ChooseTarget(
+    const Placement& group, std::span<const Placement> tried, MonoTime now) {
+  const GroupView& view = pools_[group.pool].groups[group.group];
+  // Own failure domain with room, any with room, then whatever is not ejected.
+  std::optional<std::uint32_t> target =
+      BetterOfTwo(view.own_domain, group, tried, true, now);
+  if (!target) target = BetterOfTwo(view.others, group, tried, true, now);
+  if (!target) target = BetterOfTwo(view.own_domain, group, tried, false, now);
+  if (!target) target = BetterOfTwo(view.others, group, tried, false, now);
+  if (!target) return std::nullopt;
+  return Placement{.pool = group.pool, .group = group.group, .target = *target};
+}
+
+std::optional<std::uint32_t> PowerOfTwoBalancer::BetterOfTwo(
+    const std::vector<std::uint32_t>& candidates, const Placement& group,
+    std::span<const Placement> tried, bool with_room, MonoTime now) {
+  if (candidates.empty()) return std::nullopt;
+  const GroupView& view = pools_[group.pool].groups[group.group];
+  const std::vector<RoutedTarget>& targets =
+      routing_->pools[group.pool].groups[group.group].targets;
+
+  // From a random start in each direction the first usable one: two distinct
+  // random choices when most are usable.
+  const auto usable = [&](std::uint32_t index) {
+    const TargetStats& stats = *view.stats[index];
+    if (stats.ejected_until > now) return false;
+    if (with_room && !HasRoom(targets[index], stats, now)) return false;
+    const Placement placement{
+        .pool = group.pool, .group = group.group, .target = index};
+    return std::ranges::find(tried, placement) == tried.end();
+  };
+  const std::size_t count = candidates.size();
+  const auto first_usable = [&](std::size_t start, std::size_t skip) {
+    for (std::size_t step = 0; step < count; ++step) {
+      const std::size_t position = (start + step) % count;
+      if (position != skip && usable(candidates[position])) return position;
+    }
+    return count;
+  };
+  const std::size_t first = first_usable(random_() % count, count);
+  if (first == count) return std::nullopt;
+  const std::size_t second = first_usable(random_() % count, first);
+  if (second == count) return candidates[first];
+  const std::uint32_t left = candidates[first];
+  const std::uint32_t right = candidates[second];
+  const bool keep_left = Cost(targets[left], *view.stats[left], now) <=
+                         Cost(targets[right], *view.stats[right], now);
+  return keep_left ? left : right;
+}
+
+double PowerOfTwoBalancer::Cost(const RoutedTarget& target,
+                                const TargetStats& stats, MonoTime now) const {
+  const double latency =
+      stats.latency_us > 0 ? stats.latency_us : kUnknownLatencyUs;
+  const double slots = std::max<double>(target.info.slots, 1);
+  const double queue = (stats.in_flight + 1) / slots;
+  const double age = std::chrono::duration<double>(now - stats.first_seen) /
+                     std::chrono::duration<double>(options_.slow_start);
+  const double part = std::clamp(age, kColdestPart, 1.0);
+  return queue * latency * (1 + kFailurePenalty * stats.failure_rate) / part;
+}
+
+bool PowerOfTwoBalancer::HasRoom(const RoutedTarget& target,
+                                 const TargetStats& stats, MonoTime now) const {
+  return stats.full_until <= now && stats.in_flight < target.info.slots;
+}
+
+void PowerOfTwoBalancer::OnSent(const TargetId& target) {
+  const auto found = stats_.find(target);
+  if (found != stats_.end()) ++found->second.in_flight;
+}
+
+void PowerOfTwoBalancer::OnEnded(const TargetId& target, const PoolName& pool,
+                                 RequestOutcome outcome, Microseconds latency,
+                                 MonoTime now) {
+  const auto found = stats_.find(target);
+  if (found == stats_.end()) return;
+  TargetStats& stats = found->second;
+  if (stats.in_flight > 0) --stats.in_flight;
+  switch (outcome) {
+    case RequestOutcome::kCancelled:
+      return;
+    case RequestOutcome::kRefused: {
+      const std::uint32_t doublings =
+          std::min(stats.refusals_in_row++, kMostDoublings);
+      stats.full_until =
+          now + std::min(kFirstBackoff * (1U << doublings), kLongestBackoff);
+      return;
+    }
+    case RequestOutcome::kSuccess:
+      stats.latency_us =
+          stats.latency_us == 0
+              ? static_cast<double>(latency.count())
+              : stats.latency_us +
+                    kLatencyWeight * (static_cast<double>(latency.count()) -
+                                      stats.latency_us);
+      stats.failure_rate -= kFailureWeight * stats.failure_rate;
+      stats.failures_in_row = 0;
+      stats.refusals_in_row = 0;
+      if (stats.failure_rate < kFailureWeight) stats.ejections = 0;
+      return;
+    case RequestOutcome::kError:
+    case RequestOutcome::kTimeout:
+    case RequestOutcome::kTargetDied:
+      stats.failure_rate += kFailureWeight * (1 - stats.failure_rate);
+      ++stats.failures_in_row;
+      outliers_.OnFailure(stats, CountPool(pool, now), now);
+      return;
+  }
+}
+
+OutlierDetector::PoolCount PowerOfTwoBalancer::CountPool(const PoolName& pool,
+                                                         MonoTime now) const {
+  OutlierDetector::PoolCount count;
+  for (std::size_t index = 0; index < pools_.size(); ++index) {
+    const PoolSpec& spec = routing_->pools[index].spec;
+    if (spec.name != pool) continue;
+    count.targets = pools_[index].targets;
+    count.most_percent = spec.max_ejected_percent;
+    for (const GroupView& group : pools_[index].groups) {
+      count.ejected += static_cast<std::size_t>(
+          std::ranges::count_if(group.stats, [now](const TargetStats* stats) {
+            return stats->ejected_until > now;
+          }));
+    }
+  }
+  return count;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/core/routing/power_of_two_balancer.h
@@ -0,0 +1,108 @@
+#ifndef CAMPHORHILL_CORE_ROUTING_POWER_OF_TWO_BALANCER_H_
+#define CAMPHORHILL_CORE_ROUTING_POWER_OF_TWO_BALANCER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "core/base/time.h"
+#include "core/routing/effective_routing.h"
+#include "core/routing/outlier_detector.h"
+#include "core/routing/request_sample.h"
+#include "core/routing/target_stats.h"
+
+namespace camphor {
+
+/// Where a request goes: indices into the routing that placed it. Immutable
+/// value type.
+struct Placement {
+  std::uint32_t pool = 0;    ///< index into routing.pools
+  std::uint32_t group = 0;   ///< index into the pool's groups
+  std::uint32_t target = 0;  ///< index into the group's targets
+
+  auto operator<=>(const Placement&) const = default;
+};
+
+/// Places requests: first the target version by its share, then the better of
+/// two random targets by this proxy's own evidence.
+///
+/// Targets of the own failure domain go first while they have room. A cold
+/// target gets its part slowly. Ejected outliers get nothing, but never more of
+/// a pool is ejected than its row allows. The same calls with the same seed
+/// give the same placements. Choosing allocates nothing. Not thread safe.
+class PowerOfTwoBalancer {
+ public:
+  struct Options {
+    FailureDomain domain;             ///< preferred
+    std::uint64_t random_seed = 1;    ///< makes choices repeatable
+    Milliseconds slow_start{10'000};  ///< until a cold target has its full part
+    OutlierDetector::Options outliers{};  ///< when a target is ejected
+  };
+
+  explicit PowerOfTwoBalancer(Options options);
+
+  /// Takes a new routing; evidence of targets that stay is kept.
+  void SetRouting(const EffectiveRoutingPtr& routing, MonoTime now);
+
+  /// Chooses a target for a request of the given route. `tried` are placements
+  /// that this request does not want again. Returns nothing when no target is
+  /// left. @pre SetRouting was called with a routing that has the route.
+  std::optional<Placement> Choose(std::uint32_t route,
+                                  std::span<const Placement> tried,
+                                  MonoTime now);
+
+  /// Counts a request as under way at the target.
+  void OnSent(const TargetId& target);
+
+  /// Takes a request's end as evidence. `pool` is the row of the target's pool.
+  void OnEnded(const TargetId& target, const PoolName& pool,
+               RequestOutcome outcome, Microseconds latency, MonoTime now);
+
+  /// Evidence of each target, for the dump.
+  const std::unordered_map<TargetId, TargetStats>& stats() const {
+    return stats_;
+  }
+
+ private:
+  struct GroupView {
+    std::uint32_t group = 0;                ///< index into the pool's groups
+    std::vector<std::uint32_t> own_domain;  ///< indices of targets
+    std::vector<std::uint32_t> others;      ///< indices of targets
+    std::vector<TargetStats*> stats;        ///< by index of target
+  };
+  struct PoolView {
+    std::vector<GroupView> groups;
+    std::size_t targets = 0;
+  };
+
+  std::optional<std::uint32_t> ChooseGroup(std::uint32_t route);
+  std::optional<Placement> ChooseTarget(const Placement& group,
+                                        std::span<const Placement> tried,
+                                        MonoTime now);
+  std::optional<std::uint32_t> BetterOfTwo(
+      const std::vector<std::uint32_t>& candidates, const Placement& group,
+      std::span<const Placement> tried, bool with_room, MonoTime now);
+  double Cost(const RoutedTarget& target, const TargetStats& stats,
+              MonoTime now) const;
+  bool HasRoom(const RoutedTarget& target, const TargetStats& stats,
+               MonoTime now) const;
+  OutlierDetector::PoolCount CountPool(const PoolName& pool,
+                                       MonoTime now) const;
+
+  Options options_;
+  OutlierDetector outliers_;
+  std::mt19937_64 random_;
+  EffectiveRoutingPtr routing_;
+  std::vector<PoolView> pools_;
+  std::vector<double> new_version_credit_;  ///< by route, in requests
+  std::unordered_map<RouteName, double> saved_credit_;
+  std::unordered_map<TargetId, TargetStats> stats_;
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_CORE_ROUTING_POWER_OF_TWO_BALANCER_H_
--- /dev/null
+++ b/proxy/proxy_limits.h
@@ -0,0 +1,37 @@
+#ifndef CAMPHORHILL_PROXY_PROXY_LIMITS_H_
+#define CAMPHORHILL_PROXY_PROXY_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "core/base/time.h"
+
+namespace camphor {
+
+/// Bounds that keep one proxy within its memory and its callers fair. Immutable
+/// value type.
+struct ProxyLimits {
+  std::uint32_t header_bytes = 16 * 1024;  ///< longest header of a message
+  std::size_t buffered_body_bytes =
+      16 * 1024;  ///< beginning of a body that is kept so that it can be sent
+                  ///< again
+  std::uint32_t caller_connections = 4096;   ///< open connections of callers
+  std::uint32_t forward_connections = 4096;  ///< open connections of hosts
+  std::uint32_t connections_per_host =
+      256;                     ///< connections kept to one other host at most
+  std::uint32_t attempts = 3;  ///< times that one request is placed at most
+  std::uint32_t retry_percent =
+      10;  ///< retries allowed for each hundred first attempts
+  bool retry_budget = true;  ///< false lifts the budget, for comparison only
+  Milliseconds header_timeout{5000};        ///< longest time for a whole header
+  Milliseconds keep_alive_timeout{60'000};  ///< idle time of a connection
+  Milliseconds body_timeout{5000};          ///< longest pause within a body
+  Milliseconds connect_timeout{500};        ///< longest time to connect
+  Milliseconds heartbeat{500};  ///< pause between interim answers of a host
+  Milliseconds silence{1600};  ///< a host silent for longer lost the connection
+  Milliseconds probe_idle{2000};  ///< idle connections are probed this often
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_PROXY_PROXY_LIMITS_H_
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -11,6 +11,7 @@
 #include "core/base/time.h"
 #include "core/routing/effective_routing.h"
 #include "core/routing/request_sample.h"
+#include "proxy/proxy_limits.h"
 
 namespace camphor {
 
@@ -51,7 +52,16 @@
         on_target_death{};  ///< a target died under a request
     std::function<void(std::string key, std::uint64_t fingerprint,
                        ClaimCallback)>
-        claim{};  ///< claims an idempotency key
+        claim{};  ///< claims an idempotency key; may call back on any thread
+    std::function<void(std::string key, std::function<void(bool)>)>
+        release_claim{};  ///< gives back a granted claim that was not used;
+                          ///< calls back with true once no claim stands
+    std::function<void(const std::string&)>
+        history{};  ///< takes "event=NAME key=value ..." for the history
+                    ///< checker; null when it is off
+    bool debug_headers =
+        false;  ///< answers carry X-Camphor-Target and X-Camphor-Version
+    ProxyLimits limits{};  ///< bounds on callers, connections and retries
   };
 
   explicit ProxyServer(Options options);
