Give the rollout record route shares and a canary count

Cause: one share for the whole pool cannot serve both needs of an early stage. A total share below one in a hundred gives a rare route next to no requests, and spread over all new targets it leaves each far below its normal load, so that versions bad on one route or under load stay hidden.

Change: RolloutRecord.route_shares overrides the share by route, RolloutRecord.canary_targets concentrates it on the targets that ChooseTargets (rendezvous hash) gives; RoutedRule.new_share_ppm is where the routing builder puts the share for the hot path. A recorded outcome goes first in the merge, since the platform's conditional write lets one through at most: a rollout then ends exactly once.

Ruled out: joining the recorded flags of two different outcomes, which would mark as recorded an outcome that the platform does not hold.

--- a/core/replication/rollout_record.cc
+++ b/core/replication/rollout_record.cc
@@ -9,12 +9,12 @@
                                    const RolloutRecord& right) {
   assert(left.id == right.id);
   const auto order = [](const RolloutRecord& record) {
-    return std::tie(record.stage, record.share_ppm, record.stage_since,
-                    record.reason);
+    return std::tie(record.recorded, record.stage, record.share_ppm,
+                    record.canary_targets, record.route_shares,
+                    record.stage_since, record.reason);
   };
   RolloutRecord merged = order(left) < order(right) ? right : left;
   merged.hurry = left.hurry || right.hurry;
-  merged.recorded = left.recorded || right.recorded;
   return merged;
 }
 
--- a/core/replication/rollout_record.h
+++ b/core/replication/rollout_record.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/base/identifier.h"
 #include "core/base/time.h"
@@ -34,6 +35,15 @@
   auto operator<=>(const RolloutReason&) const = default;
 };
 
+/// Share of one route's requests for the new version. Immutable value type.
+struct RouteShare {
+  RouteName route;  ///< which route
+  std::uint32_t share_ppm =
+      0;  ///< share of that route's requests, in millionths
+
+  auto operator<=>(const RouteShare&) const = default;
+};
+
 /// The agreed state of one rollout. Immutable value type with a merge that only
 /// moves up.
 struct RolloutRecord {
@@ -41,12 +51,19 @@
   RolloutStage stage = RolloutStage::kPending;  ///< how far it has come
   std::uint32_t share_ppm =
       0;  ///< share of the pool's requests for the new version, in millionths
+  std::vector<RouteShare>
+      route_shares{};  ///< routes whose share differs from `share_ppm`, sorted
+                       ///< by route; gives rare routes enough requests
+  std::uint32_t canary_targets =
+      0;  ///< the new version's share goes to this many of its targets, chosen
+          ///< by ChooseTargets; 0 means all
   WallTime stage_since{};  ///< when this stage was entered
   bool hurry = false;  ///< the operator asked to go ahead faster; never unset
   bool recorded = false;   ///< the platform holds the final outcome
   RolloutReason reason{};  ///< why it stands there
 
-  /// Keeps the higher stage, then the higher share; joins the flags.
+  /// Keeps an outcome that the platform holds (there is one at most), then the
+  /// higher stage, then the higher share; joins the operator's wish.
   /// Commutative, associative, idempotent. @pre both have one id. Thread
   /// safety: any thread.
   static RolloutRecord Merge(const RolloutRecord& left,
--- a/core/routing/effective_routing.h
+++ b/core/routing/effective_routing.h
@@ -34,7 +34,8 @@
   std::uint32_t share_ppm = 0;  ///< share of the pool's requests, in
                                 ///< millionths; the groups add up to all
   std::vector<RoutedTarget>
-      targets{};  ///< targets that may be sent this share, sorted by id
+      targets{};  ///< targets that may be sent this share, sorted by id; of
+                  ///< a new version those that ChooseTargets gives
 
   auto operator<=>(const VersionGroup&) const = default;
 };
@@ -52,6 +53,9 @@
 struct RoutedRule {
   RouteRule rule;          ///< the row of the table
   std::uint32_t pool = 0;  ///< index into EffectiveRouting::pools; always valid
+  std::uint32_t new_share_ppm =
+      0;  ///< share of this route's requests for the pool's second group, in
+          ///< millionths: the rollout's share for the route
 
   auto operator<=>(const RoutedRule&) const = default;
 };
--- a/unit_tests/core/replication/record_merge_test.cc
+++ b/unit_tests/core/replication/record_merge_test.cc
@@ -20,6 +20,7 @@
   return {.id = RolloutId("r"),
           .stage = static_cast<RolloutStage>(*rc::gen::inRange(0, 6)),
           .share_ppm = *rc::gen::inRange<std::uint32_t>(0, 3),
+          .canary_targets = *rc::gen::inRange<std::uint32_t>(0, 3),
           .hurry = *rc::gen::arbitrary<bool>(),
           .recorded = *rc::gen::arbitrary<bool>()};
 }
@@ -69,5 +70,15 @@
   EXPECT_EQ(RolloutRecord::Merge(done, back).stage, RolloutStage::kRolledBack);
 }
 
+TEST(RolloutRecordMerge, RecordedOutcomeAgainstAnother_KeepsTheRecordedOne) {
+  const RolloutRecord done{.id = RolloutId("r"),
+                           .stage = RolloutStage::kDone,
+                           .share_ppm = 1'000'000,
+                           .recorded = true};
+  const RolloutRecord back{.id = RolloutId("r"),
+                           .stage = RolloutStage::kRolledBack};
+  EXPECT_EQ(RolloutRecord::Merge(back, done), done);
+}
+
 }  // namespace
 }  // namespace camphor
