--- /dev/null
+++ b/node/admin/admin_api.cc
@@ -0,0 +1,335 @@
+#include "node/admin/admin_api.h"
+
+#include <boost/json.hpp>
+#include <charconv>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "core/config/config_codec.h"
+#include "core/routing/routing_builder.h"
+#include "node/admin/state_view.h"
+#include "node/json/record_json.h"
+
+namespace camphor {
+namespace {
+
+using boost::json::object;
+
+MonoTime Now() { return std::chrono::steady_clock::now(); }
+
+WallTime WallNow() {
+  return std::chrono::time_point_cast<Milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+AdminResponse Json(const boost::json::value& value, unsigned status = 200) {
+  return {.status = status, .body = boost::json::serialize(value) + "\n"};
+}
+
+AdminResponse PlainText(std::string text, unsigned status = 200) {
+  return {.status = status,
+          .content_type = "text/plain; version=0.0.4",
+          .body = std::move(text)};
+}
+
+/// The version of an If-Match header, with or without quotes.
+std::optional<ConfigVersion> ParseVersion(std::string_view text) {
+  if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
+    text = text.substr(1, text.size() - 2);
+  }
+  ConfigVersion version = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, version);
+  if (error != std::errc() || rest != end) return std::nullopt;
+  return version;
+}
+
+std::string NewOperationId() {
+  std::random_device entropy;
+  return std::to_string((static_cast<std::uint64_t>(entropy()) << 32U) |
+                        entropy());
+}
+
+std::vector<FieldError> FieldsOf(const std::vector<ConfigError>& errors) {
+  std::vector<FieldError> fields;
+  for (const ConfigError& error : errors) {
+    fields.push_back({.field = error.field, .message = error.message});
+  }
+  return fields;
+}
+
+std::string Summary(const std::vector<FieldError>& errors) {
+  if (errors.empty()) return "the body is invalid";
+  const FieldError& first = errors.front();
+  return first.field.empty() ? first.message
+                             : first.field + ": " + first.message;
+}
+
+AdminResponse Invalid(const std::vector<FieldError>& errors) {
+  return AdminError(400, "invalid", Summary(errors), errors);
+}
+
+AdminResponse ToResponse(const EditOutcome& outcome,
+                         const std::string& operation_id) {
+  if (outcome.kind == EditOutcome::Kind::kAccepted) {
+    AdminResponse response = Json(object{{"version", outcome.head.version},
+                                         {"digest", outcome.head.digest.hex()},
+                                         {"operation_id", operation_id}});
+    response.etag = '"' + std::to_string(outcome.head.version) + '"';
+    return response;
+  }
+  object error{{"message", outcome.reason}, {"operation_id", operation_id}};
+  unsigned status = 503;
+  if (outcome.kind == EditOutcome::Kind::kConflict) {
+    status = 409;
+    error["kind"] = "conflict";
+    error["version"] = outcome.head.version;
+  } else if (outcome.kind == EditOutcome::Kind::kUnknown) {
+    status = 504;
+    error["kind"] = "unknown";
+  } else {
+    error["kind"] = "unavailable";
+  }
+  return Json(object{{"error", std::move(error)}}, status);
+}
+
+}  // namespace
+
+AdminApi::AdminApi(Options options)
+    : options_(std::move(options)), router_(options_.settings.operator_token) {
+  AddProbes();
+  AddViews();
+  AddTargets();
+  AddRollouts();
+  AddOperations();
+}
+
+void AdminApi::AddProbes() {
+  const auto probe = [](std::function<bool()> holds) {
+    return [holds = std::move(holds)](const AdminRouter::Call&,
+                                      const AdminRespond& respond) {
+      const bool ok = holds();
+      respond(PlainText(ok ? "ok\n" : "not ok\n", ok ? 200 : 503));
+    };
+  };
+  router_.Add("GET", "/healthz", AdminAccess::kAnyone, probe(options_.alive));
+  router_.Add("GET", "/readyz", AdminAccess::kAnyone, probe(options_.ready));
+  router_.Add("GET", "/metrics", AdminAccess::kAnyone,
+              [this](const AdminRouter::Call&, const AdminRespond& respond) {
+                OnDecisions(respond, [this, respond] {
+                  respond(PlainText(options_.metrics()));
+                });
+              });
+}
+
+void AdminApi::AddViews() {
+  const auto add = [this](std::string_view path, View view) {
+    router_.Add("GET", path, AdminAccess::kAnyone, Show(std::move(view)));
+  };
+  add("/v1/config", [](HostController& controller) {
+    return ConfigView(controller.replicator().snapshot());
+  });
+  for (const char* const table : {"routes", "pools"}) {
+    add(std::string("/v1/") + table, [table](HostController& controller) {
+      object view = ConfigView(controller.replicator().snapshot());
+      return object{{"version", view["version"]}, {table, view[table]}};
+    });
+  }
+  add("/v1/hosts", [](HostController& controller) {
+    return object{{"hosts", HostsView(controller.replicator())}};
+  });
+  add("/v1/targets", [](HostController& controller) {
+    return object{{"targets", TargetsView(controller.replicator())}};
+  });
+  add("/v1/rollouts", [](HostController& controller) {
+    return object{{"rollouts", RolloutsView(controller.replicator())},
+                  {"manager", ParsedOrText(controller.rollouts().DumpJson())}};
+  });
+  add("/v1/status", [this](HostController& controller) {
+    object view = options_.status();
+    const ConfigSnapshotPtr& snapshot = controller.replicator().snapshot();
+    view["version"] = snapshot == nullptr ? 0 : snapshot->head.version;
+    view["digest"] = snapshot == nullptr ? "" : snapshot->head.digest.hex();
+    view["hosts"] = HostCountsView(controller.replicator());
+    return view;
+  });
+  add("/v1/dump", [this](HostController& controller) {
+    object view = options_.dump();
+    view["replicator"] = ParsedOrText(controller.replicator().DumpJson());
+    view["rollouts"] = ParsedOrText(controller.rollouts().DumpJson());
+    view["targets"] = TargetsView(controller.replicator());
+    return view;
+  });
+}
+
+void AdminApi::AddTargets() {
+  router_.Add("POST", "/v1/targets", AdminAccess::kLoopback,
+              [this](const AdminRouter::Call& call,
+                     const AdminRespond& respond) { Announce(call, respond); });
+  const auto change = [this](bool (HostController::*method)(const TargetId&,
+                                                            MonoTime)) {
+    return [this, method](const AdminRouter::Call& call,
+                          const AdminRespond& respond) {
+      OnDecisions(
+          respond, [this, method, respond, id = TargetId(call.captures[0])] {
+            if ((options_.controller->*method)(id, Now())) {
+              return respond(Json(object{}));
+            }
+            respond(AdminError(404, "not_found",
+                               "the target is not known here: announce it"));
+          });
+    };
+  };
+  router_.Add("POST", "/v1/targets/{}/renew", AdminAccess::kLoopback,
+              change(&HostController::Renew));
+  router_.Add("DELETE", "/v1/targets/{}", AdminAccess::kLoopback,
+              change(&HostController::Leave));
+}
+
+void AdminApi::AddRollouts() {
+  router_.Add(
+      "GET", "/v1/rollouts/{*}", AdminAccess::kAnyone,
+      [this](const AdminRouter::Call& call, const AdminRespond& respond) {
+        OnDecisions(respond, [this, respond, id = call.captures[0]] {
+          for (const auto& row :
+               RolloutsView(options_.controller->replicator())) {
+            if (row.at("id").as_string() == id) return respond(Json(row));
+          }
+          respond(AdminError(404, "not_found", "the rollout is not known"));
+        });
+      });
+  const auto change = [this](std::function<bool(const RolloutId&)> apply) {
+    return [this, apply = std::move(apply)](const AdminRouter::Call& call,
+                                            const AdminRespond& respond) {
+      OnDecisions(respond, [apply, respond, id = RolloutId(call.captures[0])] {
+        if (apply(id)) return respond(Json(object{{"id", id.value()}}));
+        respond(AdminError(404, "not_found", "the rollout is not known"));
+      });
+    };
+  };
+  router_.Add("POST", "/v1/rollouts/{*}/abort", AdminAccess::kOperator,
+              change([this](const RolloutId& id) {
+                return options_.controller->rollouts().Abort(id, WallNow());
+              }));
+  router_.Add("POST", "/v1/rollouts/{*}/hurry", AdminAccess::kOperator,
+              change([this](const RolloutId& id) {
+                return options_.controller->rollouts().Hurry(id);
+              }));
+}
+
+void AdminApi::AddOperations() {
+  router_.Add(
+      "PUT", "/v1/config", AdminAccess::kOperator,
+      [this](const AdminRouter::Call& call, const AdminRespond& respond) {
+        PutConfig(call, respond);
+      });
+  router_.Add(
+      "PUT", "/v1/log_level", AdminAccess::kOperator,
+      [this](const AdminRouter::Call& call, const AdminRespond& respond) {
+        PutLogLevel(call, respond);
+      });
+  router_.Add("POST", "/v1/drain", AdminAccess::kOperator,
+              [this](const AdminRouter::Call&, const AdminRespond& respond) {
+                options_.drain();
+                respond(Json(object{{"draining", true}}, 202));
+              });
+}
+
+AdminRouter::Handler AdminApi::Show(View view) const {
+  return [this, view = std::move(view)](const AdminRouter::Call&,
+                                        const AdminRespond& respond) {
+    OnDecisions(respond, [this, view, respond] {
+      boost::json::value shown = view(*options_.controller);
+      AdminResponse response = Json(shown);
+      // A version is what an edit has to name in If-Match.
+      if (const boost::json::value* version =
+              shown.as_object().if_contains("version")) {
+        response.etag = '"' + boost::json::serialize(*version) + '"';
+      }
+      respond(std::move(response));
+    });
+  };
+}
+
+void AdminApi::OnDecisions(const AdminRespond& respond,
+                           DecisionThread::Task task) const {
+  if (options_.decisions->Post(DecisionThread::Source::kAdmin,
+                               std::move(task))) {
+    return;
+  }
+  respond(AdminError(503, "stopping", "the process stops"));
+}
+
+void AdminApi::PutConfig(const AdminRouter::Call& call,
+                         const AdminRespond& respond) {
+  const std::optional<ConfigVersion> expected =
+      ParseVersion(call.request.if_match);
+  if (!expected.has_value()) {
+    return respond(
+        AdminError(428, "version_required",
+                   "If-Match must name the version that was edited"));
+  }
+  ConfigCodec codec;
+  std::optional<ConfigSnapshot> tables = codec.Decode(call.request.body, 0);
+  if (!tables.has_value()) return respond(Invalid(FieldsOf(codec.errors())));
+
+  const std::string& given = call.request.operation_id;
+  ConfigEdit edit{.tables = std::move(*tables),
+                  .expected = *expected,
+                  .operation_id = given.empty() ? NewOperationId() : given};
+  OnDecisions(respond, [this, respond, edit = std::move(edit)] {
+    options_.accept(edit, [this, respond, edit](const EditOutcome& outcome) {
+      options_.log->Log(LogLevel::kInfo, "admin",
+                        outcome.kind == EditOutcome::Kind::kAccepted
+                            ? "an edit of the tables was accepted"
+                            : "an edit of the tables was not accepted",
+                        {{"version", outcome.head.version},
+                         {"expected", edit.expected},
+                         {"operation", edit.operation_id},
+                         {"reason", outcome.reason}});
+      respond(ToResponse(outcome, edit.operation_id));
+    });
+  });
+}
+
+void AdminApi::Announce(const AdminRouter::Call& call,
+                        const AdminRespond& respond) {
+  std::vector<FieldError> errors;
+  const std::optional<TargetAnnouncement> announcement =
+      TargetAnnouncement::Parse(call.request.body, errors);
+  if (!announcement.has_value()) return respond(Invalid(errors));
+  OnDecisions(respond, [this, respond, announcement = *announcement] {
+    if (!options_.controller->Announce(announcement, Now())) {
+      return respond(AdminError(503, "too_many_targets",
+                                "this host holds no more targets"));
+    }
+    const auto lease = options_.settings.targets.lease.count();
+    respond(Json(object{{"id", announcement.id.value()}, {"lease_ms", lease}}));
+  });
+}
+
+void AdminApi::PutLogLevel(const AdminRouter::Call& call,
+                           const AdminRespond& respond) {
+  std::string reason;
+  const std::optional<boost::json::value> body =
+      ParseJsonWithComments(call.request.body, reason);
+  if (!body.has_value() || !body->is_object()) {
+    return respond(
+        Invalid({{.message = body.has_value() ? "the body must be an object"
+                                              : reason}}));
+  }
+  std::vector<FieldError> errors;
+  LogSettings log;
+  JsonFields fields(body->get_object(), "", errors);
+  ReadLogLevels(fields, log);
+  fields.Finish();
+  if (!errors.empty()) return respond(Invalid(errors));
+  options_.log->SetLevels(log.level, log.parts);
+  respond(Json(object{{"level", std::string(LogLevelName(log.level))}}));
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/node/admin/admin_router.cc
@@ -0,0 +1,127 @@
+#include "node/admin/admin_router.h"
+
+#include <openssl/crypto.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/base/digest.h"
+
+namespace camphor {
+namespace {
+
+constexpr std::string_view kOneSegment = "{}";
+constexpr std::string_view kManySegments = "{*}";
+
+std::vector<std::string> Split(std::string_view path) {
+  std::vector<std::string> segments;
+  while (!path.empty()) {
+    path.remove_prefix(path.front() == '/' ? 1 : 0);
+    const std::size_t end = std::min(path.find('/'), path.size());
+    if (end > 0) segments.emplace_back(path.substr(0, end));
+    path.remove_prefix(end);
+  }
+  return segments;
+}
+
+std::string Join(const std::vector<std::string>& segments, std::size_t first,
+                 std::size_t last) {
+  std::string joined;
+  for (std::size_t index = first; index < last; ++index) {
+    if (index > first) joined += '/';
+    joined += segments[index];
+  }
+  return joined;
+}
+
+/// What the wildcards matched; nothing when the path is another one.
+std::optional<std::vector<std::string>> Match(
+    const std::vector<std::string>& pattern,
+    const std::vector<std::string>& path) {
+  std::vector<std::string> captures;
+  std::size_t at = 0;
+  for (std::size_t index = 0; index < pattern.size(); ++index) {
+    const std::size_t rest = pattern.size() - index - 1;
+    if (at + rest >= path.size()) return std::nullopt;
+    if (pattern[index] == kManySegments) {
+      // Takes all but what the rest of the pattern needs.
+      captures.push_back(Join(path, at, path.size() - rest));
+      at = path.size() - rest;
+      continue;
+    }
+    if (pattern[index] == kOneSegment) {
+      captures.push_back(path[at]);
+    } else if (pattern[index] != path[at]) {
+      return std::nullopt;
+    }
+    ++at;
+  }
+  if (at != path.size()) return std::nullopt;
+  return captures;
+}
+
+}  // namespace
+
+AdminRouter::AdminRouter(std::string_view operator_token)
+    : expected_(Digest::Of("Bearer " + std::string(operator_token)).hex()) {}
+
+void AdminRouter::Add(std::string method, std::string_view pattern,
+                      AdminAccess access, Handler handler) {
+  resources_.push_back({.method = std::move(method),
+                        .segments = Split(pattern),
+                        .access = access,
+                        .handler = std::move(handler)});
+}
+
+void AdminRouter::Route(const AdminRequest& request,
+                        const AdminRespond& respond) const {
+  const std::vector<std::string> path = Split(request.path);
+  std::string allowed;
+  for (const Resource& resource : resources_) {
+    std::optional<std::vector<std::string>> captures =
+        Match(resource.segments, path);
+    if (!captures.has_value()) continue;
+    if (resource.method != request.method) {
+      allowed += (allowed.empty() ? "" : ", ") + resource.method;
+      continue;
+    }
+    std::optional<AdminResponse> refusal = Refuse(resource, request);
+    if (refusal.has_value()) return respond(std::move(*refusal));
+    return resource.handler(
+        {.request = request, .captures = std::move(*captures)}, respond);
+  }
+  if (allowed.empty()) {
+    return respond(AdminError(404, "not_found", "there is no such resource"));
+  }
+  AdminResponse response = AdminError(405, "method_not_allowed",
+                                      "the resource takes only " + allowed);
+  response.allow = std::move(allowed);
+  respond(std::move(response));
+}
+
+std::optional<AdminResponse> AdminRouter::Refuse(
+    const Resource& resource, const AdminRequest& request) const {
+  switch (resource.access) {
+    case AdminAccess::kAnyone:
+      return std::nullopt;
+    case AdminAccess::kLoopback:
+      if (request.from_loopback) return std::nullopt;
+      return AdminError(403, "forbidden",
+                        "only targets of this host may announce themselves");
+    case AdminAccess::kOperator:
+      if (HasToken(request)) return std::nullopt;
+      return AdminError(401, "unauthorized",
+                        "edits need the operator's token: Authorization: "
+                        "Bearer TOKEN");
+  }
+  return std::nullopt;
+}
+
+bool AdminRouter::HasToken(const AdminRequest& request) const {
+  // Digests have one length, and the comparison takes the same time for every
+  // wrong token.
+  const std::string given = Digest::Of(request.authorization).hex();
+  return CRYPTO_memcmp(given.data(), expected_.data(), expected_.size()) == 0;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/node/admin/admin_server.cc
@@ -0,0 +1,244 @@
+#include "node/admin/admin_server.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/url.hpp>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace camphor {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kHeadersTooLarge = 431;
+
+/// The path of a request target, decoded and without the query; nothing when
+/// it is malformed.
+std::optional<std::string> DecodePath(beast::string_view target) {
+  const auto url =
+      boost::urls::parse_origin_form({target.data(), target.size()});
+  if (!url.has_value()) return std::nullopt;
+  return url->path();
+}
+
+/// True when the peer sent something wrong; false when the connection failed.
+bool IsParseFailure(const beast::error_code& error) {
+  return error.category() ==
+         http::make_error_code(http::error::body_limit).category();
+}
+
+AdminResponse ParseFailure(const beast::error_code& error) {
+  if (error == http::error::body_limit) {
+    return AdminError(kTooLarge, "too_large", "the body is too large");
+  }
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return AdminError(kHeadersTooLarge, "too_large",
+                      "the headers are too large");
+  }
+  return AdminError(kBadRequest, "malformed",
+                    "the request is malformed: " + error.message());
+}
+
+}  // namespace
+
+struct AdminServer::State {
+  explicit State(Options given)
+      : options(std::move(given)), acceptor(context) {}
+
+  // Connections that the context still holds count themselves off at its end.
+  std::atomic<std::uint32_t> open{0};
+  std::atomic<std::uint64_t> requests{0};
+  std::atomic<std::uint64_t> refused{0};
+  Options options;
+  asio::io_context context{1};
+  Tcp::acceptor acceptor;
+  std::thread thread;
+  Endpoint endpoint;
+  std::string last_reason;
+
+  void Accept();
+};
+
+/// One connection; keeps itself alive through its handlers.
+class AdminServer::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(Tcp::socket socket, State& state)
+      : stream_(std::move(socket)), state_(state) {
+    ++state_.open;
+  }
+
+  ~Session() { --state_.open; }
+
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  /// Reads the next request of the connection.
+  void Read() {
+    parser_.emplace();
+    parser_->header_limit(state_.options.header_bytes);
+    parser_->body_limit(state_.options.body_bytes);
+    stream_.expires_after(state_.options.timeout);
+    http::async_read(
+        stream_, buffer_, *parser_,
+        [self = shared_from_this()](const beast::error_code& error,
+                                    std::size_t) { self->OnRead(error); });
+  }
+
+ private:
+  void OnRead(const beast::error_code& error) {
+    if (error == http::error::end_of_stream) return Close();
+    if (error && !IsParseFailure(error)) return;
+    if (error) {
+      keep_alive_ = false;
+      return Write(ParseFailure(error));
+    }
+    Dispatch();
+  }
+
+  void Dispatch() {
+    auto message = parser_->release();
+    keep_alive_ = message.keep_alive();
+    const std::optional<std::string> path = DecodePath(message.target());
+    if (!path.has_value()) {
+      return Write(AdminError(kBadRequest, "malformed",
+                              "the request target is malformed"));
+    }
+    beast::error_code error;
+    const auto peer = stream_.socket().remote_endpoint(error);
+    AdminRequest request{
+        .method = std::string(message.method_string()),
+        .path = *path,
+        .body = std::move(message.body()),
+        .authorization = std::string(message[http::field::authorization]),
+        .if_match = std::string(message[http::field::if_match]),
+        .operation_id = std::string(message["Operation-Id"]),
+        .from_loopback = !error && peer.address().is_loopback()};
+    // The answer may come from another thread.
+    state_.options.handle(
+        request, [self = shared_from_this()](AdminResponse response) {
+          asio::post(self->stream_.get_executor(),
+                     [self, response = std::move(response)]() mutable {
+                       self->Write(std::move(response));
+                     });
+        });
+  }
+
+  void Write(AdminResponse response) {
+    ++state_.requests;
+    response_ = {};
+    response_.result(response.status);
+    response_.set(http::field::server, "camphord");
+    response_.set(http::field::content_type, response.content_type);
+    if (!response.etag.empty()) response_.set(http::field::etag, response.etag);
+    if (!response.allow.empty()) {
+      response_.set(http::field::allow, response.allow);
+    }
+    response_.body() = std::move(response.body);
+    response_.keep_alive(keep_alive_);
+    response_.prepare_payload();
+    stream_.expires_after(state_.options.timeout);
+    http::async_write(
+        stream_, response_,
+        [self = shared_from_this()](const beast::error_code& error,
+                                    std::size_t) { self->OnWrite(error); });
+  }
+
+  void OnWrite(const beast::error_code& error) {
+    if (error) return;
+    if (!keep_alive_) return Close();
+    Read();
+  }
+
+  void Close() {
+    beast::error_code ignored;
+    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  http::response<http::string_body> response_;
+  bool keep_alive_ = true;
+  State& state_;
+};
+
+void AdminServer::State::Accept() {
+  acceptor.async_accept(
+      [this](const beast::error_code& error, Tcp::socket socket) {
+        if (!acceptor.is_open()) return;
+        if (!error) {
+          if (open >= options.connections) {
+            ++refused;
+          } else {
+            std::make_shared<Session>(std::move(socket), *this)->Read();
+          }
+        }
+        Accept();
+      });
+}
+
+AdminServer::AdminServer(Options options)
+    : state_(std::make_unique<State>(std::move(options))) {}
+
+AdminServer::~AdminServer() { Stop(); }
+
+bool AdminServer::Start() {
+  State& state = *state_;
+  beast::error_code error;
+  const auto address =
+      asio::ip::make_address(state.options.listen.address, error);
+  const Tcp::endpoint listen(address, state.options.listen.port);
+  if (!error) state.acceptor.open(listen.protocol(), error);
+  if (!error) {
+    state.acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) state.acceptor.bind(listen, error);
+  if (!error)
+    state.acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    state.last_reason = "can not listen on " + state.options.listen.ToString() +
+                        ": " + error.message();
+    return false;
+  }
+  const auto bound = state.acceptor.local_endpoint();
+  state.endpoint = {.address = bound.address().to_string(),
+                    .port = bound.port()};
+  state.Accept();
+  state.thread = std::thread([&state] { state.context.run(); });
+  return true;
+}
+
+void AdminServer::Stop() {
+  State& state = *state_;
+  if (!state.thread.joinable()) return;
+  asio::post(state.context, [&state] {
+    beast::error_code ignored;
+    state.acceptor.close(ignored);
+    state.context.stop();
+  });
+  state.thread.join();
+}
+
+Endpoint AdminServer::endpoint() const { return state_->endpoint; }
+
+std::uint64_t AdminServer::requests() const { return state_->requests; }
+
+std::uint64_t AdminServer::connections_refused() const {
+  return state_->refused;
+}
+
+const std::string& AdminServer::last_reason() const {
+  return state_->last_reason;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/node/admin/state_view.cc
@@ -0,0 +1,103 @@
+#include "node/admin/state_view.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/base/wall_time_text.h"
+#include "core/config/config_codec.h"
+#include "core/routing/routing_builder.h"
+#include "node/json/record_json.h"
+
+namespace camphor {
+
+boost::json::object ConfigView(const ConfigSnapshotPtr& snapshot) {
+  boost::json::object view{{"version", 0},
+                           {"digest", ""},
+                           {"routes", boost::json::array()},
+                           {"pools", boost::json::array()}};
+  if (snapshot == nullptr) return view;
+  const boost::json::value tables =
+      boost::json::parse(ConfigCodec::Encode(*snapshot));
+  for (const auto& member : tables.as_object()) {
+    view[member.key()] = member.value();
+  }
+  view["version"] = snapshot->head.version;
+  view["digest"] = snapshot->head.digest.hex();
+  return view;
+}
+
+boost::json::array HostsView(const Replicator& replicator) {
+  boost::json::array view;
+  for (const auto& [id, host] : replicator.hosts())
+    view.push_back(ToJson(host));
+  return view;
+}
+
+boost::json::array TargetsView(const Replicator& replicator) {
+  boost::json::array view;
+  for (const auto& [id, host] : replicator.hosts()) {
+    for (const TargetInfo& target : host.targets) {
+      boost::json::object row = ToJson(target);
+      row["host"] = host.host.value();
+      row["failure_domain"] = host.domain.value();
+      row["host_status"] = boost::json::string(HostStatusName(host.status));
+      view.push_back(std::move(row));
+    }
+  }
+  return view;
+}
+
+boost::json::array RolloutsView(const Replicator& replicator) {
+  boost::json::array view;
+  const ConfigSnapshotPtr& snapshot = replicator.snapshot();
+  if (snapshot == nullptr) return view;
+  for (const PoolSpec& pool : snapshot->pools) {
+    if (!pool.rollout.has_value()) continue;
+    const RolloutId id = RolloutIdOf(pool);
+    const auto found = replicator.rollouts().find(id);
+    boost::json::object row =
+        ToJson(found == replicator.rollouts().end() ? RolloutRecord{.id = id}
+                                                    : found->second);
+    row["pool"] = pool.name.value();
+    row["from"] = pool.version.value();
+    row["to"] = pool.rollout->version.value();
+    row["attempt"] = pool.rollout->attempt;
+    row["complete_by"] = FormatWallTime(pool.rollout->complete_by);
+    row["bake_s"] = pool.rollout->bake.count();
+    view.push_back(std::move(row));
+  }
+  return view;
+}
+
+boost::json::object HostCountsView(const Replicator& replicator) {
+  std::map<HostStatus, std::uint64_t> counts;
+  std::uint64_t serving_newest = 0;
+  const ConfigVersion newest = replicator.snapshot() == nullptr
+                                   ? 0
+                                   : replicator.snapshot()->head.version;
+  for (const auto& [id, host] : replicator.hosts()) {
+    ++counts[host.status];
+    const bool live = host.status == HostStatus::kAlive ||
+                      host.status == HostStatus::kSuspect;
+    if (live && host.config_version >= newest) ++serving_newest;
+  }
+  boost::json::object view;
+  for (const HostStatus status : {HostStatus::kAlive, HostStatus::kSuspect,
+                                  HostStatus::kLeaving, HostStatus::kDead}) {
+    view[HostStatusName(status)] = counts[status];
+  }
+  view["serving_newest"] = serving_newest;
+  return view;
+}
+
+boost::json::value ParsedOrText(const std::string& text) {
+  boost::json::error_code error;
+  boost::json::value parsed = boost::json::parse(text, error);
+  if (error) return boost::json::string(text);
+  return parsed;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/node/decisions/decision_thread.cc
@@ -0,0 +1,116 @@
+#include "node/decisions/decision_thread.h"
+
+#include <string_view>
+#include <utility>
+
+namespace camphor {
+namespace {
+
+constexpr std::array<std::string_view, 5> kSourceNames = {
+    "main", "mesh", "proxy", "platform", "admin"};
+constexpr Milliseconds kFullRingPause{1};
+
+}  // namespace
+
+DecisionThread::DecisionThread(Options options)
+    : options_(std::move(options)),
+      samples_({.name = "samples", .capacity = options_.sample_capacity}) {
+  for (std::size_t index = 0; index < rings_.size(); ++index) {
+    rings_.at(index) = std::make_unique<TaskRing>(
+        TaskRing::Options{.name = std::string(kSourceNames.at(index)),
+                          .capacity = options_.task_capacity,
+                          .wake = [this] { Wake(); }});
+  }
+}
+
+DecisionThread::~DecisionThread() { Stop(); }
+
+void DecisionThread::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void DecisionThread::Stop() {
+  if (!thread_.joinable()) return;
+  stopping_ = true;
+  Wake();
+  thread_.join();
+}
+
+bool DecisionThread::Post(Source source, Task task) {
+  TaskRing& ring = *rings_.at(static_cast<std::size_t>(source));
+  const auto message = std::make_shared<Task>(std::move(task));
+  while (!stopping_) {
+    if (ring.Push(message)) return true;
+    std::this_thread::sleep_for(kFullRingPause);
+  }
+  return false;
+}
+
+std::vector<DecisionThread::RingLoad> DecisionThread::ring_loads() const {
+  std::vector<RingLoad> loads;
+  for (const auto& ring : rings_) {
+    loads.push_back({.name = ring->name(),
+                     .depth = ring->depth(),
+                     .refused = ring->refused()});
+  }
+  loads.push_back({.name = samples_.name(),
+                   .depth = samples_.depth(),
+                   .refused = samples_.refused()});
+  return loads;
+}
+
+void DecisionThread::Run() {
+  MonoTime next_tick = std::chrono::steady_clock::now();
+  while (!stopping_) {
+    // Samples wake nobody: they are taken with the tick or with other work.
+    const bool worked = RunTasks();
+    RunSamples();
+    const MonoTime now = std::chrono::steady_clock::now();
+    if (now >= next_tick) {
+      options_.on_tick();
+      next_tick = now + options_.tick;
+    }
+    options_.on_idle();
+    if (worked) continue;
+
+    std::unique_lock lock(mutex_);
+    wake_.wait_until(lock, next_tick, [this] { return woken_; });
+    woken_ = false;
+  }
+  RunTasks();
+}
+
+bool DecisionThread::RunTasks() {
+  // One task of each source in turn, so that none starves another.
+  bool worked = false;
+  for (std::size_t round = 0; round < options_.task_capacity; ++round) {
+    bool round_worked = false;
+    for (const auto& ring : rings_) {
+      const std::optional<std::shared_ptr<Task>> task = ring->Pop();
+      if (!task.has_value()) continue;
+      (**task)();
+      round_worked = true;
+    }
+    if (!round_worked) break;
+    worked = true;
+  }
+  return worked;
+}
+
+void DecisionThread::RunSamples() {
+  for (std::size_t count = 0; count < options_.sample_capacity; ++count) {
+    const std::optional<RequestSample> sample = samples_.Pop();
+    if (!sample.has_value()) return;
+    options_.on_sample(*sample);
+  }
+}
+
+void DecisionThread::Wake() {
+  {
+    const std::lock_guard lock(mutex_);
+    woken_ = true;
+  }
+  wake_.notify_one();
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/node/decisions/host_controller.cc
@@ -0,0 +1,218 @@
+#include "node/decisions/host_controller.h"
+
+#include <string>
+#include <utility>
+
+#include "core/routing/routing_builder.h"
+#include "node/json/record_json.h"
+
+namespace camphor {
+namespace {
+
+/// Host records change in bursts: the routing is built again no more often than
+/// this, but at once for a new configuration.
+constexpr Milliseconds kLeastBuildInterval{20};
+constexpr std::chrono::minutes kPoisonKept{10};
+
+}  // namespace
+
+HostController::HostController(Options options)
+    : options_(std::move(options)),
+      registry_({.lease = options_.settings.targets.lease,
+                 .warming_limit = options_.settings.targets.warming_limit}) {
+  rollouts_ = std::make_unique<RolloutManager>(RolloutOptions());
+  replicator_ = std::make_unique<Replicator>(ReplicatorOptions());
+}
+
+HostController::~HostController() = default;
+
+Replicator::Options HostController::ReplicatorOptions() {
+  const Settings& settings = options_.settings;
+  return {
+      .self = {.host = settings.host,
+               .incarnation = options_.incarnation,
+               .domain = settings.failure_domain,
+               .mesh = settings.mesh_listen,
+               .forward = options_.forward},
+      .seeds = settings.mesh_seeds,
+      .random_seed = options_.incarnation,
+      .send = [this](
+                  const Endpoint& to,
+                  const MeshMessage& message) { options_.send(to, message); },
+      .config_changed =
+          [this](const ConfigSnapshotPtr& snapshot) {
+            OnConfigChanged(snapshot);
+          },
+      .hosts_changed =
+          [this] {
+            hosts_changed_ = true;
+            routing_changed_ = true;
+          },
+      .rollout_changed =
+          [this](const RolloutRecord& record) { OnRolloutChanged(record); },
+      .poison_changed = [this] { routing_changed_ = true; },
+      .evidence =
+          [this](const EvidenceReport& report) {
+            rollouts_->OnEvidence(report, now_);
+          },
+      .fetch_snapshot =
+          [this](const ConfigHead& head) { options_.fetch_snapshot(head); }};
+}
+
+RolloutManager::Options HostController::RolloutOptions() {
+  return {.host = options_.settings.host,
+          .incarnation = options_.incarnation,
+          .publish =
+              [this](const RolloutRecord& record) {
+                replicator_->Publish(record, now_);
+              },
+          .send_evidence =
+              [this](const HostId& to, const EvidenceReport& report) {
+                replicator_->SendEvidence(to, report, now_);
+              },
+          .routing_changed = [this] { routing_changed_ = true; }};
+}
+
+void HostController::OnMessage(const Endpoint& from, const MeshMessage& message,
+                               MonoTime now) {
+  now_ = now;
+  replicator_->OnMessage(from, message, now);
+}
+
+void HostController::OnPeerState(const Endpoint& peer, bool connected,
+                                 MonoTime now) {
+  now_ = now;
+  options_.log->Log(LogLevel::kDebug, "mesh",
+                    connected ? "connected to a peer" : "lost a peer",
+                    {{"peer", peer.ToString()}});
+  replicator_->OnPeerState(peer, connected, now);
+}
+
+void HostController::OnSample(const RequestSample& sample, MonoTime now) {
+  now_ = now;
+  rollouts_->OnSample(sample, now);
+}
+
+void HostController::OnTargetDeath(std::uint64_t fingerprint,
+                                   const TargetId& target, MonoTime now,
+                                   WallTime wall_now) {
+  now_ = now;
+  options_.log->Log(LogLevel::kWarning, "targets",
+                    "a target died under a request",
+                    {{"target", target.value()}, {"fingerprint", fingerprint}});
+  replicator_->Publish(PoisonRecord{.fingerprint = fingerprint,
+                                    .deaths = {target},
+                                    .expires = wall_now + kPoisonKept},
+                       now);
+}
+
+bool HostController::Announce(const TargetAnnouncement& announcement,
+                              MonoTime now) {
+  now_ = now;
+  if (!registry_.Announce(announcement, now)) return false;
+  options_.log->Log(LogLevel::kInfo, "targets", "a target announced itself",
+                    {{"target", announcement.id.value()},
+                     {"pool", announcement.pool.value()},
+                     {"version", announcement.version.value()},
+                     {"address", announcement.address.ToString()}});
+  TargetsChanged(now);
+  return true;
+}
+
+bool HostController::Renew(const TargetId& id, MonoTime now) {
+  return registry_.Renew(id, now);
+}
+
+bool HostController::Leave(const TargetId& id, MonoTime now) {
+  now_ = now;
+  if (!registry_.Leave(id, now)) return false;
+  options_.log->Log(LogLevel::kInfo, "targets", "a target leaves",
+                    {{"target", id.value()}});
+  options_.log->History("target_left", {{"id", id.value()}});
+  TargetsChanged(now);
+  return true;
+}
+
+void HostController::LeaveMesh(MonoTime now) {
+  now_ = now;
+  replicator_->Leave(now);
+}
+
+void HostController::Tick(MonoTime now, WallTime wall_now) {
+  now_ = now;
+  if (registry_.Expire(now)) TargetsChanged(now);
+  replicator_->Tick(now, wall_now);
+  if (hosts_changed_) {
+    hosts_changed_ = false;
+    rollouts_->SetHosts(replicator_->hosts());
+  }
+  rollouts_->Tick(now, wall_now);
+}
+
+void HostController::PublishRouting(MonoTime now) {
+  if (!replicator_->ready()) return;
+  if (!routing_changed_ && !config_changed_) return;
+  if (!config_changed_ && now - last_built_ < kLeastBuildInterval) return;
+  routing_changed_ = false;
+  config_changed_ = false;
+  last_built_ = now;
+  auto routing = std::make_shared<EffectiveRouting>(
+      BuildRouting({.self = options_.settings.host,
+                    .snapshot = replicator_->snapshot(),
+                    .hosts = replicator_->hosts(),
+                    .rollouts = replicator_->rollouts(),
+                    .poison = replicator_->poison(),
+                    .locally_ejected = rollouts_->locally_ejected()}));
+  const EffectiveRoutingPtr before = options_.routing->Load();
+  if (before != nullptr && *before == *routing) return;
+  LogRouting(*routing);
+  options_.routing->Store(std::move(routing));
+}
+
+bool HostController::ready() const {
+  return replicator_->ready() && options_.routing->Load() != nullptr;
+}
+
+void HostController::OnConfigChanged(const ConfigSnapshotPtr& snapshot) {
+  config_changed_ = true;
+  options_.log->Log(LogLevel::kInfo, "decisions", "a configuration is in force",
+                    {{"version", snapshot->head.version},
+                     {"digest", snapshot->head.digest.hex()}});
+  options_.log->History("serving", {{"version", snapshot->head.version},
+                                    {"digest", snapshot->head.digest.hex()}});
+  rollouts_->SetConfig(snapshot);
+  options_.config_changed(*snapshot);
+}
+
+void HostController::OnRolloutChanged(const RolloutRecord& record) {
+  routing_changed_ = true;
+  const std::initializer_list<LogField> fields = {
+      {"id", record.id.value()},
+      {"stage", std::string(StageName(record.stage))},
+      {"share_ppm", record.share_ppm},
+      {"signal", record.reason.signal}};
+  options_.log->Log(LogLevel::kInfo, "rollout", "a rollout changed", fields);
+  options_.log->History("rollout", fields);
+  rollouts_->OnRecord(record);
+}
+
+void HostController::TargetsChanged(MonoTime now) {
+  options_.addresses->Store(
+      std::make_shared<TargetAddresses>(registry_.addresses()));
+  replicator_->SetTargets(registry_.targets(), now);
+  routing_changed_ = true;
+}
+
+void HostController::LogRouting(const EffectiveRouting& routing) {
+  if (!options_.log->history()) return;
+  for (const PoolRouting& pool : routing.pools) {
+    std::size_t targets = 0;
+    for (const VersionGroup& group : pool.groups)
+      targets += group.targets.size();
+    options_.log->History("routing", {{"version", routing.head.version},
+                                      {"pool", pool.spec.name.value()},
+                                      {"targets", targets}});
+  }
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/node/metrics/node_metrics.cc
@@ -0,0 +1,88 @@
+#include "node/metrics/node_metrics.h"
+
+#include <string_view>
+
+#include "node/json/record_json.h"
+#include "node/metrics/metrics_text.h"
+#include "node/metrics/process_usage.h"
+
+namespace camphor {
+namespace {
+
+void AddProcess(MetricsText& out) {
+  const ProcessUsage usage = ProcessUsage::Read();
+  out.Counter("camphor_process_cpu_seconds_total",
+              "User and system time of the process.", usage.cpu_seconds);
+  out.Gauge("camphor_process_resident_bytes",
+            "Memory of the process that is resident.",
+            static_cast<double>(usage.resident_bytes));
+  out.Gauge("camphor_process_threads", "Threads of the process.",
+            static_cast<double>(usage.threads));
+}
+
+void AddHosts(MetricsText& out, const NodeMetrics& metrics) {
+  std::map<HostStatus, std::uint64_t> counts;
+  for (const auto& [id, host] : metrics.hosts) ++counts[host.status];
+  for (const HostStatus status : {HostStatus::kAlive, HostStatus::kSuspect,
+                                  HostStatus::kLeaving, HostStatus::kDead}) {
+    out.Gauge("camphor_hosts", "Hosts as this host sees them, by status.",
+              static_cast<double>(counts[status]),
+              {{"status", std::string(HostStatusName(status))}});
+  }
+}
+
+void AddRings(MetricsText& out, const NodeMetrics& metrics) {
+  for (const DecisionThread::RingLoad& ring : metrics.rings) {
+    out.Gauge("camphor_ring_depth", "Messages that wait in a ring.",
+              static_cast<double>(ring.depth), {{"ring", ring.name}});
+  }
+  for (const DecisionThread::RingLoad& ring : metrics.rings) {
+    out.Counter("camphor_ring_refused_total",
+                "Pushes that a full ring refused; of samples: dropped ones.",
+                static_cast<double>(ring.refused), {{"ring", ring.name}});
+  }
+}
+
+void AddMesh(MetricsText& out, const MeshTransport::Counters& mesh) {
+  out.Counter("camphor_mesh_bytes_total", "Protocol bytes of the mesh.",
+              static_cast<double>(mesh.bytes_sent), {{"direction", "sent"}});
+  out.Counter("camphor_mesh_bytes_total", "Protocol bytes of the mesh.",
+              static_cast<double>(mesh.bytes_received),
+              {{"direction", "received"}});
+  for (const auto& [purpose, bytes] : mesh.bytes_by_purpose) {
+    out.Counter("camphor_mesh_purpose_bytes_total",
+                "Encoded bytes of the mesh by kind of message.",
+                static_cast<double>(bytes), {{"purpose", purpose}});
+  }
+  out.Counter("camphor_mesh_handshakes_refused_total",
+              "Peers with a wrong key or another protocol version.",
+              static_cast<double>(mesh.handshakes_refused));
+  out.Counter("camphor_mesh_messages_dropped_total",
+              "Messages to peers that could not be reached.",
+              static_cast<double>(mesh.messages_dropped));
+}
+
+}  // namespace
+
+std::string NodeMetricsText(const NodeMetrics& metrics) {
+  MetricsText out;
+  out.Gauge("camphor_ready", "1 while callers are served.",
+            metrics.ready ? 1 : 0);
+  out.Gauge("camphor_config_version", "Version of the configuration in force.",
+            static_cast<double>(metrics.config_version));
+  out.Gauge("camphor_platform_reachable",
+            "1 when the platform answered the last read.",
+            metrics.platform_reachable ? 1 : 0);
+  AddHosts(out, metrics);
+  AddProcess(out);
+  AddRings(out, metrics);
+  AddMesh(out, metrics.mesh);
+  out.Counter("camphor_admin_requests_total", "Admin requests answered.",
+              static_cast<double>(metrics.admin_requests));
+  out.Counter("camphor_log_lines_dropped_total",
+              "Log lines dropped since the log was too slow.",
+              static_cast<double>(metrics.log_dropped));
+  return out.text();
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/node/node.cc
@@ -0,0 +1,373 @@
+#include "node/node.h"
+
+#include <atomic>
+#include <boost/json.hpp>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "mesh/mesh_transport.h"
+#include "node/admin/admin_api.h"
+#include "node/admin/admin_server.h"
+#include "node/admin/state_view.h"
+#include "node/decisions/decision_thread.h"
+#include "node/decisions/host_controller.h"
+#include "node/decisions/published.h"
+#include "node/metrics/node_metrics.h"
+#include "node/platform_sync/platform_sync.h"
+#include "platform/http_platform_client.h"
+#include "proxy/proxy_server.h"
+
+namespace camphor {
+namespace {
+
+using Source = DecisionThread::Source;
+
+/// The decisions thread is stuck when it has not ticked for this long.
+constexpr Seconds kLongestTickGap{5};
+constexpr Milliseconds kDrainPoll{10};
+
+MonoTime Now() { return std::chrono::steady_clock::now(); }
+
+WallTime WallNow() {
+  return std::chrono::time_point_cast<Milliseconds>(
+      std::chrono::system_clock::now());
+}
+
+/// Rises with each start of the process.
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Microseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+}  // namespace
+
+struct Node::State {
+  explicit State(Options given)
+      : options(std::move(given)),
+        settings(options.settings),
+        log(*options.log),
+        incarnation(NewIncarnation()),
+        started(Now()),
+        admin(AdminOptions()),
+        decisions(DecisionOptions()),
+        proxy(ProxyOptions()),
+        mesh(MeshOptions()),
+        platform({.server = settings.platform}) {}
+
+  Options options;
+  const Settings& settings;
+  LogSink& log;
+  const std::uint64_t incarnation;
+  const MonoTime started;
+  std::string last_reason;
+  std::atomic<bool> ready{false};
+  std::atomic<bool> draining{false};
+  std::atomic<MonoTime::rep> last_tick{0};
+  Published<EffectiveRouting> routing;
+  Published<TargetAddresses> addresses;
+
+  // Destroyed from the bottom up: what calls goes before what is called.
+  AdminServer admin;
+  DecisionThread decisions;
+  ProxyServer proxy;
+  MeshTransport mesh;
+  HttpPlatformClient platform;
+  std::unique_ptr<HostController> controller;
+  std::unique_ptr<PlatformSync> sync;
+  std::unique_ptr<AdminApi> api;
+
+  AdminServer::Options AdminOptions();
+  DecisionThread::Options DecisionOptions();
+  ProxyServer::Options ProxyOptions();
+  MeshTransport::Options MeshOptions();
+  HostController::Options ControllerOptions();
+  PlatformSync::Options SyncOptions();
+  AdminApi::Options ApiOptions();
+
+  void OnTick();
+  void OnIdle();
+  boost::json::object Status();
+  boost::json::object Dump();
+  std::string Metrics();
+  bool Fail(std::string_view part, const std::string& reason);
+};
+
+AdminServer::Options Node::State::AdminOptions() {
+  return {.listen = settings.admin_listen,
+          .connections = settings.admin.connections,
+          .body_bytes = settings.admin.body_bytes,
+          .handle = [this](const AdminRequest& request, AdminRespond respond) {
+            api->Handle(request, respond);
+          }};
+}
+
+DecisionThread::Options Node::State::DecisionOptions() {
+  return {.on_tick = [this] { OnTick(); },
+          .on_sample =
+              [this](const RequestSample& sample) {
+                controller->OnSample(sample, Now());
+              },
+          .on_idle = [this] { OnIdle(); }};
+}
+
+ProxyServer::Options Node::State::ProxyOptions() {
+  ProxyServer::Options proxy_options{
+      .caller_listen = settings.caller_listen,
+      .forward_listen = settings.forward_listen,
+      .host = settings.host,
+      .domain = settings.failure_domain,
+      .mesh_key = settings.mesh_key,
+      .routing = [this] { return routing.Load(); },
+      .local_target =
+          [this](const TargetId& id) {
+            const auto known = addresses.Load();
+            if (known == nullptr) return Endpoint{};
+            const auto found = known->find(id);
+            return found == known->end() ? Endpoint{} : found->second;
+          },
+      .on_sample =
+          [this](RequestSample&& sample) { decisions.PostSample(sample); },
+      .on_target_death =
+          [this](std::uint64_t fingerprint, const TargetId& target) {
+            decisions.Post(Source::kProxy, [this, fingerprint, target] {
+              controller->OnTargetDeath(fingerprint, target, Now(), WallNow());
+            });
+          },
+      .claim = [](const std::string&, std::uint64_t,
+                  const ClaimCallback& done) { done(ClaimStatus::kNotMade); },
+      .debug_headers = settings.proxy.debug_headers};
+  if (settings.log.history) {
+    proxy_options.history = [this](const std::string& text) {
+      log.History(text);
+    };
+  }
+  return proxy_options;
+}
+
+MeshTransport::Options Node::State::MeshOptions() {
+  return {.listen = settings.mesh_listen,
+          .key = settings.mesh_key,
+          .on_message =
+              [this](const Endpoint& from, MeshMessage message) {
+                // The task is copied into the ring: the message is not.
+                const auto shared =
+                    std::make_shared<const MeshMessage>(std::move(message));
+                decisions.Post(Source::kMesh, [this, from, shared] {
+                  controller->OnMessage(from, *shared, Now());
+                });
+              },
+          .on_peer_state =
+              [this](const Endpoint& peer, bool connected) {
+                decisions.Post(Source::kMesh, [this, peer, connected] {
+                  controller->OnPeerState(peer, connected, Now());
+                });
+              }};
+}
+
+HostController::Options Node::State::ControllerOptions() {
+  return {.settings = settings,
+          .incarnation = incarnation,
+          .forward = proxy.forward_endpoint(),
+          .log = &log,
+          .routing = &routing,
+          .addresses = &addresses,
+          .send =
+              [this](const Endpoint& to, const MeshMessage& message) {
+                return mesh.Send(to, message);
+              },
+          .fetch_snapshot =
+              [this](const ConfigHead& head) { sync->FetchSnapshot(head); },
+          .config_changed =
+              [this](const ConfigSnapshot& snapshot) {
+                sync->OnConfigChanged(snapshot);
+              }};
+}
+
+PlatformSync::Options Node::State::SyncOptions() {
+  return {.settings = settings.polling,
+          .random_seed = incarnation,
+          .platform = &platform,
+          .log = &log,
+          .controller = controller.get(),
+          .post = [this](DecisionThread::Task task) {
+            decisions.Post(Source::kPlatform, std::move(task));
+          }};
+}
+
+AdminApi::Options Node::State::ApiOptions() {
+  return {.settings = settings,
+          .log = &log,
+          .decisions = &decisions,
+          .controller = controller.get(),
+          .accept =
+              [this](const ConfigEdit& edit,
+                     std::function<void(const EditOutcome&)> done) {
+                sync->Accept(edit, std::move(done));
+              },
+          .status = [this] { return Status(); },
+          .dump = [this] { return Dump(); },
+          .metrics = [this] { return Metrics(); },
+          .alive =
+              [this] {
+                const MonoTime ticked(MonoTime::duration(last_tick.load()));
+                return Now() - ticked < kLongestTickGap;
+              },
+          .ready = [this] { return ready && !draining; },
+          .drain = options.drain_requested};
+}
+
+void Node::State::OnTick() {
+  const MonoTime now = Now();
+  last_tick = now.time_since_epoch().count();
+  controller->Tick(now, WallNow());
+  sync->Tick(now);
+}
+
+void Node::State::OnIdle() {
+  controller->PublishRouting(Now());
+  if (ready || !controller->ready()) return;
+  ready = true;
+  const auto took =
+      std::chrono::duration_cast<Milliseconds>(Now() - started).count();
+  log.Log(LogLevel::kInfo, "node", "ready",
+          {{"caller", proxy.caller_endpoint().ToString()},
+           {"forward", proxy.forward_endpoint().ToString()},
+           {"mesh", settings.mesh_listen.ToString()},
+           {"admin", admin.endpoint().ToString()},
+           {"took_ms", static_cast<std::uint64_t>(took)}});
+}
+
+boost::json::object Node::State::Status() {
+  const auto uptime =
+      std::chrono::duration_cast<Seconds>(Now() - started).count();
+  return {{"host", settings.host.value()},
+          {"failure_domain", settings.failure_domain.value()},
+          {"incarnation", incarnation},
+          {"program_version", CAMPHOR_VERSION},
+          {"uptime_s", uptime},
+          {"ready", ready.load()},
+          {"draining", draining.load()},
+          {"requests_in_flight", proxy.in_flight()},
+          {"platform_reachable", sync->reachable()},
+          {"caller", proxy.caller_endpoint().ToString()},
+          {"forward", proxy.forward_endpoint().ToString()},
+          {"mesh", settings.mesh_listen.ToString()}};
+}
+
+boost::json::object Node::State::Dump() {
+  const MeshTransport::Counters counters = mesh.counters();
+  boost::json::object by_purpose;
+  for (const auto& [purpose, bytes] : counters.bytes_by_purpose) {
+    by_purpose[purpose] = bytes;
+  }
+  boost::json::array rings;
+  for (const DecisionThread::RingLoad& load : decisions.ring_loads()) {
+    rings.push_back(boost::json::object{
+        {"name", load.name}, {"depth", load.depth}, {"refused", load.refused}});
+  }
+  return {{"node", Status()},
+          {"proxy", ParsedOrText(proxy.DumpJson())},
+          {"mesh",
+           {{"bytes_sent", counters.bytes_sent},
+            {"bytes_received", counters.bytes_received},
+            {"handshakes_refused", counters.handshakes_refused},
+            {"messages_dropped", counters.messages_dropped},
+            {"bytes_by_purpose", std::move(by_purpose)}}},
+          {"platform", sync->Dump()},
+          {"rings", std::move(rings)},
+          {"log", {{"dropped", log.dropped()}}},
+          {"admin",
+           {{"requests", admin.requests()},
+            {"connections_refused", admin.connections_refused()}}}};
+}
+
+std::string Node::State::Metrics() {
+  const ConfigSnapshotPtr& snapshot = controller->replicator().snapshot();
+  return NodeMetricsText({.ready = ready && !draining,
+                          .config_version =
+                              snapshot == nullptr ? 0 : snapshot->head.version,
+                          .hosts = controller->replicator().hosts(),
+                          .platform_reachable = sync->reachable(),
+                          .rings = decisions.ring_loads(),
+                          .mesh = mesh.counters(),
+                          .admin_requests = admin.requests(),
+                          .log_dropped = log.dropped()}) +
+         proxy.MetricsText();
+}
+
+bool Node::State::Fail(std::string_view part, const std::string& reason) {
+  last_reason = reason;
+  log.Log(LogLevel::kError, part, "could not start", {{"reason", reason}});
+  return false;
+}
+
+Node::Node(Options options)
+    : state_(std::make_unique<State>(std::move(options))) {}
+
+Node::~Node() { Stop(); }
+
+bool Node::Start() {
+  State& state = *state_;
+  state.log.History("started", {{"host", state.settings.host.value()},
+                                {"incarnation", state.incarnation}});
+  // The proxy's port stands in this host's record; it refuses callers until a
+  // routing is published.
+  if (!state.proxy.Start()) {
+    return state.Fail("proxy", state.proxy.last_reason());
+  }
+  state.controller =
+      std::make_unique<HostController>(state.ControllerOptions());
+  state.sync = std::make_unique<PlatformSync>(state.SyncOptions());
+  state.api = std::make_unique<AdminApi>(state.ApiOptions());
+  if (!state.mesh.Start()) return state.Fail("mesh", state.mesh.last_reason());
+  if (!state.admin.Start()) {
+    return state.Fail("admin", state.admin.last_reason());
+  }
+  state.platform.Start();
+  state.last_tick = Now().time_since_epoch().count();
+  state.decisions.Start();
+  return true;
+}
+
+bool Node::Drain() {
+  State& state = *state_;
+  state.draining = true;
+  state.log.Log(LogLevel::kInfo, "node", "draining",
+                {{"in_flight", state.proxy.in_flight()}});
+  state.decisions.Post(Source::kMain,
+                       [&state] { state.controller->LeaveMesh(Now()); });
+  // Serves on until the other hosts have heard of it.
+  std::this_thread::sleep_for(state.settings.drain.notice);
+  state.proxy.BeginDrain();
+  const MonoTime deadline = Now() + state.settings.drain.limit;
+  while (state.proxy.in_flight() > 0 && Now() < deadline) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  const std::uint64_t left = state.proxy.in_flight();
+  state.log.Log(left == 0 ? LogLevel::kInfo : LogLevel::kWarning, "node",
+                "drained", {{"in_flight", left}});
+  state.log.History("drained", {{"in_flight", left}});
+  return left == 0;
+}
+
+void Node::Stop() {
+  State& state = *state_;
+  state.proxy.Stop();
+  state.mesh.Stop();
+  state.platform.Stop();
+  state.decisions.Stop();
+  state.admin.Stop();
+}
+
+Endpoint Node::caller_endpoint() const {
+  return state_->proxy.caller_endpoint();
+}
+
+Endpoint Node::admin_endpoint() const { return state_->admin.endpoint(); }
+
+const std::string& Node::last_reason() const { return state_->last_reason; }
+
+}  // namespace camphor
--- /dev/null
+++ b/node/platform_sync/platform_sync.h
@@ -0,0 +1,76 @@
+#ifndef CAMPHORHILL_NODE_PLATFORM_SYNC_PLATFORM_SYNC_H_
+#define CAMPHORHILL_NODE_PLATFORM_SYNC_PLATFORM_SYNC_H_
+
+#include <boost/json/fwd.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "core/base/time.h"
+#include "core/config/config_snapshot.h"
+#include "node/admin/config_edit.h"
+#include "node/decisions/host_controller.h"
+#include "node/log/log_sink.h"
+#include "node/platform_sync/poll_schedule.h"
+#include "node/platform_sync/rollout_archive.h"
+#include "node/settings/settings.h"
+#include "platform/platform_client.h"
+
+namespace camphor {
+
+/// Keeps this host in step with what is kept at the platform: the newest head,
+/// the snapshot that it names, and final outcomes of rollouts; accepts edits.
+///
+/// Owned by the decisions thread; answers of the platform come back to it by
+/// the post hook.
+class PlatformSync {
+ public:
+  struct Options {
+    PlatformSettings settings{};           ///< how often the platform is asked
+    std::uint64_t random_seed = 1;         ///< makes the jitter repeatable
+    PlatformClient* platform = nullptr;    ///< outlives this
+    LogSink* log = nullptr;                ///< outlives this
+    HostController* controller = nullptr;  ///< outlives this
+    std::function<void(std::function<void()>)>
+        post{};  ///< runs a task on the decisions thread; called from any other
+  };
+
+  explicit PlatformSync(Options options);
+
+  /// Reads and writes what is due. Thread safety: the decisions thread.
+  void Tick(MonoTime now);
+
+  /// A newer configuration is in force. Thread safety: the decisions thread.
+  void OnConfigChanged(const ConfigSnapshot& snapshot);
+
+  /// Fetches a snapshot from the object store. Thread safety: the decisions
+  /// thread.
+  void FetchSnapshot(const ConfigHead& head);
+
+  /// Accepts an edit; `done` runs on the decisions thread. Thread safety: the
+  /// decisions thread.
+  void Accept(const ConfigEdit& edit,
+              std::function<void(const EditOutcome&)> done);
+
+  /// True when the last read of the head was answered. Thread safety: the
+  /// decisions thread.
+  bool reachable() const { return schedule_.failures() == 0; }
+
+  /// State for the dump. Thread safety: the decisions thread.
+  boost::json::object Dump() const;
+
+ private:
+  void ReadHead();
+  void OnHead(const PlatformAnswer& answer);
+  void OnSnapshot(const ConfigHead& head, const PlatformAnswer& answer);
+
+  Options options_;
+  PollSchedule schedule_;
+  RolloutArchive archive_;
+  std::optional<ConfigHead> fetching_;  ///< snapshot that is being fetched
+  std::string last_reason_;             ///< of the last failed read
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_NODE_PLATFORM_SYNC_PLATFORM_SYNC_H_
--- /dev/null
+++ b/node/settings/settings.cc
@@ -0,0 +1,159 @@
+#include "node/settings/settings.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <limits>
+
+namespace camphor {
+namespace {
+
+constexpr std::int64_t kDayMs = 24LL * 60 * 60 * 1000;
+constexpr std::size_t kLongestSecret = 1024;
+
+Milliseconds ReadMilliseconds(JsonFields& fields, std::string_view key,
+                              std::int64_t least, Milliseconds fallback) {
+  return Milliseconds(fields.Integer(key, least, kDayMs, fallback.count()));
+}
+
+/// Whether an endpoint may leave its port to the system.
+enum class PortRule { kFixed, kAny };
+
+Endpoint ReadEndpoint(JsonFields& fields, std::string_view key, PortRule rule) {
+  const std::string text = fields.String(key);
+  if (text.empty()) return {};
+  const std::optional<Endpoint> endpoint = Endpoint::Parse(text);
+  if (!endpoint.has_value()) {
+    fields.Report(key, "must be an IP number with a port, like 10.0.0.1:7001");
+    return {};
+  }
+  if (rule == PortRule::kFixed && endpoint->port == 0) {
+    fields.Report(key, "must name a port from 1 to 65535");
+  }
+  return *endpoint;
+}
+
+/// Other hosts connect to what this host says of itself, so that it must be a
+/// real address.
+void CheckReachable(JsonFields& fields, std::string_view key,
+                    const Endpoint& endpoint) {
+  if (endpoint.address == "0.0.0.0" || endpoint.address == "::") {
+    fields.Report(key, "must be the address that other hosts reach, not all");
+  }
+}
+
+LogLevel ReadLevel(JsonFields& fields, std::string_view key,
+                   LogLevel fallback) {
+  const std::string text =
+      fields.String(key, std::string(LogLevelName(fallback)));
+  const std::optional<LogLevel> level = ParseLogLevel(text);
+  if (!level.has_value()) {
+    fields.Report(key, "must be one of debug, info, warning, error");
+  }
+  return level.value_or(fallback);
+}
+
+void ReadMeshSeeds(JsonFields& fields, Settings& settings) {
+  for (const std::string& text : fields.Strings("mesh_seeds")) {
+    const std::optional<Endpoint> seed = Endpoint::Parse(text);
+    if (!seed.has_value() || seed->port == 0) {
+      fields.Report("mesh_seeds",
+                    fmt::format("has {}, which is not an IP number "
+                                "with a port",
+                                text));
+      continue;
+    }
+    settings.mesh_seeds.push_back(*seed);
+  }
+}
+
+void ReadAddresses(JsonFields& fields, Settings& settings) {
+  settings.caller_listen =
+      ReadEndpoint(fields, "caller_listen", PortRule::kAny);
+  settings.forward_listen =
+      ReadEndpoint(fields, "forward_listen", PortRule::kAny);
+  CheckReachable(fields, "forward_listen", settings.forward_listen);
+  settings.mesh_listen = ReadEndpoint(fields, "mesh_listen", PortRule::kFixed);
+  CheckReachable(fields, "mesh_listen", settings.mesh_listen);
+  settings.admin_listen = ReadEndpoint(fields, "admin_listen", PortRule::kAny);
+  settings.platform = ReadEndpoint(fields, "platform", PortRule::kFixed);
+  ReadMeshSeeds(fields, settings);
+}
+
+void ReadOptionalParts(JsonFields& fields, Settings& settings) {
+  fields.Object("log", [&](JsonFields& part) {
+    settings.log.history = part.Boolean("history", settings.log.history);
+    ReadLogLevels(part, settings.log);
+  });
+  fields.Object("drain", [&](JsonFields& part) {
+    DrainSettings& drain = settings.drain;
+    drain.notice = ReadMilliseconds(part, "notice_ms", 0, drain.notice);
+    drain.limit = ReadMilliseconds(part, "limit_ms", 0, drain.limit);
+  });
+  fields.Object("targets", [&](JsonFields& part) {
+    TargetSettings& targets = settings.targets;
+    targets.lease = ReadMilliseconds(part, "lease_ms", 100, targets.lease);
+    targets.warming_limit =
+        ReadMilliseconds(part, "warming_limit_ms", 0, targets.warming_limit);
+  });
+  fields.Object("polling", [&](JsonFields& part) {
+    PlatformSettings& polling = settings.polling;
+    polling.poll = ReadMilliseconds(part, "poll_ms", 50, polling.poll);
+    polling.slow_poll =
+        ReadMilliseconds(part, "slow_poll_ms", 50, polling.slow_poll);
+  });
+  fields.Object("admin", [&](JsonFields& part) {
+    AdminSettings& admin = settings.admin;
+    admin.connections = static_cast<std::uint32_t>(
+        part.Integer("connections", 1, 10000, admin.connections));
+    admin.body_bytes = static_cast<std::uint32_t>(
+        part.Integer("body_bytes", 1024, 64 * 1024 * 1024, admin.body_bytes));
+  });
+  fields.Object("proxy", [&](JsonFields& part) {
+    settings.proxy.debug_headers =
+        part.Boolean("debug_headers", settings.proxy.debug_headers);
+  });
+  fields.Object("rollout", [&](JsonFields& part) {
+    RolloutSettings& rollout = settings.rollout;
+    rollout.period = ReadMilliseconds(part, "period_ms", 50, rollout.period);
+  });
+}
+
+}  // namespace
+
+void ReadLogLevels(JsonFields& fields, LogSettings& log) {
+  log.level = ReadLevel(fields, "level", LogLevel::kInfo);
+  fields.Object("parts", [&log](JsonFields& parts) {
+    for (const std::string_view part : kLogParts) {
+      log.parts[std::string(part)] = ReadLevel(parts, part, log.level);
+    }
+  });
+}
+
+std::optional<Settings> SettingsReader::Read(std::string_view text) {
+  errors_.clear();
+  std::string reason;
+  const std::optional<boost::json::value> document =
+      ParseJsonWithComments(text, reason);
+  if (!document.has_value() || !document->is_object()) {
+    errors_.push_back({.field = {},
+                       .message = document.has_value()
+                                      ? "the document must be an object"
+                                      : reason});
+    return std::nullopt;
+  }
+
+  Settings settings;
+  JsonFields fields(document->get_object(), "", errors_);
+  settings.host = HostId(fields.String("host"));
+  settings.failure_domain = FailureDomain(fields.String("failure_domain"));
+  ReadAddresses(fields, settings);
+  settings.mesh_key = fields.String("mesh_key", {}, kLongestSecret);
+  settings.operator_token = fields.String("operator_token", {}, kLongestSecret);
+  ReadOptionalParts(fields, settings);
+  fields.Finish();
+  if (!errors_.empty()) return std::nullopt;
+  return settings;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/unit_tests/node/settings/settings_test.cc
@@ -0,0 +1,77 @@
+#include "node/settings/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace camphor {
+namespace {
+
+constexpr char kLeast[] = R"({
+  // a comment
+  "host": "h1", "failure_domain": "d1",
+  "caller_listen": "127.0.0.1:0", "forward_listen": "127.0.0.1:0",
+  "mesh_listen": "127.0.0.1:7001", "admin_listen": "127.0.0.1:0",
+  "mesh_key": "secret", "mesh_seeds": ["127.0.0.1:7001"],
+  "platform": "127.0.0.1:9000", "operator_token": "token",
+})";
+
+/// The least settings with one text replaced by another.
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = kLeast;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+bool HasFault(const SettingsReader& reader, const std::string& field) {
+  return std::ranges::any_of(reader.errors(), [&](const FieldError& fault) {
+    return fault.field == field;
+  });
+}
+
+TEST(SettingsReaderRead, LeastSettings_GiveDefaults) {
+  SettingsReader reader;
+  const std::optional<Settings> settings = reader.Read(kLeast);
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->host, HostId("h1"));
+  EXPECT_EQ(settings->mesh_seeds.size(), 1U);
+  EXPECT_EQ(settings->log.level, LogLevel::kInfo);
+  EXPECT_EQ(settings->targets.lease, Milliseconds(6000));
+}
+
+TEST(SettingsReaderRead, SeveralFaults_AllReported) {
+  SettingsReader reader;
+  EXPECT_FALSE(reader
+                   .Read(R"({"host": 7, "failure_domain": "d1", "colour": 1,
+      "caller_listen": "localhost:1", "forward_listen": "0.0.0.0:0",
+      "mesh_listen": "127.0.0.1:0", "admin_listen": "127.0.0.1:0",
+      "mesh_key": "k", "platform": "127.0.0.1:9000",
+      "targets": {"lease_ms": 1}, "log": {"level": "loud"}})")
+                   .has_value());
+  for (const char* const field :
+       {"host", "colour", "caller_listen", "forward_listen", "mesh_listen",
+        "operator_token", "targets.lease_ms", "log.level"}) {
+    EXPECT_TRUE(HasFault(reader, field)) << field;
+  }
+}
+
+TEST(SettingsReaderRead, PartLevel_OverridesLevel) {
+  SettingsReader reader;
+  const std::optional<Settings> settings = reader.Read(With(
+      "\"host\"",
+      R"("log": {"level": "warning", "parts": {"mesh": "debug"}}, "host")"));
+  ASSERT_TRUE(settings.has_value());
+  EXPECT_EQ(settings->log.parts.at("mesh"), LogLevel::kDebug);
+  EXPECT_EQ(settings->log.parts.at("node"), LogLevel::kWarning);
+}
+
+TEST(SettingsReaderRead, NotJson_NamesTheLine) {
+  SettingsReader reader;
+  EXPECT_FALSE(reader.Read("{\n\"host\": }").has_value());
+  ASSERT_EQ(reader.errors().size(), 1U);
+  EXPECT_NE(reader.errors()[0].message.find("line 2"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace camphor
--- /dev/null
+++ b/unit_tests/node/targets/target_registry_test.cc
@@ -0,0 +1,96 @@
+#include "node/targets/target_registry.h"
+
+#include <gtest/gtest.h>
+
+namespace camphor {
+namespace {
+
+using std::chrono::seconds;
+
+class TargetRegistryTest : public testing::Test {
+ protected:
+  static TargetAnnouncement Announcement(bool warm) {
+    return {.id = TargetId("t1"),
+            .pool = PoolName("billing"),
+            .version = TargetVersion("v1"),
+            .address = {.address = "127.0.0.1", .port = 8080},
+            .warm = warm};
+  }
+
+  TargetStatus status() const { return registry_.targets().at(0).status; }
+
+  const MonoTime start_{seconds(100)};
+  TargetRegistry registry_{{.lease = seconds(6),
+                            .warming_limit = seconds(60),
+                            .leaving_kept = seconds(10),
+                            .most = 1}};
+};
+
+using TargetRegistryAnnounce = TargetRegistryTest;
+using TargetRegistryRenew = TargetRegistryTest;
+using TargetRegistryLeave = TargetRegistryTest;
+using TargetRegistryExpire = TargetRegistryTest;
+
+TEST_F(TargetRegistryAnnounce, ColdTarget_WarmsUntilItSaysOtherwise) {
+  EXPECT_TRUE(registry_.Announce(Announcement(false), start_));
+  EXPECT_EQ(status(), TargetStatus::kWarming);
+  EXPECT_TRUE(registry_.Announce(Announcement(true), start_ + seconds(1)));
+  EXPECT_EQ(status(), TargetStatus::kReady);
+}
+
+TEST_F(TargetRegistryAnnounce, ColdForEver_EndsAtTheLimit) {
+  registry_.Announce(Announcement(false), start_);
+  registry_.Announce(Announcement(false), start_ + seconds(60));
+  EXPECT_EQ(status(), TargetStatus::kReady);
+}
+
+TEST_F(TargetRegistryAnnounce, TooManyTargets_Refused) {
+  registry_.Announce(Announcement(true), start_);
+  TargetAnnouncement other = Announcement(true);
+  other.id = TargetId("t2");
+  EXPECT_FALSE(registry_.Announce(other, start_));
+}
+
+TEST_F(TargetRegistryRenew, UnknownTarget_Refused) {
+  EXPECT_FALSE(registry_.Renew(TargetId("t1"), start_));
+}
+
+TEST_F(TargetRegistryRenew, RenewedInTime_StaysReady) {
+  registry_.Announce(Announcement(true), start_);
+  EXPECT_TRUE(registry_.Renew(TargetId("t1"), start_ + seconds(5)));
+  EXPECT_FALSE(registry_.Expire(start_ + seconds(10)));
+  EXPECT_EQ(status(), TargetStatus::kReady);
+}
+
+TEST_F(TargetRegistryLeave, LeavingTarget_HasNoAddressAndIsForgottenLater) {
+  registry_.Announce(Announcement(true), start_);
+  EXPECT_TRUE(registry_.Leave(TargetId("t1"), start_));
+  EXPECT_EQ(status(), TargetStatus::kLeaving);
+  EXPECT_TRUE(registry_.addresses().empty());
+  EXPECT_FALSE(registry_.Renew(TargetId("t1"), start_));
+  EXPECT_TRUE(registry_.Expire(start_ + seconds(10)));
+  EXPECT_TRUE(registry_.targets().empty());
+}
+
+TEST_F(TargetRegistryExpire, LeaseLapsed_LeavesUntilAnnouncedAgain) {
+  registry_.Announce(Announcement(true), start_);
+  EXPECT_TRUE(registry_.Expire(start_ + seconds(6)));
+  EXPECT_EQ(status(), TargetStatus::kLeaving);
+  registry_.Announce(Announcement(true), start_ + seconds(7));
+  EXPECT_EQ(status(), TargetStatus::kReady);
+}
+
+TEST(TargetAnnouncementParse, BadBody_NamesEachField) {
+  std::vector<FieldError> errors;
+  EXPECT_FALSE(
+      TargetAnnouncement::Parse(
+          R"({"id": "t", "pool": "p", "address": "here", "slots": 0})", errors)
+          .has_value());
+  ASSERT_EQ(errors.size(), 3U);
+  EXPECT_EQ(errors[0].field, "version");
+  EXPECT_EQ(errors[1].field, "address");
+  EXPECT_EQ(errors[2].field, "slots");
+}
+
+}  // namespace
+}  // namespace camphor
