Add camphorctl and take edits through the configuration repository

Cause: operators had no command line, and the node's own accept wrote without settling a lost answer. Ruled out: sending an edit to the next node without an operation id, which could count it twice.

--- /dev/null
+++ b/ctl/commands/get_command.h
@@ -0,0 +1,16 @@
+#ifndef CAMPHORHILL_CTL_COMMANDS_GET_COMMAND_H_
+#define CAMPHORHILL_CTL_COMMANDS_GET_COMMAND_H_
+
+#include "ctl/commands/command.h"
+
+namespace camphor {
+
+/// `get WHAT`: shows tables, hosts, targets, rollouts or the node's status.
+Command GetCommand();
+
+/// Prints one rollout with its evidence for people. Thread safety: any thread.
+void PrintRollout(const boost::json::value& rollout);
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_CTL_COMMANDS_GET_COMMAND_H_
--- /dev/null
+++ b/ctl/commands/rollout_command.cc
@@ -0,0 +1,70 @@
+#include "ctl/commands/rollout_command.h"
+
+#include <fmt/core.h>
+
+#include <boost/json.hpp>
+
+#include "ctl/commands/get_command.h"
+
+namespace camphor {
+namespace {
+
+int Get(CommandContext& context, const std::string& id) {
+  int exit = kCtlOk;
+  const auto rollout = Call(context, {.path = RolloutPath(id)}, exit);
+  if (!rollout.has_value()) return exit;
+  if (context.options.json) {
+    fmt::print("{}\n", boost::json::serialize(*rollout));
+  } else {
+    PrintRollout(*rollout);
+  }
+  return kCtlOk;
+}
+
+int Change(CommandContext& context, const std::string& id,
+           const std::string& action) {
+  int exit = kCtlOk;
+  const auto answer =
+      Call(context, {.method = "POST", .path = RolloutPath(id) + "/" + action},
+           exit);
+  if (!answer.has_value()) return exit;
+  if (context.options.json) {
+    fmt::print("{}\n", boost::json::serialize(*answer));
+  } else {
+    fmt::print("{} was asked of rollout {}\n", action, id);
+  }
+  return kCtlOk;
+}
+
+int Run(CommandContext& context) {
+  const std::vector<std::string>& arguments = context.arguments;
+  if (arguments.size() == 1 && arguments[0] == "list") {
+    CommandContext list{context.options, context.client, {"rollouts"}};
+    return GetCommand().run(list);
+  }
+  if (arguments.size() != 2) {
+    return WrongArguments("rollout needs get, abort or hurry and an id");
+  }
+  const std::string& action = arguments[0];
+  if (action == "get") return Get(context, arguments[1]);
+  if (action == "abort" || action == "hurry") {
+    return Change(context, arguments[1], action);
+  }
+  return WrongArguments("rollout does not know " + action);
+}
+
+}  // namespace
+
+Command RolloutCommand() {
+  return {
+      .name = "rollout",
+      .usage = "list | get ID | abort ID | hurry ID",
+      .summary = "show a rollout with its evidence, give it up, speed it up",
+      .help =
+          "An id is pool/from/to/attempt, as `get rollouts` lists it.\n"
+          "abort: the old version takes all traffic again, for good.\n"
+          "hurry: the share rises faster; bad versions are still caught.",
+      .run = &Run};
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/ctl/commands/watch_command.h
@@ -0,0 +1,18 @@
+#ifndef CAMPHORHILL_CTL_COMMANDS_WATCH_COMMAND_H_
+#define CAMPHORHILL_CTL_COMMANDS_WATCH_COMMAND_H_
+
+#include "core/config/config_head.h"
+#include "ctl/commands/command.h"
+
+namespace camphor {
+
+/// `watch version [N]` and `watch rollout ID`.
+Command WatchCommand();
+
+/// Shows a version until every live host serves it. Returns an exit code.
+/// Thread safety: one thread.
+int WatchVersion(CommandContext& context, ConfigVersion version);
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_CTL_COMMANDS_WATCH_COMMAND_H_
--- /dev/null
+++ b/ctl/ctl_options.cc
@@ -0,0 +1,125 @@
+#include "ctl/ctl_options.h"
+
+#include <popt.h>
+
+#include <array>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <string_view>
+
+namespace camphor {
+namespace {
+
+using OwnedText = std::unique_ptr<char, decltype(&std::free)>;
+
+/// Values that popt writes; its strings belong to the caller.
+struct RawOptions {
+  char* nodes = nullptr;
+  char* token_file = nullptr;
+  char* operation_id = nullptr;
+  char* base = nullptr;
+  int timeout_s = 120;
+  int json = 0;
+  int dry_run = 0;
+  int wait = 0;
+  int help = 0;
+  int version = 0;
+};
+
+std::string Take(char* text) {
+  const OwnedText owned(text, &std::free);
+  return owned == nullptr ? std::string() : std::string(owned.get());
+}
+
+std::string FromEnvironment(const char* name) {
+  const char* const value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
+bool ReadNodes(std::string_view list, CtlOptions& options,
+               std::string& reason) {
+  while (!list.empty()) {
+    const std::size_t end = std::min(list.find(','), list.size());
+    const std::string_view text = list.substr(0, end);
+    const std::optional<Endpoint> node = Endpoint::Parse(text);
+    if (!node.has_value() || node->port == 0) {
+      reason = "--nodes: " + std::string(text) +
+               " is not an IP number with a port, like 10.0.0.1:7003";
+      return false;
+    }
+    options.nodes.push_back(*node);
+    list.remove_prefix(std::min(end + 1, list.size()));
+  }
+  return true;
+}
+
+bool ReadToken(const std::string& file, CtlOptions& options,
+               std::string& reason) {
+  if (file.empty()) {
+    options.token = FromEnvironment("CAMPHOR_TOKEN");
+    return true;
+  }
+  std::ifstream input(file);
+  if (!std::getline(input, options.token) || options.token.empty()) {
+    reason = "--token-file: " + file + " has no token in its first line";
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::optional<CtlOptions> CtlOptions::Parse(int argc, const char** argv,
+                                            std::string& reason) {
+  RawOptions raw;
+  const std::array<poptOption, 11> table = {{
+      {"nodes", 'n', POPT_ARG_STRING, &raw.nodes, 0, nullptr, nullptr},
+      {"token-file", 't', POPT_ARG_STRING, &raw.token_file, 0, nullptr,
+       nullptr},
+      {"operation-id", 0, POPT_ARG_STRING, &raw.operation_id, 0, nullptr,
+       nullptr},
+      {"base", 0, POPT_ARG_STRING, &raw.base, 0, nullptr, nullptr},
+      {"timeout", 0, POPT_ARG_INT, &raw.timeout_s, 0, nullptr, nullptr},
+      {"json", 'j', POPT_ARG_NONE, &raw.json, 0, nullptr, nullptr},
+      {"dry-run", 0, POPT_ARG_NONE, &raw.dry_run, 0, nullptr, nullptr},
+      {"wait", 'w', POPT_ARG_NONE, &raw.wait, 0, nullptr, nullptr},
+      {"help", 'h', POPT_ARG_NONE, &raw.help, 0, nullptr, nullptr},
+      {"version", 'V', POPT_ARG_NONE, &raw.version, 0, nullptr, nullptr},
+      POPT_TABLEEND,
+  }};
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+      poptGetContext("camphorctl", argc, argv, table.data(), 0),
+      &poptFreeContext);
+  const int result = poptGetNextOpt(context.get());
+
+  CtlOptions options;
+  std::string nodes = Take(raw.nodes);
+  const std::string token_file = Take(raw.token_file);
+  options.operation_id = Take(raw.operation_id);
+  if (raw.base != nullptr) options.base = Take(raw.base);
+  if (result < -1) {
+    reason = std::string(poptBadOption(context.get(), 0)) + ": " +
+             poptStrerror(result);
+    return std::nullopt;
+  }
+  if (raw.timeout_s < 1) {
+    reason = "--timeout: must be at least 1 second";
+    return std::nullopt;
+  }
+  options.timeout = Seconds(raw.timeout_s);
+  options.json = raw.json != 0;
+  options.dry_run = raw.dry_run != 0;
+  options.wait = raw.wait != 0;
+  options.help = raw.help != 0;
+  options.version = raw.version != 0;
+  while (const char* argument = poptGetArg(context.get())) {
+    options.arguments.emplace_back(argument);
+  }
+  if (nodes.empty()) nodes = FromEnvironment("CAMPHOR_NODES");
+  if (!ReadNodes(nodes, options, reason)) return std::nullopt;
+  if (!ReadToken(token_file, options, reason)) return std::nullopt;
+  return options;
+}
+
+}  // namespace camphor
--- a/node/admin/admin_api.cc
+++ b/node/admin/admin_api.cc
@@ -73,26 +73,35 @@
   return AdminError(400, "invalid", Summary(errors), errors);
 }
 
-AdminResponse ToResponse(const EditOutcome& outcome,
+AdminResponse Accepted(const ConfigHead& head,
+                       const std::string& operation_id) {
+  AdminResponse response = Json(object{{"version", head.version},
+                                       {"digest", head.digest.hex()},
+                                       {"operation_id", operation_id}});
+  response.etag = '"' + std::to_string(head.version) + '"';
+  return response;
+}
+
+AdminResponse ToResponse(const AcceptResult& result,
                          const std::string& operation_id) {
-  if (outcome.kind == EditOutcome::Kind::kAccepted) {
-    AdminResponse response = Json(object{{"version", outcome.head.version},
-                                         {"digest", outcome.head.digest.hex()},
-                                         {"operation_id", operation_id}});
-    response.etag = '"' + std::to_string(outcome.head.version) + '"';
-    return response;
-  }
-  object error{{"message", outcome.reason}, {"operation_id", operation_id}};
+  object error{{"message", result.reason}, {"operation_id", operation_id}};
   unsigned status = 503;
-  if (outcome.kind == EditOutcome::Kind::kConflict) {
-    status = 409;
-    error["kind"] = "conflict";
-    error["version"] = outcome.head.version;
-  } else if (outcome.kind == EditOutcome::Kind::kUnknown) {
-    status = 504;
-    error["kind"] = "unknown";
-  } else {
-    error["kind"] = "unavailable";
+  switch (result.status) {
+    case AcceptStatus::kAccepted:
+      return Accepted(result.head, operation_id);
+    case AcceptStatus::kConflict:
+      status = 409;
+      error["kind"] = "conflict";
+      error["version"] = result.head.version;
+      error["changed"] = ParsedOrText(result.changed_since_base.ToJson());
+      break;
+    case AcceptStatus::kUnavailable:
+      error["kind"] = "unavailable";
+      break;
+    case AcceptStatus::kUnknown:
+      status = 504;
+      error["kind"] = "unknown";
+      break;
   }
   return Json(object{{"error", std::move(error)}}, status);
 }
@@ -279,19 +288,19 @@
 
   const std::string& given = call.request.operation_id;
   ConfigEdit edit{.tables = std::move(*tables),
-                  .expected = *expected,
+                  .base_version = *expected,
                   .operation_id = given.empty() ? NewOperationId() : given};
   OnDecisions(respond, [this, respond, edit = std::move(edit)] {
-    options_.accept(edit, [this, respond, edit](const EditOutcome& outcome) {
+    options_.accept(edit, [this, respond, edit](const AcceptResult& result) {
       options_.log->Log(LogLevel::kInfo, "admin",
-                        outcome.kind == EditOutcome::Kind::kAccepted
+                        result.status == AcceptStatus::kAccepted
                             ? "an edit of the tables was accepted"
                             : "an edit of the tables was not accepted",
-                        {{"version", outcome.head.version},
-                         {"expected", edit.expected},
+                        {{"version", result.head.version},
+                         {"base", edit.base_version},
                          {"operation", edit.operation_id},
-                         {"reason", outcome.reason}});
-      respond(ToResponse(outcome, edit.operation_id));
+                         {"reason", result.reason}});
+      respond(ToResponse(result, edit.operation_id));
     });
   });
 }
--- a/node/admin/admin_api.h
+++ b/node/admin/admin_api.h
@@ -6,11 +6,11 @@
 #include <string>
 
 #include "node/admin/admin_router.h"
-#include "node/admin/config_edit.h"
 #include "node/decisions/decision_thread.h"
 #include "node/decisions/host_controller.h"
 #include "node/log/log_sink.h"
 #include "node/settings/settings.h"
+#include "platform/config_repository.h"
 
 namespace camphor {
 
@@ -26,7 +26,7 @@
     DecisionThread* decisions = nullptr;   ///< outlives this
     HostController* controller = nullptr;  ///< outlives this
     std::function<void(const ConfigEdit&,
-                       std::function<void(const EditOutcome&)>)>
+                       std::function<void(const AcceptResult&)>)>
         accept{};  ///< accepts an edit; runs on the decisions thread
     std::function<boost::json::object()>
         status{};  ///< what the process says of itself; decisions thread
--- a/node/decisions/decision_thread.cc
+++ b/node/decisions/decision_thread.cc
@@ -37,6 +37,10 @@
 }
 
 bool DecisionThread::Post(Source source, Task task) {
+  if (std::this_thread::get_id() == thread_id_.load()) {
+    own_tasks_.push_back(std::move(task));
+    return true;
+  }
   TaskRing& ring = *rings_.at(static_cast<std::size_t>(source));
   const auto message = std::make_shared<Task>(std::move(task));
   while (!stopping_) {
@@ -46,6 +50,10 @@
   return false;
 }
 
+void DecisionThread::RunAfter(Milliseconds delay, Task task) {
+  delayed_.emplace(std::chrono::steady_clock::now() + delay, std::move(task));
+}
+
 std::vector<DecisionThread::RingLoad> DecisionThread::ring_loads() const {
   std::vector<RingLoad> loads;
   for (const auto& ring : rings_) {
@@ -60,6 +68,7 @@
 }
 
 void DecisionThread::Run() {
+  thread_id_ = std::this_thread::get_id();
   MonoTime next_tick = std::chrono::steady_clock::now();
   while (!stopping_) {
     // Samples wake nobody: they are taken with the tick or with other work.
@@ -68,10 +77,11 @@
     const MonoTime now = std::chrono::steady_clock::now();
     if (now >= next_tick) {
       options_.on_tick();
+      RunDelayed(now);
       next_tick = now + options_.tick;
     }
     options_.on_idle();
-    if (worked) continue;
+    if (worked || !own_tasks_.empty()) continue;
 
     std::unique_lock lock(mutex_);
     wake_.wait_until(lock, next_tick, [this] { return woken_; });
@@ -94,7 +104,23 @@
     if (!round_worked) break;
     worked = true;
   }
-  return worked;
+  return RunOwnTasks() || worked;
+}
+
+bool DecisionThread::RunOwnTasks() {
+  // Those that these tasks post run in the next round.
+  std::deque<Task> tasks;
+  tasks.swap(own_tasks_);
+  for (const Task& task : tasks) task();
+  return !tasks.empty();
+}
+
+void DecisionThread::RunDelayed(MonoTime now) {
+  while (!delayed_.empty() && delayed_.begin()->first <= now) {
+    const Task task = std::move(delayed_.begin()->second);
+    delayed_.erase(delayed_.begin());
+    task();
+  }
 }
 
 void DecisionThread::RunSamples() {
--- a/node/decisions/decision_thread.h
+++ b/node/decisions/decision_thread.h
@@ -5,7 +5,9 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -61,9 +63,14 @@
   void Stop();
 
   /// Hands over a task, waiting while the ring is full. Returns false when the
-  /// thread stops. Thread safety: the thread that `source` names.
+  /// thread stops. Thread safety: the thread that `source` names, and the
+  /// decisions thread itself, which needs no ring.
   bool Post(Source source, Task task);
 
+  /// Runs a task once the delay has passed, to within a tick. Thread safety:
+  /// the decisions thread.
+  void RunAfter(Milliseconds delay, Task task);
+
   /// Hands over a sample, or drops and counts it. Thread safety: the proxy
   /// thread.
   bool PostSample(const RequestSample& sample) { return samples_.Push(sample); }
@@ -76,16 +83,21 @@
 
   void Run();
   bool RunTasks();
+  bool RunOwnTasks();
+  void RunDelayed(MonoTime now);
   void RunSamples();
   void Wake();
 
   Options options_;
   std::array<std::unique_ptr<TaskRing>, 5> rings_;
   BoundedRing<RequestSample> samples_;
+  std::deque<Task> own_tasks_;             ///< posted by this thread itself
+  std::multimap<MonoTime, Task> delayed_;  ///< by the time that they are due
   std::mutex mutex_;
   std::condition_variable wake_;
   bool woken_ = false;
   std::atomic<bool> stopping_{false};
+  std::atomic<std::thread::id> thread_id_{};  ///< of the running thread
   std::thread thread_;
 };
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -55,7 +55,7 @@
         decisions(DecisionOptions()),
         proxy(ProxyOptions()),
         mesh(MeshOptions()),
-        platform({.server = settings.platform}) {}
+        platform({.platform = settings.platform}) {}
 
   Options options;
   const Settings& settings;
@@ -192,9 +192,16 @@
           .platform = &platform,
           .log = &log,
           .controller = controller.get(),
-          .post = [this](DecisionThread::Task task) {
-            decisions.Post(Source::kPlatform, std::move(task));
-          }};
+          .post =
+              [this](DecisionThread::Task task) {
+                decisions.Post(Source::kPlatform, std::move(task));
+              },
+          .schedule =
+              [this](Milliseconds delay, const DecisionThread::Task& task) {
+                decisions.Post(Source::kPlatform, [this, delay, task] {
+                  decisions.RunAfter(delay, task);
+                });
+              }};
 }
 
 AdminApi::Options Node::State::ApiOptions() {
@@ -204,7 +211,7 @@
           .controller = controller.get(),
           .accept =
               [this](const ConfigEdit& edit,
-                     std::function<void(const EditOutcome&)> done) {
+                     std::function<void(const AcceptResult&)> done) {
                 sync->Accept(edit, std::move(done));
               },
           .status = [this] { return Status(); },
@@ -326,7 +333,6 @@
   if (!state.admin.Start()) {
     return state.Fail("admin", state.admin.last_reason());
   }
-  state.platform.Start();
   state.last_tick = Now().time_since_epoch().count();
   state.decisions.Start();
   return true;
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -4,38 +4,18 @@
 #include <chrono>
 #include <utility>
 
-#include "core/base/json_fields.h"
-#include "core/config/config_codec.h"
-
 namespace camphor {
 namespace {
 
-constexpr char kTable[] = "config";
-constexpr char kHeadKey[] = "head";
-
 MonoTime Now() { return std::chrono::steady_clock::now(); }
 
-std::string ObjectKey(const ConfigHead& head) {
-  return "config/" + head.digest.hex();
-}
-
-std::optional<ConfigHead> ParseHead(const std::string& text) {
-  boost::json::error_code error;
-  const boost::json::value value = boost::json::parse(text, error);
-  if (error || !value.is_object()) return std::nullopt;
-  std::vector<FieldError> errors;
-  JsonFields fields(value.get_object(), "", errors);
-  ConfigHead head{.version = static_cast<ConfigVersion>(
-                      fields.Integer("version", 1, INT64_MAX)),
-                  .digest = Digest::FromHex(fields.String("digest"))};
-  if (!errors.empty()) return std::nullopt;
-  return head;
-}
-
 }  // namespace
 
 PlatformSync::PlatformSync(Options options)
     : options_(std::move(options)),
+      repository_({.client = options_.platform,
+                   .schedule = options_.schedule,
+                   .random_seed = options_.random_seed}),
       schedule_({.poll = options_.settings.poll,
                  .slow_poll = options_.settings.slow_poll,
                  .random_seed = options_.random_seed}),
@@ -59,24 +39,21 @@
 }
 
 void PlatformSync::ReadHead() {
-  options_.platform->Read(kTable, kHeadKey,
-                          [this](const PlatformAnswer& answer) {
-                            options_.post([this, answer] { OnHead(answer); });
-                          });
+  repository_.ReadHead([this](const HeadResult& result) {
+    options_.post([this, result] { OnHead(result); });
+  });
 }
 
-void PlatformSync::OnHead(const PlatformAnswer& answer) {
+void PlatformSync::OnHead(const HeadResult& result) {
   const MonoTime now = Now();
-  const bool answered = answer.status == PlatformStatus::kOk ||
-                        answer.status == PlatformStatus::kNotFound;
   const bool was_reachable = reachable();
-  schedule_.Finished(answered, now);
-  if (!answered) {
-    last_reason_ = answer.reason;
+  schedule_.Finished(result.head.has_value(), now);
+  if (!result.head.has_value()) {
+    last_reason_ = result.reason;
     if (was_reachable) {
       options_.log->Log(LogLevel::kWarning, "platform",
                         "the platform does not answer; serving goes on",
-                        {{"reason", answer.reason}});
+                        {{"reason", result.reason}});
     }
     return;
   }
@@ -84,114 +61,51 @@
     options_.log->Log(LogLevel::kInfo, "platform",
                       "the platform answers again");
   }
-  if (answer.rows.empty()) {
-    return options_.controller->replicator().OnPlatformHead({}, now);
-  }
-  const std::optional<ConfigHead> head = ParseHead(answer.rows[0].value);
-  if (!head.has_value()) {
-    options_.log->Log(LogLevel::kError, "platform",
-                      "the head row of the configuration is malformed");
-    return;
-  }
-  options_.controller->replicator().OnPlatformHead(*head, now);
+  options_.controller->replicator().OnPlatformHead(*result.head, now);
 }
 
 void PlatformSync::FetchSnapshot(const ConfigHead& head) {
   if (fetching_ == head) return;
   fetching_ = head;
-  options_.platform->GetObject(
-      ObjectKey(head), [this, head](const PlatformAnswer& answer) {
-        options_.post([this, head, answer] { OnSnapshot(head, answer); });
-      });
+  repository_.FetchSnapshot(head, [this, head](const SnapshotResult& result) {
+    options_.post([this, head, result] { OnSnapshot(head, result); });
+  });
 }
 
 void PlatformSync::OnSnapshot(const ConfigHead& head,
-                              const PlatformAnswer& answer) {
+                              const SnapshotResult& result) {
   if (fetching_ == head) fetching_.reset();
-  if (answer.status != PlatformStatus::kOk) {
-    options_.log->Log(LogLevel::kWarning, "platform",
-                      "a snapshot could not be fetched",
-                      {{"version", head.version}, {"reason", answer.reason}});
-    return;
-  }
-  ConfigCodec codec;
-  const std::optional<ConfigSnapshot> snapshot =
-      codec.DecodeVerified(answer.object, head);
-  if (!snapshot.has_value()) {
-    options_.log->Log(LogLevel::kError, "platform",
-                      "a snapshot at the platform is not what its head names",
-                      {{"version", head.version},
-                       {"reason", codec.last_reason().ToString()}});
+  if (result.snapshot.has_value()) {
+    options_.controller->replicator().OnPlatformSnapshot(*result.snapshot,
+                                                         Now());
     return;
   }
-  options_.controller->replicator().OnPlatformSnapshot(*snapshot, Now());
+  options_.log->Log(LogLevel::kWarning, "platform",
+                    "a snapshot could not be fetched",
+                    {{"version", head.version}, {"reason", result.reason}});
 }
 
-void PlatformSync::Accept(const ConfigEdit& edit,
-                          std::function<void(const EditOutcome&)> done) {
-  const std::string bytes = ConfigCodec::Encode(edit.tables);
-  const ConfigHead head{.version = edit.expected + 1,
-                        .digest = Digest::Of(bytes)};
-  const std::string row = boost::json::serialize(
-      boost::json::object{{"version", head.version},
-                          {"digest", head.digest.hex()},
-                          {"operation_id", edit.operation_id}});
-  PlatformClient* const platform = options_.platform;
-  const auto finish = [this, edit, head, done](const PlatformAnswer& answer) {
-    options_.post([this, edit, head, done, answer] {
-      using Kind = EditOutcome::Kind;
-      if (answer.status == PlatformStatus::kConflict) {
-        return done(
-            {.kind = Kind::kConflict,
-             .head = options_.controller->replicator().snapshot() == nullptr
-                         ? ConfigHead{}
-                         : options_.controller->replicator().snapshot()->head,
-             .reason = "another edit was accepted first"});
-      }
-      if (answer.status != PlatformStatus::kOk) {
-        return done({.kind = answer.status == PlatformStatus::kUnavailable
-                                 ? Kind::kUnavailable
-                                 : Kind::kUnknown,
-                     .reason = answer.reason});
-      }
-      ConfigSnapshot accepted = edit.tables;
-      accepted.head = head;
-      options_.controller->replicator().OnPlatformHead(head, Now());
-      options_.controller->replicator().OnPlatformSnapshot(accepted, Now());
-      done({.kind = Kind::kAccepted, .head = head});
+void PlatformSync::Accept(ConfigEdit edit,
+                          std::function<void(const AcceptResult&)> done) {
+  const ConfigSnapshot tables = edit.tables;
+  repository_.Accept(std::move(edit), [this, tables, done = std::move(done)](
+                                          const AcceptResult& result) {
+    options_.post([this, tables, done, result] {
+      OnAccepted(tables, result);
+      done(result);
     });
-  };
-  platform->PutObject(
-      ObjectKey(head), bytes,
-      [platform, edit, row, finish](const PlatformAnswer& put) {
-        if (put.status != PlatformStatus::kOk) return finish(put);
-        platform->Read(
-            kTable, kHeadKey,
-            [platform, edit, row, finish](const PlatformAnswer& read) {
-              if (read.status != PlatformStatus::kOk &&
-                  read.status != PlatformStatus::kNotFound) {
-                return finish(read);
-              }
-              std::uint64_t revision = 0;
-              ConfigVersion version = 0;
-              if (!read.rows.empty()) {
-                revision = read.rows[0].revision;
-                version = ParseHead(read.rows[0].value)
-                              .value_or(ConfigHead{})
-                              .version;
-              }
-              if (version != edit.expected) {
-                return finish({.status = PlatformStatus::kConflict});
-              }
-              platform->Transact({.conditions = {{.table = kTable,
-                                                  .key = kHeadKey,
-                                                  .revision = revision}},
-                                  .writes = {{.table = kTable,
-                                              .key = kHeadKey,
-                                              .value = row}}},
-                                 finish);
-            });
-      });
+  });
+}
+
+void PlatformSync::OnAccepted(const ConfigSnapshot& tables,
+                              const AcceptResult& result) {
+  Replicator& replicator = options_.controller->replicator();
+  if (result.head.version > 0) replicator.OnPlatformHead(result.head, Now());
+  if (result.status != AcceptStatus::kAccepted) return;
+  // Spreads at once from here, without a read of the object store.
+  ConfigSnapshot accepted = tables;
+  accepted.head = result.head;
+  replicator.OnPlatformSnapshot(accepted, Now());
 }
 
 boost::json::object PlatformSync::Dump() const {
--- a/node/platform_sync/platform_sync.h
+++ b/node/platform_sync/platform_sync.h
@@ -8,12 +8,12 @@
 
 #include "core/base/time.h"
 #include "core/config/config_snapshot.h"
-#include "node/admin/config_edit.h"
 #include "node/decisions/host_controller.h"
 #include "node/log/log_sink.h"
 #include "node/platform_sync/poll_schedule.h"
 #include "node/platform_sync/rollout_archive.h"
 #include "node/settings/settings.h"
+#include "platform/config_repository.h"
 #include "platform/platform_client.h"
 
 namespace camphor {
@@ -32,7 +32,9 @@
     LogSink* log = nullptr;                ///< outlives this
     HostController* controller = nullptr;  ///< outlives this
     std::function<void(std::function<void()>)>
-        post{};  ///< runs a task on the decisions thread; called from any other
+        post{};  ///< runs a task on the decisions thread
+    std::function<void(Milliseconds, std::function<void()>)>
+        schedule{};  ///< the same after a delay
   };
 
   explicit PlatformSync(Options options);
@@ -49,8 +51,7 @@
 
   /// Accepts an edit; `done` runs on the decisions thread. Thread safety: the
   /// decisions thread.
-  void Accept(const ConfigEdit& edit,
-              std::function<void(const EditOutcome&)> done);
+  void Accept(ConfigEdit edit, std::function<void(const AcceptResult&)> done);
 
   /// True when the last read of the head was answered. Thread safety: the
   /// decisions thread.
@@ -61,10 +62,12 @@
 
  private:
   void ReadHead();
-  void OnHead(const PlatformAnswer& answer);
-  void OnSnapshot(const ConfigHead& head, const PlatformAnswer& answer);
+  void OnHead(const HeadResult& result);
+  void OnSnapshot(const ConfigHead& head, const SnapshotResult& result);
+  void OnAccepted(const ConfigSnapshot& tables, const AcceptResult& result);
 
   Options options_;
+  ConfigRepository repository_;
   PollSchedule schedule_;
   RolloutArchive archive_;
   std::optional<ConfigHead> fetching_;  ///< snapshot that is being fetched
