--- a/core/rollout/evidence_report.h
+++ b/core/rollout/evidence_report.h
@@ -11,9 +11,11 @@
 
 namespace camphor {
 
-/// Buckets of a latency histogram; bucket i counts latencies below 2^i times 64
-/// microseconds, the last all others.
-inline constexpr std::size_t kLatencyBuckets = 20;
+/// Buckets of a latency histogram; LatencyBucketOf (latency_histogram.h) says
+/// which latency goes where.
+inline constexpr std::size_t kLatencyBuckets = 32;
+
+using LatencyHistogram = std::array<std::uint32_t, kLatencyBuckets>;
 
 /// What one target did on one route during one period. Immutable value type.
 struct EvidenceCell {
@@ -23,8 +25,7 @@
   std::uint64_t requests = 0;  ///< requests that were run to an end
   std::uint64_t failures = 0;  ///< of these: errors, timeouts and deaths
   std::uint64_t refused = 0;   ///< requests that were shed, not counted above
-  std::array<std::uint32_t, kLatencyBuckets>
-      latency{};  ///< histogram of the requests that succeeded
+  LatencyHistogram latency{};  ///< histogram of the requests that succeeded
 
   auto operator<=>(const EvidenceCell&) const = default;
 };
--- /dev/null
+++ b/core/rollout/ramp_plan.cc
@@ -0,0 +1,108 @@
+#include "core/rollout/ramp_plan.h"
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <cmath>
+
+namespace camphor {
+namespace {
+
+using FloatMs = std::chrono::duration<double, std::milli>;
+
+/// Share at which the ramp ends.
+std::uint32_t FullShareOf(const RampOptions& options) {
+  return kWholeShare - options.control_share_ppm;
+}
+
+/// Steps from the given share to the full one, at least one.
+double StepsLeft(const RampOptions& options, std::uint32_t share_ppm) {
+  const double factor = static_cast<double>(FullShareOf(options)) /
+                        std::max<double>(share_ppm, 1);
+  return std::max(1.0, std::ceil(std::log(factor) / std::log(options.step)));
+}
+
+/// Time before the deadline that is kept in reserve.
+FloatMs MarginOf(const RampOptions& options, const RampState& state) {
+  const FloatMs allowed = state.complete_by - state.started;
+  return std::max(FloatMs(0), allowed * options.margin_part);
+}
+
+/// Share of one route of what is spread half by requests and half alike.
+double EvenShare(double budget, double weight, std::size_t routes) {
+  return budget / 2 + budget / 2 / (static_cast<double>(routes) * weight);
+}
+
+}  // namespace
+
+bool CanaryPassed(const RampOptions& options, const RampState& state,
+                  WallTime now) {
+  assert(state.stage == RolloutStage::kCanary);
+  const FloatMs spent = now - state.stage_since;
+  if (spent < options.shortest_canary) return false;
+  const FloatMs allowed = state.complete_by - state.stage_since;
+  const double part = state.hurry ? options.hurried_part : options.canary_part;
+  const FloatMs planned =
+      std::min<FloatMs>(allowed * part, options.longest_canary);
+  if (spent < planned) return false;
+  if (state.evidence < options.doubt) return true;
+  // Wait for the doubt to settle while the shortest ramp still fits.
+  const FloatMs shortest_ramp =
+      StepsLeft(options, options.canary_share_ppm) * options.shortest_step * 2;
+  return now + MarginOf(options, state) + shortest_ramp >= state.complete_by;
+}
+
+std::optional<std::uint32_t> NextShare(const RampOptions& options,
+                                       const RampState& state, WallTime now) {
+  assert(state.stage == RolloutStage::kRamp);
+  if (state.since_step < options.shortest_step) return std::nullopt;
+  const double steps = StepsLeft(options, state.share_ppm);
+  const FloatMs left = state.complete_by - now - MarginOf(options, state);
+  const FloatMs shortest = steps * options.shortest_step * 2;
+  if (left > shortest) {
+    if (state.evidence >= options.doubt) return std::nullopt;
+    // The time since the last step counts towards this one.
+    const FloatMs planned = (left + FloatMs(state.since_step)) / (steps + 1);
+    const FloatMs longest = FloatMs(options.longest_ramp) / (steps + 1);
+    const FloatMs dwell = state.hurry ? FloatMs(options.shortest_step)
+                                      : std::min(planned, longest);
+    if (FloatMs(state.since_step) < dwell) return std::nullopt;
+  }
+  const double wider = std::ceil(state.share_ppm * options.step);
+  return static_cast<std::uint32_t>(
+      std::min<double>(wider, FullShareOf(options)));
+}
+
+std::uint32_t CanaryTargetsFor(const RampOptions& options,
+                               std::uint32_t share_ppm, std::size_t targets) {
+  const double share = static_cast<double>(share_ppm) / kWholeShare;
+  const auto normal_load =
+      static_cast<std::size_t>(std::ceil(share * static_cast<double>(targets)));
+  const std::size_t count = std::max(options.canary_targets, normal_load);
+  return count >= targets ? 0 : static_cast<std::uint32_t>(count);
+}
+
+std::vector<RouteShare> RouteSharesFor(
+    const RampOptions& options, std::uint32_t share_ppm,
+    const std::vector<RouteWeight>& weights) {
+  std::vector<RouteShare> shares;
+  if (weights.size() < 2) return shares;
+  for (const RouteWeight& route : weights) {
+    if (route.weight <= 0) continue;
+    const double canary = std::min<double>(
+        EvenShare(options.canary_share_ppm, route.weight, weights.size()),
+        options.most_route_share_ppm);
+    const double control = std::min<double>(
+        EvenShare(options.control_share_ppm, route.weight, weights.size()),
+        options.most_route_control_ppm);
+    const double narrow = share_ppm <= options.canary_share_ppm
+                              ? canary
+                              : std::max<double>(share_ppm, canary);
+    const double share = std::min(narrow, kWholeShare - control);
+    shares.push_back(
+        {.route = route.route, .share_ppm = static_cast<std::uint32_t>(share)});
+  }
+  return shares;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/core/rollout/route_comparison.cc
@@ -0,0 +1,185 @@
+#include "core/rollout/route_comparison.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace camphor {
+namespace {
+
+constexpr double kLatencyShare = 0.25;  // of the old version's requests
+constexpr double kTailShare = 0.05;
+constexpr double kFewestForBounds = 100;  // successes of the old version
+constexpr double kPriorRequests = 100;
+constexpr double kPriorHits = 0.3;
+
+std::size_t IndexOf(JudgeSignal signal) {
+  return static_cast<std::size_t>(signal);
+}
+
+}  // namespace
+
+RouteComparison::RouteComparison(const ComparisonOptions& options)
+    : options_(&options) {}
+
+void RouteComparison::Compare(const RouteBlock& block, const IsCold& is_cold,
+                              std::array<SignalCounts, kJudgeSignals>& counts,
+                              const Sink& sink) {
+  // Failures: a cold target counts as well, with a wider tolerance.
+  std::vector<Sample> old_samples;
+  std::vector<Sample> new_samples;
+  const auto add_failures = [&](const VersionCells& version, bool is_new,
+                                std::vector<Sample>& samples) {
+    samples.clear();
+    for (const EvidenceCell* cell : version.cells) {
+      samples.push_back({.target = &cell->target,
+                         .requests = static_cast<double>(RequestsOf(*cell)),
+                         .hits = static_cast<double>(FailuresOf(*cell)),
+                         .cold = is_cold(cell->target, is_new)});
+    }
+  };
+  add_failures(block.old_version, false, old_samples);
+  add_failures(block.new_version, true, new_samples);
+  CompareSignal(JudgeSignal::kFailures, old_samples, new_samples,
+                counts[IndexOf(JudgeSignal::kFailures)], sink);
+
+  // Latency: a cold target does not count.
+  for (const auto& [signal, share] :
+       {std::pair(JudgeSignal::kLatency, kLatencyShare),
+        std::pair(JudgeSignal::kTail, kTailShare)}) {
+    std::optional<std::size_t>& bucket = slow_bucket_[IndexOf(signal)];
+    if (!bucket) bucket = SlowBucket(share);
+    if (!bucket) continue;
+    const auto add_slow = [&](const VersionCells& version, bool is_new,
+                              std::vector<Sample>& samples) {
+      samples.clear();
+      for (const EvidenceCell* cell : version.cells) {
+        if (is_cold(cell->target, is_new)) continue;
+        samples.push_back(
+            {.target = &cell->target,
+             .requests = static_cast<double>(CountFrom(cell->latency, 0)),
+             .hits = static_cast<double>(CountFrom(cell->latency, *bucket)),
+             .cold = false});
+      }
+    };
+    add_slow(block.old_version, false, old_samples);
+    add_slow(block.new_version, true, new_samples);
+    CompareSignal(signal, old_samples, new_samples, counts[IndexOf(signal)],
+                  sink);
+  }
+  LearnHistogram(block.old_version);
+}
+
+void RouteComparison::LearnHistogram(const VersionCells& old_version) {
+  for (std::size_t bucket = 0; bucket < kLatencyBuckets; ++bucket) {
+    histogram_[bucket] += old_version.latency[bucket];
+  }
+}
+
+std::optional<std::size_t> RouteComparison::SlowBucket(double share) const {
+  const double all = std::accumulate(histogram_.begin(), histogram_.end(), 0.0);
+  if (all < kFewestForBounds) return std::nullopt;
+  // Take the bucket bound whose share is nearest on the logarithmic scale.
+  std::optional<std::size_t> nearest;
+  double least = 0;
+  double above = all;
+  for (std::size_t bucket = 1; bucket < kLatencyBuckets; ++bucket) {
+    above -= histogram_[bucket - 1];
+    if (above <= 0) break;
+    const double distance = std::abs(std::log(above / all / share));
+    if (nearest && distance >= least) continue;
+    nearest = bucket;
+    least = distance;
+  }
+  return nearest;
+}
+
+void RouteComparison::CompareSignal(JudgeSignal signal,
+                                    const std::vector<Sample>& old_samples,
+                                    const std::vector<Sample>& new_samples,
+                                    SignalCounts& counts, const Sink& sink) {
+  Baseline& baseline = baselines_[IndexOf(signal)];
+  double old_requests = 0;
+  double old_hits = 0;
+  for (const Sample& sample : old_samples) {
+    old_requests += sample.requests;
+    old_hits += sample.hits;
+  }
+  double new_requests = 0;
+  double new_hits = 0;
+  for (const Sample& sample : new_samples) {
+    new_requests += sample.requests;
+    new_hits += sample.hits;
+  }
+  counts.old_requests += static_cast<std::uint64_t>(old_requests);
+  counts.old_hits += static_cast<std::uint64_t>(old_hits);
+  counts.new_requests += static_cast<std::uint64_t>(new_requests);
+  counts.new_hits += static_cast<std::uint64_t>(new_hits);
+
+  // Compare before learning, so that a block is not its own yardstick.
+  if (new_requests > 0 && old_requests > 0) {
+    const Tolerance& tolerance = options_->tolerance[IndexOf(signal)];
+    const double usual_rate =
+        (baseline.hits + kPriorHits) / (baseline.requests + kPriorRequests);
+    const double dispersion = DispersionOf(baseline);
+    for (const Sample& sample : new_samples) {
+      if (sample.requests <= 0) continue;
+      const double excess =
+          sample.cold ? options_->cold_failure_excess : tolerance.excess;
+      const double tolerated = tolerance.ratio + excess / usual_rate;
+      // Of the hits on both sides, how many fall to this target? Each target
+      // is set against its part of the old version's.
+      const double part = sample.requests / new_requests;
+      const double hits = sample.hits + old_hits * part;
+      LogRatios ratios{};
+      for (std::size_t size = 0; size < ratios.size(); ++size) {
+        const double effect = kEffectSizes[size];
+        const double scale =
+            (old_requests + tolerated * effect * new_requests) /
+            (old_requests + tolerated * new_requests);
+        const double ratio =
+            sample.hits * std::log(effect) - hits * std::log(scale);
+        ratios[size] = std::min(ratio / dispersion, options_->block_limit);
+      }
+      sink(signal, *sample.target, ratios);
+    }
+  }
+  Learn(baseline, old_samples, options_->baseline_half_life);
+}
+
+void RouteComparison::Learn(Baseline& baseline,
+                            const std::vector<Sample>& samples,
+                            double half_life) {
+  double requests = 0;
+  double hits = 0;
+  double targets = 0;
+  for (const Sample& sample : samples) {
+    requests += sample.requests;
+    hits += sample.hits;
+    if (sample.requests > 0) targets += 1;
+  }
+  if (requests <= 0) return;
+  const double keep = std::exp2(-requests / half_life);
+  baseline.requests = baseline.requests * keep + requests;
+  baseline.hits = baseline.hits * keep + hits;
+
+  // Targets of one version in one block differ by chance alone, or by more.
+  if (targets < 2) return;
+  const double rate = hits / requests;
+  double deviation = 0;
+  for (const Sample& sample : samples) {
+    const double difference = sample.hits - sample.requests * rate;
+    deviation += difference * difference;
+  }
+  baseline.deviation = baseline.deviation * keep + deviation;
+  baseline.expected = baseline.expected * keep + hits * (targets - 1) / targets;
+}
+
+double RouteComparison::DispersionOf(const Baseline& baseline) const {
+  constexpr double kPriorExpected = 20;
+  const double dispersion = (baseline.deviation + kPriorExpected) /
+                            (baseline.expected + kPriorExpected);
+  return std::clamp(dispersion, 1.0, options_->most_dispersion);
+}
+
+}  // namespace camphor
