Run rollouts on every host behind RolloutManager

Cause: the node needs one place that gathers evidence, owns rollouts and ejects a bad version locally.

Change: RolloutManager keeps a RolloutTracker for each rollout that the configuration orders. Rollouts end as done or rolled back (evidence, operator, deadline, no targets), with a reason.

--- a/core/rollout/rollout_manager.h
+++ b/core/rollout/rollout_manager.h
@@ -3,7 +3,10 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "core/base/time.h"
@@ -11,6 +14,7 @@
 #include "core/replication/host_record.h"
 #include "core/replication/rollout_record.h"
 #include "core/rollout/evidence_report.h"
+#include "core/rollout/rollout_tracker.h"
 #include "core/routing/request_sample.h"
 
 namespace camphor {
@@ -32,6 +36,7 @@
         send_evidence{};  ///< towards the owner
     std::function<void()>
         routing_changed{};  ///< a local ejection changed what may be routed to
+    RolloutOptions rollout{};  ///< settings of all rollouts
   };
 
   explicit RolloutManager(Options options);
@@ -57,12 +62,12 @@
   /// Advances every rollout. Call about ten times a second.
   void Tick(MonoTime now, WallTime wall_now);
 
-  /// The operator gives a rollout up. @pre the rollout is known. Returns false
-  /// otherwise.
+  /// The operator gives a rollout up. Returns false when it is not known or has
+  /// ended.
   bool Abort(const RolloutId& rollout, WallTime wall_now);
 
   /// The operator asks to go ahead faster. Returns false when the rollout is
-  /// not known.
+  /// not known or has ended.
   bool Hurry(const RolloutId& rollout);
 
   /// Versions that this host itself stopped sending to, by pool.
