--- /dev/null
+++ b/unit_tests/node/settings/examples_test.cc
@@ -0,0 +1,34 @@
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+
+#include "core/config/config_codec.h"
+#include "node/settings/settings.h"
+
+namespace camphor {
+namespace {
+
+std::string ReadExample(const std::string& name) {
+  const std::filesystem::path root =
+      std::filesystem::path(__FILE__).parent_path() / "../../..";
+  std::ifstream input(root / "examples" / name);
+  return {std::istreambuf_iterator<char>(input), {}};
+}
+
+TEST(Examples, Settings_AreAccepted) {
+  SettingsReader reader;
+  EXPECT_TRUE(reader.Read(ReadExample("camphord.json")).has_value());
+  EXPECT_TRUE(reader.errors().empty());
+}
+
+TEST(Examples, Tables_AreAccepted) {
+  ConfigCodec codec;
+  EXPECT_TRUE(codec.Decode(ReadExample("tables.json"), 0).has_value())
+      << codec.last_reason().ToString();
+}
+
+}  // namespace
+}  // namespace camphor
