Let the settings set the pace of rollouts

Cause: a demonstration and scenarios need rollouts that end in seconds. Change: rollout.period_ms, settle_ms, shortest_canary_ms, shortest_step_ms, with the defaults of the rollout package.

--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -20,7 +20,7 @@
     : options_(std::move(options)),
       registry_({.lease = options_.settings.targets.lease,
                  .warming_limit = options_.settings.targets.warming_limit}) {
-  rollouts_ = std::make_unique<RolloutManager>(RolloutOptions());
+  rollouts_ = std::make_unique<RolloutManager>(ManagerOptions());
   replicator_ = std::make_unique<Replicator>(ReplicatorOptions());
 }
 
@@ -59,7 +59,8 @@
           [this](const ConfigHead& head) { options_.fetch_snapshot(head); }};
 }
 
-RolloutManager::Options HostController::RolloutOptions() {
+RolloutManager::Options HostController::ManagerOptions() {
+  const RolloutSettings& pace = options_.settings.rollout;
   return {.host = options_.settings.host,
           .incarnation = options_.incarnation,
           .publish =
@@ -70,7 +71,11 @@
               [this](const HostId& to, const EvidenceReport& report) {
                 replicator_->SendEvidence(to, report, now_);
               },
-          .routing_changed = [this] { routing_changed_ = true; }};
+          .routing_changed = [this] { routing_changed_ = true; },
+          .rollout = {.ramp = {.shortest_canary = pace.shortest_canary,
+                               .shortest_step = pace.shortest_step},
+                      .block = pace.period,
+                      .settle = pace.settle}};
 }
 
 void HostController::OnMessage(const Endpoint& from, const MeshMessage& message,
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -78,7 +78,7 @@
 
  private:
   Replicator::Options ReplicatorOptions();
-  RolloutManager::Options RolloutOptions();
+  RolloutManager::Options ManagerOptions();
   void OnConfigChanged(const ConfigSnapshotPtr& snapshot);
   void OnRolloutChanged(const RolloutRecord& record);
   void TargetsChanged(MonoTime now);
