Mend what the linter found in the mesh

Cause: a macro of the library hides an empty statement, and a shared pointer was copied without need. Ruled out: a fault in behaviour, the tests pass before and after. Change: throw without the macro, pass a reference. Conclusion: clang-tidy is clean on mesh.

--- a/mesh/incoming_gate.cc
+++ b/mesh/incoming_gate.cc
@@ -168,12 +168,11 @@
   auto connection = std::make_shared<Connection>(
       kj::heap<CountingStream>(kj::mv(stream), counters_.bytes),
       std::move(admission));
-  connections_.push_back(connection);
-  Watch(std::move(connection));
+  Watch(*connection);
+  connections_.push_back(std::move(connection));
 }
 
-void IncomingGate::Watch(std::shared_ptr<Connection> connection) {
-  Connection& watched = *connection;
+void IncomingGate::Watch(Connection& watched) {
   watched.watch = watched.network.onDisconnect()
                       .then([&watched] { watched.closed = true; })
                       .eagerlyEvaluate([&watched](kj::Exception&&) {
--- a/mesh/incoming_gate.h
+++ b/mesh/incoming_gate.h
@@ -41,7 +41,7 @@
 
   void AcceptNext();
   void Admit(kj::Own<kj::AsyncIoStream> stream);
-  void Watch(std::shared_ptr<Connection> connection);
+  static void Watch(Connection& watched);
   void SweepLater();
   void Sweep();
   void taskFailed(kj::Exception&& exception) override;
--- a/mesh/outgoing_peer.cc
+++ b/mesh/outgoing_peer.cc
@@ -103,7 +103,8 @@
                         ServerProof(options_.key, connection.terms));
         if (!genuine) {
           counters_.refused.fetch_add(1, std::memory_order_relaxed);
-          KJ_FAIL_REQUIRE("the peer has another mesh key or protocol version");
+          kj::throwFatalException(KJ_EXCEPTION(
+              FAILED, "the peer has another mesh key or protocol version"));
         }
         const std::string proof = ClientProof(options_.key, connection.terms);
         auto enter = gate.enterRequest();
