--- a/core/routing/effective_routing.h
+++ b/core/routing/effective_routing.h
@@ -34,7 +34,8 @@
   std::uint32_t share_ppm = 0;  ///< share of the pool's requests, in
                                 ///< millionths; the groups add up to all
   std::vector<RoutedTarget>
-      targets{};  ///< targets that may be sent this share, sorted by id
+      targets{};  ///< targets that may be sent this share, sorted by id; of
+                  ///< a new version those that ChooseTargets gives
 
   auto operator<=>(const VersionGroup&) const = default;
 };
@@ -52,6 +53,9 @@
 struct RoutedRule {
   RouteRule rule;          ///< the row of the table
   std::uint32_t pool = 0;  ///< index into EffectiveRouting::pools; always valid
+  std::uint32_t new_share_ppm =
+      0;  ///< share of this route's requests for the pool's second group, in
+          ///< millionths: the rollout's share for the route
 
   auto operator<=>(const RoutedRule&) const = default;
 };
@@ -65,8 +69,10 @@
   ConfigHead head{};  ///< configuration that this serves
   std::vector<RoutedRule>
       routes{};  ///< in match order: the first that matches wins
-  std::vector<PoolRouting> pools{};  ///< sorted by name
-  std::set<std::uint64_t> poison{};  ///< fingerprints that are refused
+  std::vector<PoolRouting> pools{};    ///< sorted by name
+  std::set<std::uint64_t> poison{};    ///< fingerprints that are refused
+  std::set<std::uint64_t> suspects{};  ///< fingerprints that one target died
+                                       ///< under: run apart from each other
 
   auto operator<=>(const EffectiveRouting&) const = default;
 };
