Refuse host names where an IP number is required

Cause: Endpoint::Parse took any text before the port, so that settings with a host name passed the check and failed only at the first connection. Ruled out: a check in the settings alone, since announcements and camphorctl read endpoints too. Change: the address must be an IP number; a test for it, which failed before.

--- a/core/base/endpoint.cc
+++ b/core/base/endpoint.cc
@@ -1,10 +1,22 @@
 #include "core/base/endpoint.h"
 
+#include <arpa/inet.h>
 #include <fmt/format.h>
 
+#include <array>
 #include <charconv>
+#include <utility>
 
 namespace camphor {
+namespace {
+
+bool IsIpNumber(const std::string& text) {
+  std::array<unsigned char, sizeof(in6_addr)> ignored{};
+  return inet_pton(AF_INET, text.c_str(), ignored.data()) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), ignored.data()) == 1;
+}
+
+}  // namespace
 
 std::optional<Endpoint> Endpoint::Parse(std::string_view text) {
   const std::size_t colon = text.rfind(':');
@@ -15,7 +27,9 @@
       port_text.data(), port_text.data() + port_text.size(), port);
   if (error != std::errc() || end != port_text.data() + port_text.size())
     return std::nullopt;
-  return Endpoint{.address = std::string(text.substr(0, colon)), .port = port};
+  std::string address(text.substr(0, colon));
+  if (!IsIpNumber(address)) return std::nullopt;
+  return Endpoint{.address = std::move(address), .port = port};
 }
 
 std::string Endpoint::ToString() const {
--- /dev/null
+++ b/unit_tests/core/base/endpoint_test.cc
@@ -0,0 +1,23 @@
+#include "core/base/endpoint.h"
+
+#include <gtest/gtest.h>
+
+namespace camphor {
+namespace {
+
+TEST(EndpointParse, IpNumberWithPort_ReadBackTheSame) {
+  const std::optional<Endpoint> endpoint = Endpoint::Parse("10.0.0.1:7001");
+  ASSERT_TRUE(endpoint.has_value());
+  EXPECT_EQ(endpoint->ToString(), "10.0.0.1:7001");
+}
+
+TEST(EndpointParse, HostNameOrBadPort_Refused) {
+  for (const char* const text :
+       {"localhost:1", "10.0.0.1", "10.0.0:1", "10.0.0.1:70000", ":1",
+        "10.0.0.1:", "10.0.0.1:1x"}) {
+    EXPECT_FALSE(Endpoint::Parse(text).has_value()) << text;
+  }
+}
+
+}  // namespace
+}  // namespace camphor
