Read the mesh's limits from the settings; find examples from any build folder

Cause: comparisons need the dissemination mode as a setting, and the test of the examples looked for them relative to the build folder. Change: keys under replication; the test is told the source folder.

--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -29,6 +29,7 @@
 Replicator::Options HostController::ReplicatorOptions() {
   const Settings& settings = options_.settings;
   return {
+      .settings = settings.replication,
       .self = {.host = settings.host,
                .incarnation = options_.incarnation,
                .domain = settings.failure_domain,
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -80,6 +80,30 @@
   ReadMeshSeeds(fields, settings);
 }
 
+DisseminationMode ReadMode(JsonFields& fields, std::string_view key) {
+  const std::string text = fields.String(key, "full");
+  if (text == "poll_only") return DisseminationMode::kPollOnly;
+  if (text == "push_only") return DisseminationMode::kPushOnly;
+  if (text != "full") {
+    fields.Report(key, "must be one of full, poll_only, push_only");
+  }
+  return DisseminationMode::kFull;
+}
+
+void ReadReplication(JsonFields& fields, ReplicatorSettings& replication) {
+  replication.mode = ReadMode(fields, "mode");
+  replication.heartbeat_period = ReadMilliseconds(fields, "heartbeat_ms", 10,
+                                                  replication.heartbeat_period);
+  replication.suspect_after = ReadMilliseconds(fields, "suspect_after_ms", 10,
+                                               replication.suspect_after);
+  replication.refute_within = ReadMilliseconds(fields, "refute_within_ms", 10,
+                                               replication.refute_within);
+  replication.suspicions_needed = static_cast<std::uint32_t>(fields.Integer(
+      "suspicions_needed", 1, 16, replication.suspicions_needed));
+  replication.pollers_per_domain = static_cast<std::uint32_t>(fields.Integer(
+      "pollers_per_domain", 1, 100, replication.pollers_per_domain));
+}
+
 void ReadOptionalParts(JsonFields& fields, Settings& settings) {
   fields.Object("log", [&](JsonFields& part) {
     settings.log.history = part.Boolean("history", settings.log.history);
@@ -109,6 +133,9 @@
     admin.body_bytes = static_cast<std::uint32_t>(
         part.Integer("body_bytes", 1024, 64 * 1024 * 1024, admin.body_bytes));
   });
+  fields.Object("replication", [&](JsonFields& part) {
+    ReadReplication(part, settings.replication);
+  });
   fields.Object("proxy", [&](JsonFields& part) {
     settings.proxy.debug_headers =
         part.Boolean("debug_headers", settings.proxy.debug_headers);
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -12,6 +12,7 @@
 #include "core/base/identifier.h"
 #include "core/base/json_fields.h"
 #include "core/base/time.h"
+#include "core/replication/replicator_settings.h"
 #include "node/log/log_level.h"
 
 namespace camphor {
@@ -83,6 +84,7 @@
   AdminSettings admin{};       ///< limits of the admin listener
   RolloutSettings rollout{};   ///< pace of rollouts
   ProxySettings proxy{};       ///< what answers tell
+  ReplicatorSettings replication{};  ///< limits and periods of the mesh
 };
 
 /// Reads the keys "level" and "parts"; the caller reads the others. Thread
--- a/unit_tests/node/settings/examples_test.cc
+++ b/unit_tests/node/settings/examples_test.cc
@@ -12,9 +12,8 @@
 namespace {
 
 std::string ReadExample(const std::string& name) {
-  const std::filesystem::path root =
-      std::filesystem::path(__FILE__).parent_path() / "../../..";
-  std::ifstream input(root / "examples" / name);
+  std::ifstream input(std::filesystem::path(CAMPHOR_SOURCE_DIR) / "examples" /
+                      name);
   return {std::istreambuf_iterator<char>(input), {}};
 }
 
