Add the harness that runs a fleet of real processes

Cause: demo, scenarios and measurements each need to start, watch, kill and freeze many processes without colliding ports or leftovers. Change: Process (spawn, signals, log lines to wait for), AddressBlock (a block of loopback addresses for each fleet, fixed ports, so that a restarted host comes back where it was), AdminClient, Fleet. Weighed: free ports by binding port 0 and letting go; another process can take such a port before it is used again, a reserved block can not be taken. Ruled out: Boost.Process, since posix_spawn and waitpid are enough here.

--- /dev/null
+++ b/harness/address_block.h
@@ -0,0 +1,36 @@
+#ifndef CAMPHORHILL_HARNESS_ADDRESS_BLOCK_H_
+#define CAMPHORHILL_HARNESS_ADDRESS_BLOCK_H_
+
+#include <optional>
+#include <string>
+
+namespace camphor {
+
+/// A block of loopback addresses that one fleet alone uses, so that fleets that
+/// run side by side never collide and a restarted process finds its ports free.
+class AddressBlock {
+ public:
+  /// Reserves a free block. Returns nothing when there is none. Thread safety:
+  /// any thread.
+  static std::optional<AddressBlock> Reserve();
+
+  AddressBlock(AddressBlock&& other) noexcept;
+  AddressBlock& operator=(AddressBlock&&) = delete;
+  ~AddressBlock();
+
+  /// The address of the given number. @pre 1 <= number <= kSize. Thread safety:
+  /// any thread.
+  std::string Address(unsigned number) const;
+
+  static constexpr unsigned kSize = 1000;  ///< addresses in a block
+
+ private:
+  AddressBlock(unsigned block, int lock_socket);
+
+  unsigned block_;
+  int lock_socket_;
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_HARNESS_ADDRESS_BLOCK_H_
--- /dev/null
+++ b/harness/fleet.cc
@@ -0,0 +1,304 @@
+#include "harness/fleet.h"
+
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <charconv>
+#include <thread>
+#include <utility>
+
+namespace camphor {
+namespace {
+
+constexpr std::uint16_t kCallerPort = 18080;
+constexpr std::uint16_t kForwardPort = 18081;
+constexpr std::uint16_t kMeshPort = 18082;
+constexpr std::uint16_t kAdminPort = 18083;
+constexpr std::uint16_t kPlatformPort = 18090;
+constexpr unsigned kPlatformNumber = AddressBlock::kSize;
+constexpr Milliseconds kPoll{10};
+constexpr int kApplyAttempts = 10;
+
+// The number in a host's name, for example 3 of "h3"; 0 when there is none.
+unsigned HostNumber(const std::string& host) {
+  unsigned number = 0;
+  if (host.starts_with('h'))
+    std::from_chars(host.data() + 1, host.data() + host.size(), number);
+  return number;
+}
+
+std::string FolderOfThisProgram() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+}
+
+}  // namespace
+
+bool WaitUntil(Milliseconds timeout, const std::function<bool()>& holds) {
+  const MonoTime deadline = std::chrono::steady_clock::now() + timeout;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() >= deadline) return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+Fleet::Fleet(Options options)
+    : options_(std::move(options)), addresses_(AddressBlock::Reserve()) {
+  if (options_.programs.empty()) options_.programs = FolderOfThisProgram();
+  if (options_.keep_logs) folder_.Keep();
+}
+
+Fleet::~Fleet() = default;
+
+bool Fleet::StartPlatform() {
+  if (!addresses_) return Fail("no block of loopback addresses is free");
+  std::vector<std::string> arguments{"--listen",
+                                     platform_endpoint().ToString()};
+  for (const std::string& argument : options_.platform_arguments)
+    arguments.push_back(argument);
+  if (!Launch({.name = "platform",
+               .program = options_.programs + "/platform_stand_in",
+               .arguments = std::move(arguments)})) {
+    return false;
+  }
+  if (process("platform")->log().Await("listening", options_.ready_timeout))
+    return true;
+  return Fail("the platform does not listen:\n" + LogTails(5));
+}
+
+bool Fleet::StartHosts() {
+  for (unsigned number = 1; number <= options_.hosts; ++number) {
+    if (!StartHost("h" + std::to_string(number))) return false;
+  }
+  for (unsigned number = 1; number <= options_.hosts; ++number) {
+    if (!AwaitReady("h" + std::to_string(number))) return false;
+  }
+  return true;
+}
+
+bool Fleet::StartHost(const std::string& host) {
+  if (!addresses_) return Fail("no block of loopback addresses is free");
+  if (HostNumber(host) == 0) return Fail("a host's name is h and a number");
+  Forget(host);
+  const std::string file = folder_.Write(host + ".json", SettingsOf(host));
+  return Launch({.name = host,
+                 .program = options_.programs + "/camphord",
+                 .arguments = {"--settings", file}});
+}
+
+bool Fleet::AwaitReady(const std::string& host) {
+  Process* node = process(host);
+  if (node == nullptr) return Fail(host + " was not started");
+  if (node->log().Await("node: ready", options_.ready_timeout)) return true;
+  return Fail(host + " does not become ready:\n" + node->log().Tail(10));
+}
+
+bool Fleet::StartTarget(const TargetOptions& target) {
+  Forget(target.id);
+  std::vector<std::string> arguments{
+      "--listen",  EndpointOf(target.host, 0).ToString(),
+      "--node",    admin(target.host).ToString(),
+      "--id",      target.id,
+      "--pool",    target.pool,
+      "--version", target.version,
+      "--slots",   std::to_string(target.slots)};
+  if (options_.history) arguments.insert(arguments.end(), {"--history", "1"});
+  for (const std::string& argument : target.arguments)
+    arguments.push_back(argument);
+  if (!Launch({.name = target.id,
+               .program = options_.programs + "/target_stand_in",
+               .arguments = std::move(arguments)})) {
+    return false;
+  }
+  const auto line =
+      process(target.id)->log().Await("listening", options_.ready_timeout);
+  if (!line) return Fail(target.id + " does not listen:\n" + LogTails(5));
+  targets_[target.id] =
+      Endpoint::Parse(LogField(*line, "address")).value_or(Endpoint{});
+  return true;
+}
+
+std::optional<std::uint64_t> Fleet::Apply(const std::string& host,
+                                          const std::string& tables) {
+  AdminClient operator_client = Admin(host);
+  // An edit that raced another one is tried again on top of the newer version.
+  for (int attempt = 0; attempt < kApplyAttempts; ++attempt) {
+    const auto base = operator_client.Version();
+    if (!base) break;
+    const AdminClient::EditResult result =
+        operator_client.PutConfig(tables, *base);
+    if (result.status == 200) return result.version;
+    last_reason_ = fmt::format("the tables were not accepted: {} {}",
+                               result.status, result.body);
+    if (result.status != 409) return std::nullopt;
+  }
+  if (last_reason_.empty()) last_reason_ = operator_client.last_reason();
+  return std::nullopt;
+}
+
+bool Fleet::AwaitVersion(std::uint64_t version, Milliseconds timeout) {
+  const MonoTime deadline = std::chrono::steady_clock::now() + timeout;
+  for (const std::string& host : running_hosts()) {
+    AdminClient client = Admin(host);
+    const auto left = std::chrono::duration_cast<Milliseconds>(
+        deadline - std::chrono::steady_clock::now());
+    if (WaitUntil(left, [&] { return client.Version() >= version; })) continue;
+    return Fail(fmt::format("{} does not serve version {}", host, version));
+  }
+  return true;
+}
+
+bool Fleet::AwaitTarget(const std::string& target, bool seen,
+                        Milliseconds timeout) {
+  const MonoTime deadline = std::chrono::steady_clock::now() + timeout;
+  const std::string row = fmt::format("\"id\":\"{}\"", target);
+  for (const std::string& host : running_hosts()) {
+    AdminClient client = Admin(host);
+    const auto left = std::chrono::duration_cast<Milliseconds>(
+        deadline - std::chrono::steady_clock::now());
+    const bool held = WaitUntil(left, [&] {
+      const auto body = client.Get("/v1/targets");
+      return body && (body->find(row) != std::string::npos) == seen;
+    });
+    if (!held) {
+      return Fail(fmt::format("{} {} the target {}", host,
+                              seen ? "does not see" : "still sees", target));
+    }
+  }
+  return true;
+}
+
+bool Fleet::ControlPlatform(const std::string& body) {
+  HttpConnection connection(platform_endpoint());
+  const auto answer =
+      connection.Call({.method = "POST", .target = "/control", .body = body});
+  if (answer && answer->status == 200) return true;
+  return Fail("the platform does not take " + body + ": " +
+              (answer ? answer->body : connection.last_reason()));
+}
+
+bool Fleet::ControlTarget(const std::string& target, const std::string& body) {
+  HttpConnection connection(target_endpoint(target));
+  const auto answer =
+      connection.Call({.method = "POST", .target = "/control", .body = body});
+  if (answer && answer->status == 200) return true;
+  return Fail(target + " does not take " + body + ": " +
+              (answer ? answer->body : connection.last_reason()));
+}
+
+void Fleet::Forget(const std::string& name) {
+  const auto found = processes_.find(name);
+  if (found == processes_.end()) return;
+  found->second->Kill();
+  ended_.push_back(std::move(found->second));
+  processes_.erase(found);
+}
+
+Process* Fleet::process(const std::string& name) {
+  const auto found = processes_.find(name);
+  return found == processes_.end() ? nullptr : found->second.get();
+}
+
+std::vector<std::string> Fleet::running_hosts() {
+  std::vector<std::string> hosts;
+  for (const auto& [name, started] : processes_) {
+    if (HostNumber(name) > 0 && started->running()) hosts.push_back(name);
+  }
+  return hosts;
+}
+
+Endpoint Fleet::admin(const std::string& host) const {
+  return EndpointOf(host, kAdminPort);
+}
+
+Endpoint Fleet::caller(const std::string& host) const {
+  return EndpointOf(host, kCallerPort);
+}
+
+Endpoint Fleet::forward(const std::string& host) const {
+  return EndpointOf(host, kForwardPort);
+}
+
+Endpoint Fleet::mesh(const std::string& host) const {
+  return EndpointOf(host, kMeshPort);
+}
+
+Endpoint Fleet::platform_endpoint() const {
+  return {.address = addresses_->Address(kPlatformNumber),
+          .port = kPlatformPort};
+}
+
+Endpoint Fleet::target_endpoint(const std::string& target) const {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? Endpoint{} : found->second;
+}
+
+AdminClient Fleet::Admin(const std::string& host) const {
+  return {admin(host), operator_token_};
+}
+
+std::vector<std::string> Fleet::History() const {
+  std::vector<std::string> history;
+  const auto add = [&](const Process& process) {
+    for (std::string& line : process.log().Matching(" history: "))
+      history.push_back(process.name() + " " + std::move(line));
+  };
+  for (const auto& process : ended_) add(*process);
+  for (const auto& [name, process] : processes_) add(*process);
+  return history;
+}
+
+std::string Fleet::LogTails(std::size_t lines) const {
+  std::string tails;
+  for (const auto& [name, process] : processes_)
+    tails += "--- " + name + "\n" + process->log().Tail(lines);
+  return tails;
+}
+
+bool Fleet::Fail(std::string reason) {
+  last_reason_ = std::move(reason);
+  return false;
+}
+
+bool Fleet::Launch(Process::Options options) {
+  const std::string name = options.name;
+  options.log_file = (folder_.path() / (name + ".log")).string();
+  std::string reason;
+  auto started = Process::Start(std::move(options), reason);
+  if (started == nullptr) return Fail(std::move(reason));
+  processes_[name] = std::move(started);
+  return true;
+}
+
+std::string Fleet::SettingsOf(const std::string& host) const {
+  const unsigned number = HostNumber(host);
+  boost::json::array seeds;
+  for (unsigned seed = 1; seed <= options_.seeds; ++seed)
+    seeds.push_back(
+        boost::json::string(mesh("h" + std::to_string(seed)).ToString()));
+  const boost::json::object settings{
+      {"host", host},
+      {"failure_domain",
+       fmt::format("d{}", 1 + (number - 1) % options_.domains)},
+      {"caller_listen", caller(host).ToString()},
+      {"forward_listen", forward(host).ToString()},
+      {"mesh_listen", mesh(host).ToString()},
+      {"admin_listen", admin(host).ToString()},
+      {"mesh_key", "harness-mesh-key"},
+      {"mesh_seeds", std::move(seeds)},
+      {"platform", platform_endpoint().ToString()},
+      {"operator_token", operator_token_},
+      {"log", {{"level", options_.log_level}, {"history", options_.history}}}};
+  std::string text = boost::json::serialize(settings);
+  if (!options_.extra_settings.empty()) {
+    text.pop_back();
+    text += "," + options_.extra_settings + "}";
+  }
+  return text;
+}
+
+Endpoint Fleet::EndpointOf(const std::string& host, std::uint16_t port) const {
+  return {.address = addresses_->Address(HostNumber(host)), .port = port};
+}
+
+}  // namespace camphor
