Mend what the linter found in the node

Cause: three findings of performance checks. Change: reserve, references in place of copies. Figures: the linter was run over node, ctl and the demonstration: no other finding.

--- a/node/admin/admin_api.cc
+++ b/node/admin/admin_api.cc
@@ -56,6 +56,7 @@
 
 std::vector<FieldError> FieldsOf(const std::vector<ConfigError>& errors) {
   std::vector<FieldError> fields;
+  fields.reserve(errors.size());
   for (const ConfigError& error : errors) {
     fields.push_back({.field = error.field, .message = error.message});
   }
--- a/node/node.cc
+++ b/node/node.cc
@@ -99,7 +99,8 @@
   return {.listen = settings.admin_listen,
           .connections = settings.admin.connections,
           .body_bytes = settings.admin.body_bytes,
-          .handle = [this](const AdminRequest& request, AdminRespond respond) {
+          .handle = [this](const AdminRequest& request,
+                           const AdminRespond& respond) {
             api->Handle(request, respond);
           }};
 }
--- a/unit_tests/node/admin/admin_router_test.cc
+++ b/unit_tests/node/admin/admin_router_test.cc
@@ -22,7 +22,8 @@
 
   AdminResponse Send(const AdminRequest& request) {
     AdminResponse response;
-    router_.Route(request, [&](AdminResponse given) { response = given; });
+    router_.Route(request,
+                  [&](const AdminResponse& given) { response = given; });
     return response;
   }
 
