--- /dev/null
+++ b/proxy/asio_types.h
@@ -0,0 +1,46 @@
+#ifndef CAMPHORHILL_PROXY_ASIO_TYPES_H_
+#define CAMPHORHILL_PROXY_ASIO_TYPES_H_
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+#include "core/base/endpoint.h"
+
+namespace camphor {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+using RequestParser = http::request_parser<http::buffer_body>;
+using AnswerParser = http::response_parser<http::buffer_body>;
+
+/// Completion token: the awaited result is a tuple that begins with the error.
+inline constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Turns a configured endpoint into the library's form; nothing when it is no
+/// IP number. Thread safety: any thread.
+inline std::optional<tcp::endpoint> ToTcpEndpoint(const Endpoint& endpoint) {
+  beast::error_code error;
+  const asio::ip::address address =
+      asio::ip::make_address(endpoint.address, error);
+  if (error) return std::nullopt;
+  return tcp::endpoint(address, endpoint.port);
+}
+
+/// The other way round. Thread safety: any thread.
+inline Endpoint FromTcpEndpoint(const tcp::endpoint& endpoint) {
+  return {.address = endpoint.address().to_string(), .port = endpoint.port()};
+}
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_PROXY_ASIO_TYPES_H_
--- /dev/null
+++ b/proxy/header_rules.cc
@@ -0,0 +1,175 @@
+#include "proxy/header_rules.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <vector>
+
+#include "proxy/header_names.h"
+
+namespace camphor {
+namespace {
+
+constexpr std::size_t kFingerprintedBodyBytes = 1024;
+constexpr std::int64_t kLongestDeadlineMs = 24 * 3600 * 1000;
+
+constexpr std::array kHopByHop = {
+    http::field::connection,
+    http::field::keep_alive,
+    http::field::proxy_authenticate,
+    http::field::proxy_authorization,
+    http::field::proxy_connection,
+    http::field::te,
+    http::field::trailer,
+    http::field::transfer_encoding,
+    http::field::upgrade,
+    http::field::expect,
+};
+
+/// Headers that differ each time that a caller sends the same request.
+constexpr std::array<std::string_view, 8> kVolatile = {
+    "Idempotency-Key", "X-Request-Id",      "Traceparent", "Tracestate", "Date",
+    "Content-Length",  "Transfer-Encoding", "Connection",
+};
+
+std::string_view View(beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+bool IsVolatile(std::string_view name) {
+  return beast::iequals(name.substr(0, kInternalPrefix.size()),
+                        beast::string_view(kInternalPrefix)) ||
+         beast::iequals(name.substr(0, 5), "X-B3-") ||
+         std::ranges::any_of(kVolatile, [name](std::string_view known) {
+           return beast::iequals(known, name);
+         });
+}
+
+}  // namespace
+
+std::string_view HeaderValue(const http::fields& fields,
+                             std::string_view name) {
+  const auto found = fields.find(name);
+  return found == fields.end() ? std::string_view() : View(found->value());
+}
+
+std::optional<std::string> FindFaultOfRequest(
+    const http::request_header<>& header) {
+  if (header.version() != 10 && header.version() != 11) {
+    return "only HTTP/1.0 and HTTP/1.1 are spoken here";
+  }
+  const std::string_view path = View(header.target());
+  if (!path.starts_with('/') && path != "*") {
+    return "the request target must be a path";
+  }
+  if (path.find('#') != std::string_view::npos) {
+    return "the request target must not have a fragment";
+  }
+  const std::size_t hosts = header.count(http::field::host);
+  if (hosts > 1 || (hosts == 0 && header.version() == 11)) {
+    return "exactly one Host header is needed";
+  }
+
+  // Two readers that disagree on a length can be made to see two requests.
+  const std::size_t lengths = header.count(http::field::content_length);
+  const std::size_t encodings = header.count(http::field::transfer_encoding);
+  if (lengths > 1 || (lengths == 1 && encodings > 0)) {
+    return "the length is given more than once";
+  }
+  if (lengths == 1 &&
+      View(header[http::field::content_length])
+              .find_first_not_of("0123456789") != std::string_view::npos) {
+    return "Content-Length must be one number";
+  }
+  if (encodings > 1 ||
+      (encodings == 1 &&
+       !beast::iequals(header[http::field::transfer_encoding], "chunked"))) {
+    return "the only Transfer-Encoding taken is chunked";
+  }
+  if (encodings == 1 && header.version() == 10) {
+    return "HTTP/1.0 has no Transfer-Encoding";
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> FindFaultOfAnswer(const AnswerParser& parser) {
+  const http::response_header<>& header = parser.get();
+  if (header.result() == http::status::switching_protocols) {
+    return "the target changed the protocol";
+  }
+  if (header.count(http::field::content_length) > 1 ||
+      (header.count(http::field::transfer_encoding) > 0 && !parser.chunked())) {
+    return "the target's answer has a doubtful length";
+  }
+  // An answer that ends with its connection can not be told from a cut one.
+  if (parser.need_eof()) return "the target's answer does not say its length";
+  return std::nullopt;
+}
+
+void RemoveHopByHopHeaders(http::fields& fields) {
+  // The Connection header names further headers of this kind.
+  std::vector<std::string> named;
+  for (const auto& token : http::token_list(fields[http::field::connection])) {
+    named.emplace_back(token);
+  }
+  for (const std::string& name : named) {
+    if (beast::iequals(name, "Content-Length") ||
+        beast::iequals(name, "Host")) {
+      continue;
+    }
+    fields.erase(name);
+  }
+  for (const http::field field : kHopByHop) fields.erase(field);
+}
+
+void RemoveInternalHeaders(http::fields& fields) {
+  for (auto field = fields.begin(); field != fields.end();) {
+    const std::string_view name = View(field->name_string());
+    const bool internal = beast::iequals(name.substr(0, kInternalPrefix.size()),
+                                         beast::string_view(kInternalPrefix));
+    field = internal ? fields.erase(field) : std::next(field);
+  }
+}
+
+std::optional<Milliseconds> ReadDeadline(const http::fields& fields,
+                                         Milliseconds fallback) {
+  const auto found = fields.find(kDeadlineHeader);
+  if (found == fields.end()) return fallback;
+  const std::string_view text = View(found->value());
+  std::int64_t milliseconds = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      milliseconds < 0 || milliseconds > kLongestDeadlineMs) {
+    return std::nullopt;
+  }
+  return Milliseconds(milliseconds);
+}
+
+std::uint64_t RequestFingerprint(const http::request_header<>& header,
+                                 std::string_view body_prefix) {
+  const std::string_view body = body_prefix.substr(0, kFingerprintedBodyBytes);
+  const std::string_view method = View(header.method_string());
+  const std::string_view path = View(header.target());
+  std::uint64_t hash = XXH3_64bits(method.data(), method.size());
+  hash = XXH3_64bits_withSeed(path.data(), path.size(), hash);
+  hash = XXH3_64bits_withSeed(body.data(), body.size(), hash);
+
+  // A sum, so that the order of headers does not matter.
+  std::uint64_t headers = 0;
+  for (const auto& field : header) {
+    const std::string_view name = View(field.name_string());
+    if (IsVolatile(name)) continue;
+    std::uint64_t seed = 0;
+    for (const char letter : name) {
+      seed = seed * 131 + static_cast<unsigned char>(letter | 0x20);
+    }
+    headers +=
+        XXH3_64bits_withSeed(field.value().data(), field.value().size(), seed);
+  }
+  return XXH3_64bits_withSeed(&headers, sizeof headers, hash);
+}
+
+}  // namespace camphor
