Serve callers over one and two hops

Cause: nothing carried a request from a caller to a target. Change: ProxyServer with sessions for callers and for other hosts' proxies, connection pools, exchanges that stream both ways with a fixed buffer, deadlines and cancellation that travel, refusals marked not run only before a byte went to the target, claims before a slot is taken, interim answers as a sign of life between hosts, proofs of the mesh key by a nonce each way. Ruled out: the timeouts of the library's stream, since one expiry serves reading and writing and a body that streams needs them apart.

--- /dev/null
+++ b/proxy/caller_request.cc
@@ -0,0 +1,288 @@
+#include "proxy/caller_request.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <utility>
+
+#include "proxy/header_names.h"
+#include "proxy/header_rules.h"
+#include "proxy/local_run.h"
+#include "proxy/remote_run.h"
+
+namespace camphor {
+namespace {
+
+using Counter = ProxyMetrics::Counter;
+
+constexpr Microseconds kLeastTimeForRetry{2000};
+constexpr std::uint32_t kDeathsOfPoison = 2;
+constexpr unsigned kFirstFailureStatus = 500;
+
+/// What an error says of the target that it was placed on.
+RequestOutcome OutcomeOf(ProxyError error) {
+  switch (error) {
+    case ProxyError::kNoTarget:
+    case ProxyError::kFull:
+    case ProxyError::kTooLate:
+    case ProxyError::kConnectFailed:
+    case ProxyError::kDraining:
+      return RequestOutcome::kRefused;
+    case ProxyError::kTargetBroke:
+    case ProxyError::kBadAnswer:
+      return RequestOutcome::kError;
+    case ProxyError::kTargetDied:
+      return RequestOutcome::kTargetDied;
+    case ProxyError::kDeadline:
+      return RequestOutcome::kTimeout;
+    default:
+      return RequestOutcome::kCancelled;
+  }
+}
+
+/// True when another target may do better.
+bool AnotherTargetMayRun(ProxyError error) {
+  switch (error) {
+    case ProxyError::kNoTarget:
+    case ProxyError::kFull:
+    case ProxyError::kTooLate:
+    case ProxyError::kConnectFailed:
+    case ProxyError::kSuspectBusy:
+    case ProxyError::kDraining:
+    case ProxyError::kTargetBroke:
+    case ProxyError::kTargetDied:
+    case ProxyError::kSilent:
+    case ProxyError::kDeadline:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+RouteQuery QueryOf(const http::request_header<>& header) {
+  const std::string_view target(header.target().data(), header.target().size());
+  const beast::string_view method = header.method_string();
+  return {.host = HeaderValue(header, "Host"),
+          .method = {method.data(), method.size()},
+          .path = target.substr(0, target.find('?'))};
+}
+
+CallerRequest::CallerRequest(ProxyContext& context, Options options)
+    : context_(context), options_(std::move(options)) {}
+
+asio::awaitable<CallerRequest::Ended> CallerRequest::Run() {
+  fingerprint_ = RequestFingerprint(*options_.header, options_.body->prefix());
+  header_ = *options_.header;
+  RemoveHopByHopHeaders(header_);
+  RemoveInternalHeaders(header_);
+  ProxyError error = ProxyError::kNoTarget;
+  while (Place()) {
+    const std::optional<ProxyError> failed = co_await Attempt();
+    if (!failed) co_return Ended{.whole = whole_};
+    error = *failed;
+    if (!MayRetry(error)) break;
+    if (!TraitsOf(error).not_run) unknown_ = error;
+    context_.metrics.Count(Counter::kRetries);
+  }
+  co_return Refuse(error);
+}
+
+bool CallerRequest::Place() {
+  EffectiveRoutingPtr routing = context_.Routing();
+  if (routing != routing_) {
+    // The tables may have changed under a retry.
+    const std::optional<std::uint32_t> route =
+        MatchRoute(*routing, QueryOf(*options_.header));
+    if (!route) return false;
+    routing_ = std::move(routing);
+    route_ = *route;
+    tried_.clear();
+  }
+  const std::optional<Placement> placement = context_.balancer.Choose(
+      route_, tried_, std::chrono::steady_clock::now());
+  if (!placement) return false;
+  placement_ = *placement;
+  tried_.push_back(placement_);
+  ++attempt_;
+  return true;
+}
+
+const RoutedTarget& CallerRequest::target() const {
+  return routing_->pools[placement_.pool]
+      .groups[placement_.group]
+      .targets[placement_.target];
+}
+
+std::unique_ptr<RequestRun> CallerRequest::MakeRun() {
+  PlacedRequest request{.header = header_,
+                        .control = options_.control,
+                        .body = options_.body,
+                        .target = target().info.id,
+                        .fingerprint = fingerprint_,
+                        .suspect = deaths_ > 0,
+                        .attempt = attempt_};
+  if (rule().at_most_once) {
+    request.claim_key = HeaderValue(*options_.header, kIdempotencyKeyHeader);
+  }
+  if (rule().repeatable && attempt_ < context_.options.limits.attempts) {
+    // A connection may have gone silent: half of the time is kept for another.
+    request.abandon_after = std::chrono::duration_cast<Milliseconds>(
+        options_.control->TimeLeft() / 2);
+    request.may_abandon = [this] { return MayAbandon(); };
+  }
+  if (!target().local) {
+    return std::make_unique<RemoteRun>(context_, std::move(request), target());
+  }
+  request.header.set(kDeadlineHeader,
+                     fmt::format_int(std::chrono::duration_cast<Milliseconds>(
+                                         options_.control->TimeLeft())
+                                         .count())
+                         .str());
+  request.header.set(kAttemptHeader, fmt::format_int(attempt_).str());
+  return std::make_unique<LocalRun>(context_, std::move(request));
+}
+
+asio::awaitable<std::optional<ProxyError>> CallerRequest::Attempt() {
+  if (routing_->poison.contains(fingerprint_)) {
+    context_.metrics.Count(Counter::kPoisonRefused);
+    co_return ProxyError::kPoison;
+  }
+  sent_at_ = std::chrono::steady_clock::now();
+  context_.balancer.OnSent(target().info.id);
+  context_.Record([&] {
+    return fmt::format("event=request_sent t_us={} route={} target={} key={}",
+                       HistoryTimeUs(), rule().name.value(),
+                       target().info.id.value(),
+                       HeaderValue(*options_.header, kIdempotencyKeyHeader));
+  });
+  const std::unique_ptr<RequestRun> run = MakeRun();
+  const std::optional<ProxyError> error = co_await run->Begin();
+  if (error) {
+    co_await run->End(false);
+    OnError(*error);
+    co_return error;
+  }
+  const unsigned status = run->exchange().answer().result_int();
+  const Exchange::Relayed relayed = co_await Relay(run->exchange());
+  co_await run->End(relayed == Exchange::Relayed::kCut);
+  OnRelayed(relayed, status);
+  co_return std::nullopt;
+}
+
+asio::awaitable<Exchange::Relayed> CallerRequest::Relay(Exchange& exchange) {
+  http::response_header<> header = exchange.answer();
+  RemoveHopByHopHeaders(header);
+  RemoveInternalHeaders(header);
+  if (context_.options.debug_headers) {
+    header.set(kTargetHeader, target().info.id.value());
+    header.set(kVersionHeader, target().info.version.value());
+  }
+  const bool keep =
+      options_.keep_alive && options_.body->whole() && !context_.draining;
+  if (!keep) header.set(http::field::connection, "close");
+  const Exchange::Relayed relayed =
+      co_await exchange.Relay(std::move(header), options_.receiver);
+  co_return relayed;
+}
+
+void CallerRequest::OnError(ProxyError error) {
+  if (error == ProxyError::kTargetDied) ++deaths_;
+  Sample(OutcomeOf(error));
+}
+
+void CallerRequest::OnRelayed(Exchange::Relayed relayed, unsigned status) {
+  answered_ = true;
+  whole_ = relayed == Exchange::Relayed::kWhole;
+  const RequestControl::Stop stopped = options_.control->stopped();
+  if (whole_) {
+    const bool failed = status >= kFirstFailureStatus;
+    if (!failed) context_.retries.OnSuccess();
+    Sample(failed ? RequestOutcome::kError : RequestOutcome::kSuccess);
+    const MonoTime now = std::chrono::steady_clock::now();
+    context_.metrics.Count(Counter::kAnswered);
+    context_.metrics.OnAnswered(
+        std::chrono::duration_cast<Microseconds>(now - options_.arrival),
+        std::chrono::duration_cast<Microseconds>(now - sent_at_));
+  } else if (relayed == Exchange::Relayed::kCut) {
+    context_.metrics.Count(Counter::kCutAnswers);
+    Sample(RequestOutcome::kError);
+  } else if (stopped == RequestControl::Stop::kDeadline) {
+    context_.metrics.Count(Counter::kCutAnswers);
+    Sample(RequestOutcome::kTimeout);
+  } else {
+    context_.metrics.Count(Counter::kCancelled);
+    Sample(RequestOutcome::kCancelled);
+  }
+  RecordAnswer(status, whole_);
+}
+
+void CallerRequest::Sample(RequestOutcome outcome) {
+  const MonoTime now = std::chrono::steady_clock::now();
+  const auto latency = std::chrono::duration_cast<Microseconds>(now - sent_at_);
+  context_.balancer.OnEnded(target().info.id,
+                            routing_->pools[placement_.pool].spec.name, outcome,
+                            latency, now);
+  context_.metrics.OnOutcome(outcome);
+  if (!context_.options.on_sample) return;
+  context_.options.on_sample({.routing = routing_,
+                              .route = route_,
+                              .group = placement_.group,
+                              .target = placement_.target,
+                              .outcome = outcome,
+                              .latency = latency});
+}
+
+bool CallerRequest::MayRetry(ProxyError error) {
+  const bool had_token = std::exchange(has_token_, false);
+  if (!AnotherTargetMayRun(error) || options_.body->consumed()) return false;
+  if (!TraitsOf(error).not_run && !rule().repeatable) return false;
+  if (attempt_ >= context_.options.limits.attempts) return false;
+  if (deaths_ >= kDeathsOfPoison) return false;
+  if (options_.control->stopped() != RequestControl::Stop::kNone ||
+      options_.control->TimeLeft() < kLeastTimeForRetry) {
+    return false;
+  }
+  if (had_token || context_.retries.TryTake()) return true;
+  context_.metrics.Count(Counter::kRetriesDenied);
+  return false;
+}
+
+bool CallerRequest::MayAbandon() {
+  // A body that streams can not be sent again.
+  if (options_.body->consumed()) return false;
+  has_token_ = context_.retries.TryTake();
+  return has_token_;
+}
+
+CallerRequest::Ended CallerRequest::Refuse(ProxyError error) {
+  // An attempt that may have run outweighs a later refusal.
+  if (unknown_ && TraitsOf(error).not_run) error = *unknown_;
+  const bool not_run = TraitsOf(error).not_run;
+  if (error == ProxyError::kCallerGone) {
+    context_.metrics.Count(Counter::kCancelled);
+  } else {
+    context_.metrics.Count(not_run ? Counter::kRefusedNotRun
+                                   : Counter::kOutcomeUnknown);
+  }
+  context_.Record([&] {
+    return fmt::format(
+        "event=refused t_us={} route={} not_run={} reason={} key={}",
+        HistoryTimeUs(), routing_ ? rule().name.value() : "", not_run,
+        TraitsOf(error).reason,
+        HeaderValue(*options_.header, kIdempotencyKeyHeader));
+  });
+  return {.error = error};
+}
+
+void CallerRequest::RecordAnswer(unsigned status, bool whole) const {
+  context_.Record([&] {
+    return fmt::format(
+        "event=answered t_us={} route={} target={} status={} whole={} key={}",
+        HistoryTimeUs(), rule().name.value(), target().info.id.value(), status,
+        whole, HeaderValue(*options_.header, kIdempotencyKeyHeader));
+  });
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/proxy/caller_session.h
@@ -0,0 +1,20 @@
+#ifndef CAMPHORHILL_PROXY_CALLER_SESSION_H_
+#define CAMPHORHILL_PROXY_CALLER_SESSION_H_
+
+#include "proxy/http_session.h"
+
+namespace camphor {
+
+/// One connection of a caller. One thread.
+class CallerSession : public HttpSession {
+ public:
+  CallerSession(ProxyContext& context, tcp::socket socket);
+  ~CallerSession() override;
+
+ protected:
+  asio::awaitable<bool> Serve(RequestParser& parser) override;
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_PROXY_CALLER_SESSION_H_
--- /dev/null
+++ b/proxy/connection_pool.cc
@@ -0,0 +1,221 @@
+#include "proxy/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "proxy/header_names.h"
+#include "proxy/header_rules.h"
+#include "proxy/mesh_proof.h"
+#include "proxy/progress_timer.h"
+
+namespace camphor {
+namespace {
+
+using EmptyRequest = http::request<http::empty_body>;
+using ShortAnswer = http::response<http::string_body>;
+
+EmptyRequest ControlRequest(std::string_view control) {
+  EmptyRequest request(http::verb::get, "/", 11);
+  request.set(http::field::host, "proxy");
+  request.set(kControlHeader, control);
+  return request;
+}
+
+}  // namespace
+
+ConnectionPool::Lease::Lease(std::shared_ptr<ConnectionPool> pool,
+                             std::unique_ptr<Connection> connection)
+    : pool_(std::move(pool)), connection_(std::move(connection)) {}
+
+ConnectionPool::Lease& ConnectionPool::Lease::operator=(
+    Lease&& other) noexcept {
+  if (this != &other) {
+    Drop();
+    pool_ = std::move(other.pool_);
+    connection_ = std::move(other.connection_);
+  }
+  return *this;
+}
+
+ConnectionPool::Lease::~Lease() { Drop(); }
+
+void ConnectionPool::Lease::Reuse() {
+  if (connection_) pool_->GiveBack(std::move(connection_));
+  connection_.reset();
+}
+
+void ConnectionPool::Lease::Drop() {
+  if (!connection_) return;
+  connection_.reset();
+  pool_->Forget();
+}
+
+ConnectionPool::ConnectionPool(Options options)
+    : options_(std::move(options)),
+      last_used_(std::chrono::steady_clock::now()) {}
+
+asio::awaitable<ConnectionPool::Acquired> ConnectionPool::Acquire() {
+  last_used_ = std::chrono::steady_clock::now();
+  while (!idle_.empty()) {
+    std::unique_ptr<Connection> connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (connection->IsQuiet()) {
+      peak_leased_ = std::max(peak_leased_, open_ - idle_.size());
+      Acquired acquired;
+      acquired.lease = Lease(shared_from_this(), std::move(connection));
+      co_return acquired;
+    }
+    Forget();
+  }
+  Acquired acquired = co_await Connect();
+  peak_leased_ = std::max(peak_leased_, open_ - idle_.size());
+  co_return acquired;
+}
+
+asio::awaitable<ConnectionPool::Failure> ConnectionPool::Probe() {
+  Connection connection(options_.executor);
+  const std::optional<tcp::endpoint> endpoint =
+      ToTcpEndpoint(options_.endpoint);
+  if (!endpoint) co_return Failure::kRefused;
+  bool late = false;
+  ProgressTimer timer(options_.executor, [&] {
+    late = true;
+    connection.Close();
+  });
+  timer.Set(options_.connect_timeout);
+  const auto [error] =
+      co_await connection.socket.async_connect(*endpoint, kAsTuple);
+  if (late) co_return Failure::kTimeout;
+  co_return error ? Failure::kRefused : Failure::kNone;
+}
+
+asio::awaitable<ConnectionPool::Acquired> ConnectionPool::Connect() {
+  Acquired acquired;
+  if (open_ >= options_.most) {
+    acquired.failure = Failure::kFull;
+    co_return acquired;
+  }
+  const std::optional<tcp::endpoint> endpoint =
+      ToTcpEndpoint(options_.endpoint);
+  if (!endpoint) {
+    acquired.failure = Failure::kRefused;
+    co_return acquired;
+  }
+
+  // Counted from here on, so that many at once do not pass the limit.
+  ++open_;
+  Lease lease(shared_from_this(),
+              std::make_unique<Connection>(options_.executor));
+  bool late = false;
+  ProgressTimer timer(options_.executor, [&] {
+    late = true;
+    lease->Close();
+  });
+  timer.Set(options_.connect_timeout);
+  const auto [error] =
+      co_await lease->socket.async_connect(*endpoint, kAsTuple);
+  if (error) {
+    acquired.failure = late ? Failure::kTimeout : Failure::kRefused;
+    co_return acquired;
+  }
+  beast::error_code ignored;
+  lease->socket.set_option(tcp::no_delay(true), ignored);
+  if (options_.on_connect) options_.on_connect();
+  if (!options_.mesh_key.empty()) {
+    const bool greeted = co_await Greet(*lease);
+    if (!greeted) {
+      acquired.failure = late ? Failure::kTimeout : Failure::kBadProof;
+      co_return acquired;
+    }
+  }
+  acquired.lease = std::move(lease);
+  co_return acquired;
+}
+
+asio::awaitable<bool> ConnectionPool::Greet(Connection& connection) {
+  const std::string nonce = MeshProof::MakeNonce();
+  EmptyRequest hello = ControlRequest(kHelloControl);
+  hello.set(kNonceHeader, nonce);
+  const auto [write_error, written] =
+      co_await http::async_write(connection.socket, hello, kAsTuple);
+  if (write_error) co_return false;
+  ShortAnswer answer;
+  const auto [read_error, read] = co_await http::async_read(
+      connection.socket, connection.buffer, answer, kAsTuple);
+  if (read_error) co_return false;
+  const std::string_view server = HeaderValue(answer, kNonceHeader);
+  const std::string expected =
+      MeshProof::OfServer(options_.mesh_key, nonce, server);
+  if (!MeshProof::Equal(HeaderValue(answer, kProofHeader), expected)) {
+    co_return false;
+  }
+  connection.proof = MeshProof::OfClient(options_.mesh_key, nonce, server);
+  co_return true;
+}
+
+asio::awaitable<bool> ConnectionPool::Ping(Connection& connection) {
+  ProgressTimer timer(options_.executor, [&] { connection.Close(); });
+  timer.Set(options_.connect_timeout);
+  EmptyRequest ping = ControlRequest(kPingControl);
+  if (!connection.proof.empty()) {
+    ping.set(kProofHeader, std::exchange(connection.proof, {}));
+  }
+  const auto [write_error, written] =
+      co_await http::async_write(connection.socket, ping, kAsTuple);
+  if (write_error) co_return false;
+  ShortAnswer answer;
+  const auto [read_error, read] = co_await http::async_read(
+      connection.socket, connection.buffer, answer, kAsTuple);
+  co_return !read_error && answer.keep_alive();
+}
+
+asio::awaitable<void> ConnectionPool::Maintain() {
+  const auto self = shared_from_this();
+  const MonoTime now = std::chrono::steady_clock::now();
+  const std::size_t kept = std::max<std::size_t>(options_.warm, peak_leased_);
+  peak_leased_ -= (peak_leased_ + 9) / 10;
+
+  // The front was idle for longest.
+  while (idle_.size() > kept) {
+    idle_.erase(idle_.begin());
+    Forget();
+  }
+  std::erase_if(idle_, [this](const std::unique_ptr<Connection>& connection) {
+    const bool closed = !connection->IsQuiet();
+    if (closed) Forget();
+    return closed;
+  });
+  while (!options_.mesh_key.empty() && !idle_.empty() &&
+         idle_.front()->idle_since + options_.probe_idle < now) {
+    Lease lease(self, std::move(idle_.front()));
+    idle_.erase(idle_.begin());
+    const bool alive = co_await Ping(*lease);
+    if (alive) {
+      lease.Reuse();
+    } else if (options_.on_silent) {
+      options_.on_silent();
+    }
+  }
+  while (!closed_ && open_ < options_.warm) {
+    Acquired acquired = co_await Connect();
+    if (!acquired.lease) break;
+    acquired.lease.Reuse();
+  }
+}
+
+void ConnectionPool::Close() {
+  closed_ = true;
+  open_ -= idle_.size();
+  idle_.clear();
+}
+
+void ConnectionPool::GiveBack(std::unique_ptr<Connection> connection) {
+  if (closed_) {
+    Forget();
+    return;
+  }
+  connection->idle_since = std::chrono::steady_clock::now();
+  idle_.push_back(std::move(connection));
+}
+
+}  // namespace camphor
--- a/proxy/header_rules.cc
+++ b/proxy/header_rules.cc
@@ -57,9 +57,8 @@
 
 std::optional<std::string> FindFaultOfRequest(
     const http::request_header<>& header) {
-  if (header.version() != 10 && header.version() != 11) {
-    return "only HTTP/1.0 and HTTP/1.1 are spoken here";
-  }
+  // HTTP/1.0 can not tell a cut answer from a whole one of unknown length.
+  if (header.version() != 11) return "only HTTP/1.1 is spoken here";
   const std::string_view path = View(header.target());
   if (!path.starts_with('/') && path != "*") {
     return "the request target must be a path";
@@ -68,7 +67,7 @@
     return "the request target must not have a fragment";
   }
   const std::size_t hosts = header.count(http::field::host);
-  if (hosts > 1 || (hosts == 0 && header.version() == 11)) {
+  if (hosts != 1) {
     return "exactly one Host header is needed";
   }
 
@@ -88,9 +87,6 @@
        !beast::iequals(header[http::field::transfer_encoding], "chunked"))) {
     return "the only Transfer-Encoding taken is chunked";
   }
-  if (encodings == 1 && header.version() == 10) {
-    return "HTTP/1.0 has no Transfer-Encoding";
-  }
   return std::nullopt;
 }
 
--- /dev/null
+++ b/proxy/inbound_body.cc
@@ -0,0 +1,67 @@
+#include "proxy/inbound_body.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace camphor {
+
+InboundBody::InboundBody(Options options) : options_(std::move(options)) {
+  assert(options_.socket && options_.buffer && options_.parser &&
+         options_.progress);
+  whole_ = options_.parser->is_done();
+}
+
+asio::awaitable<bool> InboundBody::Prefetch(std::size_t limit) {
+  constexpr std::size_t kPiece = 4096;
+  if (whole_) SetWhole();
+  while (!whole_ && prefix_.size() < limit) {
+    const std::size_t kept = prefix_.size();
+    const std::size_t room = std::min(kPiece, limit - kept);
+    prefix_.resize(kept + room);
+    const std::optional<std::size_t> read =
+        co_await ReadSome(std::span(prefix_).subspan(kept, room));
+    prefix_.resize(kept + read.value_or(0));
+    consumed_ = false;
+    if (!read) co_return false;
+  }
+  co_return true;
+}
+
+asio::awaitable<std::optional<std::size_t>> InboundBody::ReadSome(
+    std::span<char> piece) {
+  RequestParser& parser = *options_.parser;
+  std::size_t size = 0;
+  while (size == 0 && !parser.is_done()) {
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    options_.progress->Set(options_.stall_limit);
+    auto [error, bytes] = co_await http::async_read_some(
+        *options_.socket, *options_.buffer, parser, kAsTuple);
+    options_.progress->Clear();
+    size = piece.size() - parser.get().body().size;
+    if (error == http::error::need_buffer) error = {};
+    if (error) co_return std::nullopt;
+  }
+  if (size > 0) consumed_ = true;
+  if (parser.is_done()) SetWhole();
+  co_return size;
+}
+
+std::optional<std::uint64_t> InboundBody::length() const {
+  const auto length = options_.parser->content_length();
+  if (!length) return std::nullopt;
+  return *length;
+}
+
+void InboundBody::CancelRead() {
+  beast::error_code ignored;
+  options_.socket->cancel(ignored);
+}
+
+void InboundBody::SetWhole() {
+  whole_ = true;
+  if (options_.on_whole) std::exchange(options_.on_whole, nullptr)();
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/proxy/local_run.cc
@@ -0,0 +1,243 @@
+#include "proxy/local_run.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace camphor {
+namespace {
+
+using Counter = ProxyMetrics::Counter;
+
+/// Waits on the proxy thread for an answer that may come on any thread.
+template <typename Value>
+struct Pending {
+  explicit Pending(std::shared_ptr<asio::io_context> context)
+      : io(std::move(context)), timer(*io) {
+    timer.expires_at(MonoTime::max());
+  }
+
+  static void Answer(const std::shared_ptr<Pending>& self, Value value) {
+    asio::post(*self->io, [self, value] {
+      self->value = value;
+      self->timer.cancel();
+      if (self->given_up && self->on_late) self->on_late(value);
+    });
+  }
+
+  std::shared_ptr<asio::io_context> io;
+  asio::steady_timer timer;
+  std::optional<Value> value;
+  bool given_up = false;                 ///< nobody waits any more
+  std::function<void(Value)> on_late{};  ///< takes an answer after that
+};
+
+std::string_view NameOf(ClaimStatus status) {
+  switch (status) {
+    case ClaimStatus::kGranted:
+      return "granted";
+    case ClaimStatus::kAlreadyClaimed:
+      return "held";
+    case ClaimStatus::kNotMade:
+      return "not_made";
+    case ClaimStatus::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+LocalRun::LocalRun(ProxyContext& context, PlacedRequest request)
+    : context_(context), request_(std::move(request)) {}
+
+asio::awaitable<std::optional<ProxyError>> LocalRun::Begin() {
+  std::optional<ProxyError> error = co_await Admit();
+  if (!error && !request_.claim_key.empty()) error = co_await Claim();
+  if (!error) error = co_await target_->Enter(*request_.control);
+  if (!error) {
+    has_slot_ = true;
+    error = co_await Connect();
+  }
+  if (!error) error = co_await Send();
+  if (error && has_claim_ && TraitsOf(*error).not_run) {
+    error = co_await GiveClaimBack(*error);
+  }
+  co_return error;
+}
+
+asio::awaitable<std::optional<ProxyError>> LocalRun::Admit() {
+  if (const auto poison = CheckPoison()) co_return poison;
+  target_ = context_.targets->Find(request_.target);
+  if (!target_) co_return ProxyError::kNoTarget;
+  if (target_->IsFull()) co_return ProxyError::kFull;
+  co_return Stopped();
+}
+
+std::optional<ProxyError> LocalRun::CheckPoison() {
+  const EffectiveRoutingPtr& routing = context_.Routing();
+  if (!routing) return ProxyError::kNotReady;
+  if (routing->poison.contains(request_.fingerprint)) {
+    context_.metrics.Count(Counter::kPoisonRefused);
+    return ProxyError::kPoison;
+  }
+  request_.suspect =
+      request_.suspect || routing->suspects.contains(request_.fingerprint);
+  if (request_.suspect &&
+      !context_.deaths.MayStartSuspect(request_.target, request_.fingerprint)) {
+    return ProxyError::kSuspectBusy;
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<std::optional<ProxyError>> LocalRun::Claim() {
+  if (!context_.options.claim) co_return ProxyError::kClaimNotMade;
+  const auto pending = std::make_shared<Pending<ClaimStatus>>(context_.io);
+  // A claim that is granted too late was not used: the key is free again.
+  pending->on_late = [release = context_.options.release_claim,
+                      key = request_.claim_key](ClaimStatus status) {
+    if (status == ClaimStatus::kGranted && release) release(key, [](bool) {});
+  };
+  context_.options.claim(request_.claim_key, request_.fingerprint,
+                         [pending](ClaimStatus status) {
+                           Pending<ClaimStatus>::Answer(pending, status);
+                         });
+  {
+    const RequestControl::Scope scope(*request_.control,
+                                      [&pending] { pending->timer.cancel(); });
+    if (!pending->value && !Stopped()) {
+      co_await pending->timer.async_wait(kAsTuple);
+    }
+  }
+  const ClaimStatus status = pending->value.value_or(ClaimStatus::kUnknown);
+  pending->given_up = !pending->value;
+  context_.Record([&] {
+    return fmt::format("event=claim t_us={} key={} status={}", HistoryTimeUs(),
+                       request_.claim_key, NameOf(status));
+  });
+  switch (status) {
+    case ClaimStatus::kGranted:
+      context_.metrics.Count(Counter::kClaimsGranted);
+      has_claim_ = true;
+      co_return std::nullopt;
+    case ClaimStatus::kAlreadyClaimed:
+      context_.metrics.Count(Counter::kClaimsHeld);
+      co_return ProxyError::kClaimHeld;
+    case ClaimStatus::kNotMade:
+      context_.metrics.Count(Counter::kClaimsNotMade);
+      co_return ProxyError::kClaimNotMade;
+    case ClaimStatus::kUnknown:
+      break;
+  }
+  context_.metrics.Count(Counter::kClaimsUnknown);
+  co_return ProxyError::kClaimUnknown;
+}
+
+asio::awaitable<ProxyError> LocalRun::GiveClaimBack(ProxyError error) {
+  // Only once no claim stands may the caller be told that it can send it again.
+  if (!context_.options.release_claim) co_return ProxyError::kClaimUnknown;
+  const auto pending = std::make_shared<Pending<bool>>(context_.io);
+  context_.options.release_claim(request_.claim_key, [pending](bool released) {
+    Pending<bool>::Answer(pending, released);
+  });
+  pending->timer.expires_after(context_.options.limits.connect_timeout);
+  if (!pending->value) co_await pending->timer.async_wait(kAsTuple);
+  co_return pending->value.value_or(false) ? error : ProxyError::kClaimUnknown;
+}
+
+asio::awaitable<std::optional<ProxyError>> LocalRun::Connect() {
+  ConnectionPool::Acquired acquired = co_await target_->pool()->Acquire();
+  if (!acquired.lease) {
+    co_return acquired.failure == ConnectionPool::Failure::kFull
+        ? ProxyError::kFull
+        : ProxyError::kConnectFailed;
+  }
+  lease_ = std::move(acquired.lease);
+  // The time may have passed unnoticed, for example in a pause of the process;
+  // and another suspect may have started meanwhile.
+  if (const auto poison = CheckPoison()) co_return poison;
+  co_return Stopped();
+}
+
+asio::awaitable<std::optional<ProxyError>> LocalRun::Send() {
+  if (request_.before_send) {
+    const bool ready = co_await request_.before_send();
+    if (!ready) co_return ProxyError::kCallerGone;
+  }
+  context_.deaths.OnStart(request_.target, request_.fingerprint,
+                          request_.suspect);
+  tracked_ = true;
+  sent_at_ = std::chrono::steady_clock::now();
+  exchange_.emplace(Exchange::Options{.connection = &*lease_,
+                                      .control = request_.control,
+                                      .body = request_.body,
+                                      .abandon_after = request_.abandon_after,
+                                      .may_abandon = request_.may_abandon});
+  const Exchange::Sent sent =
+      co_await exchange_->Send(std::move(request_.header));
+  if (sent == Exchange::Sent::kAnswer) {
+    answered_ = true;
+    co_return std::nullopt;
+  }
+  if (sent == Exchange::Sent::kNothing) {
+    const auto stopped = Stopped();
+    co_return stopped ? *stopped : ProxyError::kConnectFailed;
+  }
+  if (sent == Exchange::Sent::kBroken) {
+    const ProxyError error = co_await FindDeath();
+    co_return error;
+  }
+  co_return ErrorOfSent(sent, *request_.control);
+}
+
+asio::awaitable<ProxyError> LocalRun::FindDeath() {
+  // A broken connection alone does not say that the target died.
+  const ConnectionPool::Failure probe = co_await target_->pool()->Probe();
+  if (probe != ConnectionPool::Failure::kRefused) {
+    co_return ProxyError::kTargetBroke;
+  }
+  const std::vector<std::uint64_t> blamed =
+      context_.deaths.OnDeath(request_.target);
+  if (!blamed.empty()) context_.metrics.Count(Counter::kTargetDeaths);
+  for (const std::uint64_t fingerprint : blamed) {
+    if (context_.options.on_target_death) {
+      context_.options.on_target_death(fingerprint, request_.target);
+    }
+  }
+  co_return ProxyError::kTargetDied;
+}
+
+std::optional<ProxyError> LocalRun::Stopped() const {
+  if (request_.control->stopped() == RequestControl::Stop::kCallerGone) {
+    return ProxyError::kCallerGone;
+  }
+  if (request_.control->TimeLeft().count() == 0) return ProxyError::kTooLate;
+  return std::nullopt;
+}
+
+asio::awaitable<void> LocalRun::End(bool cut) {
+  if (exchange_) {
+    co_await exchange_->Join();
+    if (exchange_->reusable()) lease_.Reuse();
+  }
+  lease_.Drop();
+  if (cut) {
+    answered_ = false;
+    co_await FindDeath();
+  }
+  if (tracked_) {
+    context_.deaths.OnEnd(request_.target, request_.fingerprint, answered_);
+  }
+  if (has_slot_) {
+    const auto took = std::chrono::duration_cast<Microseconds>(
+        std::chrono::steady_clock::now() - sent_at_);
+    target_->Leave(tracked_ ? std::optional(took) : std::nullopt);
+  }
+  has_slot_ = false;
+  tracked_ = false;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/proxy/local_run.h
@@ -0,0 +1,49 @@
+#ifndef CAMPHORHILL_PROXY_LOCAL_RUN_H_
+#define CAMPHORHILL_PROXY_LOCAL_RUN_H_
+
+#include <memory>
+#include <optional>
+
+#include "proxy/connection_pool.h"
+#include "proxy/local_targets.h"
+#include "proxy/placed_request.h"
+#include "proxy/proxy_context.h"
+
+namespace camphor {
+
+/// Runs a request on a target of this host: poison check, claim, slot,
+/// connection, exchange, in this order. Every refusal comes before a byte went
+/// to the target. One thread.
+class LocalRun : public RequestRun {
+ public:
+  LocalRun(ProxyContext& context, PlacedRequest request);
+
+  asio::awaitable<std::optional<ProxyError>> Begin() override;
+  asio::awaitable<void> End(bool cut) override;
+  Exchange& exchange() override { return *exchange_; }
+
+ private:
+  std::optional<ProxyError> CheckPoison();
+  asio::awaitable<std::optional<ProxyError>> Admit();
+  asio::awaitable<std::optional<ProxyError>> Claim();
+  asio::awaitable<ProxyError> GiveClaimBack(ProxyError error);
+  asio::awaitable<std::optional<ProxyError>> Connect();
+  asio::awaitable<std::optional<ProxyError>> Send();
+  asio::awaitable<ProxyError> FindDeath();
+  std::optional<ProxyError> Stopped() const;
+
+  ProxyContext& context_;
+  PlacedRequest request_;
+  std::shared_ptr<LocalTarget> target_;
+  ConnectionPool::Lease lease_;
+  std::optional<Exchange> exchange_;
+  MonoTime sent_at_{};
+  bool has_slot_ = false;
+  bool has_claim_ = false;
+  bool tracked_ = false;
+  bool answered_ = false;
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_PROXY_LOCAL_RUN_H_
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -4,7 +4,7 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 #include <mutex>
@@ -57,13 +57,11 @@
   void AppendTo(std::string& text, std::string_view name) const {
     fmt::format_to(std::back_inserter(text), "# TYPE {} summary\n", name);
     const std::size_t count = acc::count(accumulator_);
-    for (const double quantile : kQuantiles) {
+    for (std::size_t index = 0; index < kQuantiles.size(); ++index) {
       const double value =
-          count == 0 ? 0
-                     : acc::quantile(accumulator_,
-                                     acc::quantile_probability = quantile);
+          count == 0 ? 0 : acc::extended_p_square(accumulator_)[index];
       fmt::format_to(std::back_inserter(text), "{}{{quantile=\"{}\"}} {:.6f}\n",
-                     name, quantile, value);
+                     name, kQuantiles[index], value);
     }
     fmt::format_to(std::back_inserter(text), "{}_sum {:.6f}\n{}_count {}\n",
                    name, acc::sum(accumulator_), name, count);
@@ -71,7 +69,7 @@
 
  private:
   acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
-                                          acc::tag::extended_p_square_quantile>>
+                                          acc::tag::extended_p_square>>
       accumulator_{acc::extended_p_square_probabilities = kQuantiles};
 };
 
--- /dev/null
+++ b/proxy/proxy_server.cc
@@ -0,0 +1,242 @@
+#include "proxy/proxy_server.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+#include <future>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "proxy/asio_types.h"
+#include "proxy/caller_session.h"
+#include "proxy/forward_session.h"
+#include "proxy/host_pools.h"
+#include "proxy/local_targets.h"
+#include "proxy/proxy_context.h"
+
+namespace camphor {
+namespace {
+
+constexpr Seconds kMaintenancePause{1};
+constexpr Milliseconds kAcceptPause{20};
+
+asio::awaitable<void> RunSession(std::shared_ptr<HttpSession> session) {
+  co_await session->Run();
+}
+
+}  // namespace
+
+struct ProxyServer::State {
+  explicit State(Options options)
+      : context(std::move(options)),
+        caller_acceptor(*context.io),
+        forward_acceptor(*context.io),
+        maintenance(*context.io) {}
+
+  bool Listen(tcp::acceptor& acceptor, const Endpoint& endpoint,
+              std::string_view what);
+  template <typename Session>
+  asio::awaitable<void> Accept(tcp::acceptor& acceptor,
+                               const std::uint32_t& open, std::uint32_t most);
+  asio::awaitable<void> Maintain();
+  void CloseAll();
+  boost::json::object Dump();
+
+  ProxyContext context;
+  tcp::acceptor caller_acceptor;
+  tcp::acceptor forward_acceptor;
+  asio::steady_timer maintenance;
+  std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
+      work;
+  std::thread thread;
+  Endpoint caller_endpoint;
+  Endpoint forward_endpoint;
+  std::string last_reason;
+};
+
+bool ProxyServer::State::Listen(tcp::acceptor& acceptor,
+                                const Endpoint& endpoint,
+                                std::string_view what) {
+  beast::error_code error;
+  const std::optional<tcp::endpoint> address = ToTcpEndpoint(endpoint);
+  if (!address) {
+    last_reason = fmt::format("{}: {} is no IP number", what, endpoint.address);
+    return false;
+  }
+  acceptor.open(address->protocol(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(*address, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) return true;
+  last_reason =
+      fmt::format("{}: {}: {}", what, endpoint.ToString(), error.message());
+  acceptor.close(error);
+  return false;
+}
+
+template <typename Session>
+asio::awaitable<void> ProxyServer::State::Accept(tcp::acceptor& acceptor,
+                                                 const std::uint32_t& open,
+                                                 std::uint32_t most) {
+  asio::steady_timer pause(*context.io);
+  while (acceptor.is_open()) {
+    auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
+    if (!acceptor.is_open()) break;
+    if (error) {
+      // Out of descriptors, for example: others must close first.
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(kAsTuple);
+      continue;
+    }
+    if (open >= most) {
+      context.metrics.Count(ProxyMetrics::Counter::kConnectionsRefused);
+      continue;
+    }
+    auto session = std::make_shared<Session>(context, std::move(socket));
+    asio::co_spawn(*context.io, RunSession(std::move(session)), asio::detached);
+  }
+}
+
+asio::awaitable<void> ProxyServer::State::Maintain() {
+  while (!context.stopping) {
+    context.targets->Maintain();
+    context.hosts->Maintain();
+    maintenance.expires_after(kMaintenancePause);
+    co_await maintenance.async_wait(kAsTuple);
+  }
+}
+
+void ProxyServer::State::CloseAll() {
+  context.stopping = true;
+  beast::error_code ignored;
+  caller_acceptor.close(ignored);
+  forward_acceptor.close(ignored);
+  maintenance.cancel();
+  // A session that ends takes itself out of the set.
+  const std::vector<ProxySession*> sessions(context.sessions.begin(),
+                                            context.sessions.end());
+  for (ProxySession* session : sessions) session->Close();
+  context.targets->Close();
+  context.hosts->Close();
+  work.reset();
+}
+
+boost::json::object ProxyServer::State::Dump() {
+  boost::json::object targets;
+  for (const auto& [id, target] : context.targets->targets()) {
+    targets[id.value()] = {{"running", target->gate().running()},
+                           {"waiting", target->gate().waiting()},
+                           {"connections", target->pool()->open()},
+                           {"idle_connections", target->pool()->idle()}};
+  }
+  boost::json::object hosts;
+  for (const auto& [endpoint, pool] : context.hosts->pools()) {
+    hosts[endpoint.ToString()] = {{"connections", pool->open()},
+                                  {"idle_connections", pool->idle()}};
+  }
+  const MonoTime now = std::chrono::steady_clock::now();
+  boost::json::object balancing;
+  for (const auto& [id, stats] : context.balancer.stats()) {
+    balancing[id.value()] = {{"in_flight", stats.in_flight},
+                             {"latency_us", stats.latency_us},
+                             {"failure_rate", stats.failure_rate},
+                             {"full", stats.full_until > now},
+                             {"ejected", stats.ejected_until > now}};
+  }
+  return {{"in_flight", context.in_flight.load()},
+          {"draining", context.draining},
+          {"caller_connections", context.caller_sessions},
+          {"forward_connections", context.forward_sessions},
+          {"retries_available", context.retries.available()},
+          {"local_targets", std::move(targets)},
+          {"hosts", std::move(hosts)},
+          {"balancing", std::move(balancing)}};
+}
+
+ProxyServer::ProxyServer(Options options)
+    : state_(std::make_unique<State>(std::move(options))) {}
+
+ProxyServer::~ProxyServer() { Stop(); }
+
+bool ProxyServer::Start() {
+  State& state = *state_;
+  const Options& options = state.context.options;
+  if (!state.Listen(state.caller_acceptor, options.caller_listen,
+                    "caller_listen") ||
+      !state.Listen(state.forward_acceptor, options.forward_listen,
+                    "forward_listen")) {
+    return false;
+  }
+  state.caller_endpoint =
+      FromTcpEndpoint(state.caller_acceptor.local_endpoint());
+  state.forward_endpoint =
+      FromTcpEndpoint(state.forward_acceptor.local_endpoint());
+  state.work.emplace(state.context.io->get_executor());
+  asio::co_spawn(*state.context.io,
+                 state.Accept<CallerSession>(state.caller_acceptor,
+                                             state.context.caller_sessions,
+                                             options.limits.caller_connections),
+                 asio::detached);
+  asio::co_spawn(*state.context.io,
+                 state.Accept<ForwardSession>(
+                     state.forward_acceptor, state.context.forward_sessions,
+                     options.limits.forward_connections),
+                 asio::detached);
+  asio::co_spawn(*state.context.io, state.Maintain(), asio::detached);
+  state.thread = std::thread([&state] { state.context.io->run(); });
+  return true;
+}
+
+void ProxyServer::BeginDrain() {
+  asio::post(*state_->context.io, [state = state_.get()] {
+    state->context.draining = true;
+    beast::error_code ignored;
+    state->caller_acceptor.close(ignored);
+    // Kept connections stay: a request may be on its way. Each is told to
+    // close with its next answer.
+  });
+}
+
+std::uint64_t ProxyServer::in_flight() const {
+  return state_->context.in_flight.load();
+}
+
+void ProxyServer::Stop() {
+  if (!state_->thread.joinable()) return;
+  asio::post(*state_->context.io,
+             [state = state_.get()] { state->CloseAll(); });
+  state_->thread.join();
+}
+
+Endpoint ProxyServer::caller_endpoint() const {
+  return state_->caller_endpoint;
+}
+
+Endpoint ProxyServer::forward_endpoint() const {
+  return state_->forward_endpoint;
+}
+
+std::string ProxyServer::DumpJson() const {
+  if (!state_->thread.joinable()) return "{}";
+  std::promise<std::string> dumped;
+  std::future<std::string> text = dumped.get_future();
+  asio::post(*state_->context.io, [this, &dumped] {
+    dumped.set_value(boost::json::serialize(state_->Dump()));
+  });
+  return text.get();
+}
+
+std::string ProxyServer::MetricsText() const {
+  return state_->context.metrics.Text();
+}
+
+const std::string& ProxyServer::last_reason() const {
+  return state_->last_reason;
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/proxy/remote_run.cc
@@ -0,0 +1,106 @@
+#include "proxy/remote_run.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "proxy/header_names.h"
+#include "proxy/header_rules.h"
+#include "proxy/host_pools.h"
+
+namespace camphor {
+namespace {
+
+/// The other host gets a little less time, so that its refusal still arrives.
+Milliseconds TimeForOtherHost(Microseconds left) {
+  const Microseconds margin =
+      std::clamp(left / 20, Microseconds(1000), Microseconds(50'000));
+  return std::chrono::duration_cast<Milliseconds>(
+      std::max(left - margin, Microseconds(0)));
+}
+
+}  // namespace
+
+RemoteRun::RemoteRun(ProxyContext& context, PlacedRequest request,
+                     const RoutedTarget& target)
+    : context_(context),
+      request_(std::move(request)),
+      forward_(target.forward) {}
+
+asio::awaitable<std::optional<ProxyError>> RemoteRun::Begin() {
+  const std::shared_ptr<ConnectionPool> pool = context_.hosts->Find(forward_);
+  ConnectionPool::Acquired acquired = co_await pool->Acquire();
+  if (!acquired.lease) {
+    co_return acquired.failure == ConnectionPool::Failure::kFull
+        ? ProxyError::kFull
+        : ProxyError::kConnectFailed;
+  }
+  lease_ = std::move(acquired.lease);
+  SetInternalHeaders();
+  exchange_.emplace(
+      Exchange::Options{.connection = &*lease_,
+                        .control = request_.control,
+                        .body = request_.body,
+                        .await_continue = true,
+                        .silence = context_.options.limits.silence,
+                        .abandon_after = request_.abandon_after,
+                        .may_abandon = request_.may_abandon});
+  const Exchange::Sent sent =
+      co_await exchange_->Send(std::move(request_.header));
+  if (sent == Exchange::Sent::kSilent) {
+    context_.metrics.Count(ProxyMetrics::Counter::kSilentConnections);
+  }
+  if (sent == Exchange::Sent::kNothing) {
+    switch (request_.control->stopped()) {
+      case RequestControl::Stop::kCallerGone:
+        co_return ProxyError::kCallerGone;
+      case RequestControl::Stop::kDeadline:
+        co_return ProxyError::kTooLate;
+      case RequestControl::Stop::kNone:
+        co_return ProxyError::kConnectFailed;
+    }
+  }
+  if (sent != Exchange::Sent::kAnswer) {
+    co_return ErrorOfSent(sent, *request_.control);
+  }
+  const std::optional<ProxyError> error = co_await ReadAnswer();
+  co_return error;
+}
+
+void RemoteRun::SetInternalHeaders() {
+  http::request_header<>& header = request_.header;
+  if (!lease_->proof.empty()) {
+    header.set(kProofHeader, std::exchange(lease_->proof, {}));
+  }
+  header.set(kTargetIdHeader, request_.target.value());
+  header.set(
+      kDeadlineHeader,
+      fmt::format_int(TimeForOtherHost(request_.control->TimeLeft()).count())
+          .str());
+  header.set(kAttemptHeader, fmt::format_int(request_.attempt).str());
+  header.set(kFingerprintHeader, fmt::format("{:016x}", request_.fingerprint));
+  if (request_.suspect) header.set(kSuspectHeader, "1");
+  if (!request_.claim_key.empty()) header.set(kClaimHeader, "1");
+}
+
+asio::awaitable<std::optional<ProxyError>> RemoteRun::ReadAnswer() {
+  // The other host's proxy takes such headers out of its targets' answers.
+  const std::string_view reason =
+      HeaderValue(exchange_->answer(), kReasonHeader);
+  if (reason.empty()) co_return std::nullopt;
+  const ProxyError error =
+      ErrorOfReason(reason).value_or(ProxyError::kTargetBroke);
+  co_await exchange_->Discard();
+  co_return error;
+}
+
+asio::awaitable<void> RemoteRun::End(bool /*cut*/) {
+  if (exchange_) {
+    co_await exchange_->Join();
+    if (exchange_->reusable()) lease_.Reuse();
+  }
+  lease_.Drop();
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/proxy/request_control.cc
@@ -0,0 +1,46 @@
+#include "proxy/request_control.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphor {
+
+RequestControl::Scope::Scope(RequestControl& control,
+                             std::function<void()> interrupt)
+    : control_(control),
+      outer_(std::exchange(control.interrupt_, std::move(interrupt))) {
+  if (control_.stopped_ != Stop::kNone) control_.interrupt_();
+}
+
+RequestControl::Scope::~Scope() { control_.interrupt_ = std::move(outer_); }
+
+RequestControl::RequestControl(const asio::any_io_executor& executor,
+                               MonoTime deadline)
+    : deadline_(deadline), timer_(executor) {}
+
+void RequestControl::Start() {
+  timer_.expires_at(deadline_);
+  timer_.async_wait([weak = weak_from_this()](const beast::error_code& error) {
+    if (error) return;
+    if (const auto self = weak.lock()) self->StopNow(Stop::kDeadline);
+  });
+}
+
+void RequestControl::StopNow(Stop reason) {
+  if (finished_ || stopped_ != Stop::kNone) return;
+  stopped_ = reason;
+  if (interrupt_) interrupt_();
+}
+
+void RequestControl::Finish() {
+  finished_ = true;
+  timer_.cancel();
+}
+
+Microseconds RequestControl::TimeLeft() const {
+  const auto left = std::chrono::duration_cast<Microseconds>(
+      deadline_ - std::chrono::steady_clock::now());
+  return std::max(left, Microseconds(0));
+}
+
+}  // namespace camphor
