--- a/proxy/proxy_session.h
+++ b/proxy/proxy_session.h
@@ -10,10 +10,6 @@
 
   /// Ends it at once; a request in flight is cancelled. One thread.
   virtual void Close() = 0;
-
-  /// Ends it if it waits for a request that has not begun to arrive. One
-  /// thread.
-  virtual void CloseIfIdle() = 0;
 };
 
 }  // namespace camphor
--- /dev/null
+++ b/unit_tests/core/routing/routing_builder_test.cc
@@ -0,0 +1,137 @@
+#include "core/routing/routing_builder.h"
+
+#include <gtest/gtest.h>
+
+#include "core/routing/route_matcher.h"
+
+namespace camphor {
+namespace {
+
+class RoutingBuilder : public testing::Test {
+ protected:
+  RoutingBuilder() {
+    snapshot_.head.version = 7;
+    snapshot_.routes = {
+        {.name = RouteName("all"), .path_prefix = "/", .pool = PoolName("p")},
+        {.name = RouteName("orders"),
+         .path_prefix = "/orders",
+         .pool = PoolName("p")},
+        {.name = RouteName("orders-post"),
+         .path_prefix = "/orders",
+         .methods = {"POST"},
+         .pool = PoolName("p")}};
+    snapshot_.pools = {
+        {.name = PoolName("p"),
+         .version = TargetVersion("v1"),
+         .rollout = RolloutSpec{.version = TargetVersion("v2")}}};
+    hosts_[HostId("h1")] = {
+        .host = HostId("h1"),
+        .targets = {Target("t1", "v1"), Target("t2", "v2")}};
+  }
+
+  static TargetInfo Target(const std::string& id, const std::string& version) {
+    return {.id = TargetId(id),
+            .pool = PoolName("p"),
+            .version = TargetVersion(version)};
+  }
+
+  EffectiveRouting Build() const {
+    return BuildRouting(
+        {.self = HostId("h1"),
+         .snapshot = std::make_shared<const ConfigSnapshot>(snapshot_),
+         .hosts = hosts_,
+         .rollouts = rollouts_,
+         .poison = poison_,
+         .locally_ejected = ejected_});
+  }
+
+  void SetRollout(RolloutStage stage, std::uint32_t share_ppm) {
+    const RolloutId id = RolloutIdOf(snapshot_.pools.front());
+    rollouts_[id] = {.id = id, .stage = stage, .share_ppm = share_ppm};
+  }
+
+  std::uint32_t ShareOfNew() const {
+    return Build().pools.front().groups.at(1).share_ppm;
+  }
+
+  ConfigSnapshot snapshot_;
+  std::map<HostId, HostRecord> hosts_;
+  std::map<RolloutId, RolloutRecord> rollouts_;
+  std::map<std::uint64_t, PoisonRecord> poison_;
+  std::set<std::pair<PoolName, TargetVersion>> ejected_;
+};
+
+TEST_F(RoutingBuilder, NoRolloutRecord_OldVersionAlone) {
+  EXPECT_EQ(ShareOfNew(), 0U);
+}
+
+TEST_F(RoutingBuilder, PendingOrRolledBack_OldVersionAlone) {
+  SetRollout(RolloutStage::kPending, 500'000);
+  EXPECT_EQ(ShareOfNew(), 0U);
+  SetRollout(RolloutStage::kRolledBack, 500'000);
+  EXPECT_EQ(ShareOfNew(), 0U);
+}
+
+TEST_F(RoutingBuilder, Ramp_SharesAddUp) {
+  SetRollout(RolloutStage::kRamp, 300'000);
+  const EffectiveRouting routing = Build();
+  EXPECT_EQ(routing.pools.front().groups.at(0).share_ppm, 700'000U);
+  EXPECT_EQ(routing.pools.front().groups.at(1).share_ppm, 300'000U);
+}
+
+TEST_F(RoutingBuilder, LocallyEjected_OldVersionAlone) {
+  SetRollout(RolloutStage::kRamp, 300'000);
+  ejected_.insert({PoolName("p"), TargetVersion("v2")});
+  EXPECT_EQ(ShareOfNew(), 0U);
+}
+
+TEST_F(RoutingBuilder, LeavingTarget_IsNotThere) {
+  hosts_[HostId("h1")].targets[0].status = TargetStatus::kLeaving;
+  EXPECT_TRUE(Build().pools.front().groups.at(0).targets.empty());
+}
+
+TEST_F(RoutingBuilder, LeavingHost_HasNoTargets) {
+  hosts_[HostId("h1")].status = HostStatus::kLeaving;
+  EXPECT_TRUE(Build().pools.front().groups.at(0).targets.empty());
+}
+
+TEST_F(RoutingBuilder, FewSuspectHosts_AreLeftOut) {
+  hosts_[HostId("h2")] = {.host = HostId("h2"),
+                          .status = HostStatus::kSuspect,
+                          .targets = {Target("t3", "v1")}};
+  EXPECT_EQ(Build().pools.front().groups.at(0).targets.size(), 1U);
+  hosts_[HostId("h1")].status = HostStatus::kSuspect;
+  EXPECT_EQ(Build().pools.front().groups.at(0).targets.size(), 2U);
+}
+
+TEST_F(RoutingBuilder, OneDeath_IsSuspectTwoArePoison) {
+  poison_[1] = {.fingerprint = 1, .deaths = {TargetId("a")}};
+  poison_[2] = {.fingerprint = 2, .deaths = {TargetId("a"), TargetId("b")}};
+  const EffectiveRouting routing = Build();
+  EXPECT_EQ(routing.suspects, std::set<std::uint64_t>{1});
+  EXPECT_EQ(routing.poison, std::set<std::uint64_t>{2});
+}
+
+TEST_F(RoutingBuilder, MissingPool_LeavesTheRouteOut) {
+  snapshot_.routes.push_back(
+      {.name = RouteName("z"), .pool = PoolName("missing")});
+  for (const RoutedRule& route : Build().routes) {
+    EXPECT_LT(route.pool, 1U);
+    EXPECT_NE(route.rule.name, RouteName("z"));
+  }
+}
+
+TEST_F(RoutingBuilder, MatchRoute_LongestPrefixThenMethodWins) {
+  const EffectiveRouting routing = Build();
+  const auto name = [&](std::string_view method, std::string_view path) {
+    const auto route =
+        MatchRoute(routing, {.host = "a:1", .method = method, .path = path});
+    return routing.routes.at(route.value()).rule.name.value();
+  };
+  EXPECT_EQ(name("POST", "/orders/1"), "orders-post");
+  EXPECT_EQ(name("GET", "/orders/1"), "orders");
+  EXPECT_EQ(name("GET", "/x"), "all");
+}
+
+}  // namespace
+}  // namespace camphor
--- /dev/null
+++ b/unit_tests/proxy/proxy_server_test.cc
@@ -0,0 +1,149 @@
+#include "proxy/proxy_server.h"
+
+#include <string>
+#include <thread>
+
+#include "unit_tests/proxy/two_hosts.h"
+
+namespace camphor {
+namespace {
+
+using ProxyServerCall = TwoHosts;
+
+void Echo(const HttpExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  exchange.Respond(
+      {.fields = {{"x-method", request.method},
+                  {"x-seen-deadline", request.Field("x-camphor-deadline-ms")}},
+       .body = request.body,
+       .chunked = !request.Field("x-chunked").empty()});
+}
+
+std::string BigBody() {
+  std::string body;
+  for (int index = 0; index < 200'000; ++index) {
+    body += std::to_string(index) + ' ';
+  }
+  return body;
+}
+
+TEST_F(ProxyServerCall, LocalTarget_AnswersInOneHop) {
+  AddTarget("h1", "t1", Echo);
+  StartHosts();
+  const auto answer = Call({.method = "POST", .target = "/x", .body = "hello"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, "hello");
+  EXPECT_EQ(answer->fields.at("x-camphor-target"), "t1");
+  EXPECT_EQ(Metric("h2", "forward_requests"), 0U);
+}
+
+TEST_F(ProxyServerCall, RemoteTarget_AnswersInTwoHops) {
+  AddTarget("h2", "t1", Echo);
+  StartHosts();
+  const auto answer = Call({.method = "POST", .target = "/x", .body = "hello"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, "hello");
+  EXPECT_FALSE(answer->fields.at("x-seen-deadline").empty());
+  EXPECT_EQ(Metric("h2", "forward_requests"), 1U);
+}
+
+TEST_F(ProxyServerCall, BigBodies_StreamBothWaysWhole) {
+  AddTarget("h2", "t1", Echo);
+  StartHosts();
+  const std::string body = BigBody();
+  for (const std::string chunked : {"", "1"}) {
+    const auto answer = Call({.method = "POST",
+                              .target = "/x",
+                              .fields = {{"x-chunked", chunked}},
+                              .body = body});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body == body, true);
+  }
+}
+
+TEST_F(ProxyServerCall, HeadRequest_GetsNoBody) {
+  AddTarget("h2", "t1", Echo);
+  StartHosts();
+  const auto answer = Call({.method = "HEAD", .target = "/get"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->fields.at("x-method"), "HEAD");
+}
+
+TEST_F(ProxyServerCall, NoTarget_IsRefusedNotRun) {
+  StartHosts();
+  const auto answer = Call({.method = "GET", .target = "/get"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_EQ(answer->fields.at("x-camphor-not-run"), "true");
+  EXPECT_EQ(answer->fields.at("x-camphor-reason"), "no_target");
+}
+
+TEST_F(ProxyServerCall, TargetBreaksOff_OutcomeIsUnknown) {
+  AddTarget("h2", "t1",
+            [](const HttpExchange& exchange) { exchange.Abandon(); });
+  StartHosts();
+  const auto answer = Call({.method = "POST", .target = "/x"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 502);
+  EXPECT_EQ(answer->fields.at("x-camphor-outcome"), "unknown");
+  EXPECT_FALSE(answer->fields.contains("x-camphor-not-run"));
+  EXPECT_EQ(Samples(RequestOutcome::kError), 1U);
+}
+
+TEST_F(ProxyServerCall, RepeatableRoute_TriesAnotherTarget) {
+  AddTarget("h1", "t1",
+            [](const HttpExchange& exchange) { exchange.Abandon(); });
+  AddTarget("h2", "t2", Echo);
+  StartHosts();
+  for (int call = 0; call < 4; ++call) {
+    const auto answer = Call({.method = "GET", .target = "/get"});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+  }
+}
+
+TEST_F(ProxyServerCall, TargetsOwnNotRunMark_IsNotPassedOn) {
+  AddTarget("h2", "t1", [](const HttpExchange& exchange) {
+    exchange.Respond(
+        {.status = 503, .fields = {{"X-Camphor-Not-Run", "true"}}});
+  });
+  StartHosts();
+  const auto answer = Call({.method = "POST", .target = "/x"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_FALSE(answer->fields.contains("x-camphor-not-run"));
+}
+
+TEST_F(ProxyServerCall, DeadlinePasses_TellsSoAndCancelsTheTarget) {
+  std::atomic<bool> cancelled = false;
+  HttpServer* server = nullptr;
+  std::vector<HttpExchange> held;
+  AddTarget("h2", "t1",
+            [&](const HttpExchange& exchange) { held.push_back(exchange); });
+  server = targets_["t1"].get();
+  StartHosts();
+  const auto answer = Call({.method = "POST",
+                            .target = "/x",
+                            .fields = {{"x-camphor-deadline-ms", "100"}}});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 504);
+  EXPECT_EQ(answer->fields.at("x-camphor-outcome"), "unknown");
+  // The target sees its connection closed.
+  while (!cancelled) {
+    std::atomic<bool> asked = false;
+    server->After(Milliseconds(1), [&] {
+      cancelled = held.at(0).cancelled();
+      asked = true;
+    });
+    while (!asked) std::this_thread::yield();
+  }
+  EXPECT_TRUE(cancelled);
+  server->After(Milliseconds(0), [&] { held.clear(); });
+}
+
+}  // namespace
+}  // namespace camphor
