--- a/node/platform_sync/rollout_archive.cc
+++ b/node/platform_sync/rollout_archive.cc
@@ -33,7 +33,9 @@
                           bool writer, MonoTime now) {
   now_ = now;
   if (Waits(now)) return;
-  for (const RolloutId& id : unread_) {
+  // A read that fails at once changes the set.
+  const std::set<RolloutId> unread = unread_;
+  for (const RolloutId& id : unread) {
     if (!pending_.contains(id)) Read(id);
   }
   if (!writer) return;
--- /dev/null
+++ b/unit_tests/node/admin/admin_server_test.cc
@@ -0,0 +1,86 @@
+#include "node/admin/admin_server.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "stand_ins/http/http_connection.h"
+
+namespace camphor {
+namespace {
+
+class AdminServerTest : public testing::Test {
+ protected:
+  AdminServerTest() { EXPECT_TRUE(server_.Start()) << server_.last_reason(); }
+
+  std::optional<HttpResponse> Send(const HttpRequest& request) {
+    return HttpConnection(server_.endpoint()).Call(request);
+  }
+
+  AdminServer server_{
+      {.listen = {.address = "127.0.0.1"},
+       .connections = 2,
+       .header_bytes = 1024,
+       .body_bytes = 4096,
+       .handle = [](const AdminRequest& request, const AdminRespond& respond) {
+         respond({.body = request.method + " " + request.path + " " +
+                          request.body});
+       }}};
+};
+
+using AdminServerHandle = AdminServerTest;
+using AdminServerLimits = AdminServerTest;
+using AdminServerStart = AdminServerTest;
+
+TEST_F(AdminServerHandle, PathWithQuery_ArrivesDecodedWithoutIt) {
+  const auto answer = Send({.method = "PUT",
+                            .target = "/v1/a%20b?x=1",
+                            .fields = {{"host", "node"}},
+                            .body = "text"});
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->body, "PUT /v1/a b text");
+}
+
+TEST_F(AdminServerLimits, BodyTooLong_413) {
+  const auto answer = Send({.method = "PUT",
+                            .target = "/",
+                            .fields = {{"host", "node"}},
+                            .body = std::string(5000, 'x')});
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 413);
+}
+
+TEST_F(AdminServerLimits, HeadersTooLong_431) {
+  const auto answer = Send({.method = "GET",
+                            .target = "/",
+                            .fields = {{"x-long", std::string(2000, 'x')}}});
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 431);
+}
+
+TEST_F(AdminServerLimits, MalformedTarget_400) {
+  const auto answer = Send({.method = "GET", .target = "/%zz"});
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 400);
+}
+
+TEST_F(AdminServerLimits, TooManyConnections_RefusedAndCounted) {
+  HttpConnection first(server_.endpoint());
+  HttpConnection second(server_.endpoint());
+  ASSERT_TRUE(first.Call({.method = "GET", .target = "/"}).has_value());
+  ASSERT_TRUE(second.Call({.method = "GET", .target = "/"}).has_value());
+  EXPECT_FALSE(Send({.method = "GET", .target = "/"}).has_value());
+  EXPECT_EQ(server_.connections_refused(), 1U);
+}
+
+TEST_F(AdminServerStart, AddressTaken_ReasonNamesIt) {
+  AdminServer other(
+      {.listen = server_.endpoint(),
+       .handle = [](const AdminRequest&, const AdminRespond&) {}});
+  EXPECT_FALSE(other.Start());
+  EXPECT_NE(other.last_reason().find(server_.endpoint().ToString()),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace camphor
