Mend what the linter found in the replicator

Cause: copies that are not needed and an undetected use of literals. Ruled out: a change in behaviour, the same tests pass before and after.

--- a/core/replication/record_store.cc
+++ b/core/replication/record_store.cc
@@ -111,6 +111,7 @@
     message.hosts.push_back(IncarnationHash(host, record.incarnation));
   }
   std::vector<AppliedVersions> messages;
+  messages.reserve(by_version.size());
   for (auto& [version, message] : by_version)
     messages.push_back(std::move(message));
   return messages;
--- a/core/replication/replicator.cc
+++ b/core/replication/replicator.cc
@@ -102,7 +102,7 @@
   MergeResult TakeHost(const HostRecord& record,
                        const std::optional<Endpoint>& from);
   MergeResult TakeOwn(const HostRecord& record);
-  void WriteSelf(HostRecord record);
+  void WriteSelf(const HostRecord& record);
   void Take(const RolloutRecord& record, const std::optional<Endpoint>& from);
   void Take(const PoisonRecord& record, const std::optional<Endpoint>& from);
   void Applied(const HostRecord& record, ConfigVersion version,
@@ -278,11 +278,11 @@
     own.incarnation = record.incarnation + 1;
   }
   own.sequence = std::max(own.sequence, record.sequence) + 1;
-  WriteSelf(std::move(own));
+  WriteSelf(own);
   return MergeResult::kUnchanged;
 }
 
-void Replicator::State::WriteSelf(HostRecord record) {
+void Replicator::State::WriteSelf(const HostRecord& record) {
   store.Merge(record, now);
   membership.HostsChanged();
   hosts_changed = true;
@@ -392,7 +392,7 @@
   if (own.targets == targets) return;
   own.targets = std::move(targets);
   ++own.sequence;
-  state_->WriteSelf(std::move(own));
+  state_->WriteSelf(own);
   state_->Settle();
 }
 
@@ -401,7 +401,7 @@
   HostRecord own = state_->Self();
   own.status = HostStatus::kLeaving;
   ++own.sequence;
-  state_->WriteSelf(std::move(own));
+  state_->WriteSelf(own);
   state_->push.FlushNow();
   state_->Settle();
 }
--- a/unit_tests/core/replication/replicator_test.cc
+++ b/unit_tests/core/replication/replicator_test.cc
@@ -9,8 +9,7 @@
 namespace camphor {
 namespace {
 
-using std::chrono_literals::operator""ms;
-using std::chrono_literals::operator""s;
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace)
 
 TEST(ReplicatorDissemination, LostRepeatedAndReorderedMessages_AllConverge) {
   EXPECT_TRUE(rc::check([] {
