--- a/stand_ins/target_main.cc
+++ b/stand_ins/target_main.cc
@@ -15,15 +15,16 @@
 constexpr int kCrashStatus = 70;
 
 std::string Announcement(const camphor::CommandLine& line,
-                         const camphor::Endpoint& address, long slots,
+                         const camphor::Endpoint& listening, long slots,
                          bool warm) {
-  return boost::json::serialize(
-      boost::json::object{{"id", line.Text("id")},
-                          {"pool", line.Text("pool")},
-                          {"version", line.Text("version")},
-                          {"address", address.ToString()},
-                          {"slots", slots},
-                          {"warm", warm}});
+  const std::string& other = line.Text("announce");
+  return boost::json::serialize(boost::json::object{
+      {"id", line.Text("id")},
+      {"pool", line.Text("pool")},
+      {"version", line.Text("version")},
+      {"address", other.empty() ? listening.ToString() : other},
+      {"slots", slots},
+      {"warm", warm}});
 }
 
 void Log(const std::string& sentence) {
@@ -48,6 +49,7 @@
         .help = "quiet time before it exits after it left",
         .fallback = "300"},
        {.name = "faults", .help = "body of POST /control to begin with"},
+       {.name = "announce", .help = "address to announce in place of its own"},
        {.name = "history", .help = "1 logs each run", .fallback = "0"}});
   const bool parsed = line.Parse(argc, argv);
   const auto listen = camphor::Endpoint::Parse(line.Text("listen"));
