--- a/harness/fleet.cc
+++ b/harness/fleet.cc
@@ -50,12 +50,14 @@
 
 Fleet::~Fleet() = default;
 
-bool Fleet::StartPlatform() {
+bool Fleet::StartPlatform(const std::vector<std::string>& more_arguments) {
   if (!addresses_) return Fail("no block of loopback addresses is free");
   std::vector<std::string> arguments{"--listen",
                                      platform_endpoint().ToString()};
   for (const std::string& argument : options_.platform_arguments)
     arguments.push_back(argument);
+  arguments.insert(arguments.end(), more_arguments.begin(),
+                   more_arguments.end());
   if (!Launch({.name = "platform",
                .program = options_.programs + "/platform_stand_in",
                .arguments = std::move(arguments)})) {
@@ -66,11 +68,12 @@
   return Fail("the platform does not listen:\n" + LogTails(5));
 }
 
-bool Fleet::StartHosts() {
-  for (unsigned number = 1; number <= options_.hosts; ++number) {
+bool Fleet::StartHosts(unsigned count) {
+  if (count == 0) count = options_.hosts;
+  for (unsigned number = 1; number <= count; ++number) {
     if (!StartHost("h" + std::to_string(number))) return false;
   }
-  for (unsigned number = 1; number <= options_.hosts; ++number) {
+  for (unsigned number = 1; number <= count; ++number) {
     if (!AwaitReady("h" + std::to_string(number))) return false;
   }
   return true;
@@ -233,6 +236,10 @@
   return found == targets_.end() ? Endpoint{} : found->second;
 }
 
+Endpoint Fleet::RelayedTargetEndpoint(const std::string& host) {
+  return EndpointOf(host, next_relayed_port_++);
+}
+
 AdminClient Fleet::Admin(const std::string& host) const {
   return {admin(host), operator_token_};
 }
--- a/harness/fleet.h
+++ b/harness/fleet.h
@@ -63,10 +63,11 @@
   /// Starts the platform and waits until it listens. Returns false, with
   /// last_reason set, when it does not. Thread safety: one thread, here and
   /// below.
-  bool StartPlatform();
+  bool StartPlatform(const std::vector<std::string>& more_arguments = {});
 
-  /// Starts every host of the options and waits until all are ready.
-  bool StartHosts();
+  /// Starts the hosts h1 to hN and waits until all are ready; N is that of the
+  /// options if not given.
+  bool StartHosts(unsigned count = 0);
 
   /// Starts one host, also again after it was killed, without waiting.
   bool StartHost(const std::string& host);
@@ -113,6 +114,10 @@
   /// Address of a target; port 0 when it never ran.
   Endpoint target_endpoint(const std::string& target) const;
 
+  /// Where a target that stands behind a relay may listen; a new address at
+  /// each call.
+  Endpoint RelayedTargetEndpoint(const std::string& host);
+
   /// An admin client of the host.
   AdminClient Admin(const std::string& host) const;
 
@@ -144,6 +149,7 @@
   std::map<std::string, std::unique_ptr<Process>> processes_;
   std::vector<std::unique_ptr<Process>> ended_;
   std::map<std::string, Endpoint> targets_;
+  std::uint16_t next_relayed_port_ = 18200;
   std::string last_reason_;
 };
 
--- /dev/null
+++ b/harness/scenario/process_steps.cc
@@ -0,0 +1,180 @@
+// Steps of scenarios that start, stop and disturb processes.
+#include <fmt/format.h>
+
+#include <sstream>
+#include <utility>
+
+#include "harness/scenario/scenario_run.h"
+
+namespace camphor {
+namespace {
+
+std::vector<std::string> Words(const std::string& text) {
+  std::istringstream stream(text);
+  std::vector<std::string> words;
+  for (std::string word; stream >> word;) words.push_back(word);
+  return words;
+}
+
+// Calls `act` with each named process; false when one was never started.
+bool ForEachProcess(Fleet& fleet, const std::vector<std::string>& names,
+                    const std::function<void(Process&)>& act) {
+  for (const std::string& name : names) {
+    Process* const process = fleet.process(name);
+    if (process == nullptr) return false;
+    act(*process);
+  }
+  return true;
+}
+
+}  // namespace
+
+bool ScenarioRun::MakeFleet(const StepArguments& arguments) {
+  fleet_ = std::make_unique<Fleet>(Fleet::Options{
+      .programs = options_.programs,
+      .domains = static_cast<unsigned>(arguments.Count("domains", 3)),
+      .seeds = static_cast<unsigned>(arguments.Count("seeds", 3)),
+      .history = true,
+      .extra_settings =
+          arguments.Text("settings", R"("proxy": {"debug_headers": true})")});
+  return true;
+}
+
+bool ScenarioRun::StartPlatform(const StepArguments& arguments) {
+  if (fleet_->StartPlatform(Words(arguments.Text("more")))) return true;
+  return Fail(fleet_->last_reason());
+}
+
+bool ScenarioRun::StartHosts(const StepArguments& arguments) {
+  if (fleet_->StartHosts(static_cast<unsigned>(arguments.Count("count"))))
+    return true;
+  return Fail(fleet_->last_reason());
+}
+
+bool ScenarioRun::StartHost(const StepArguments& arguments) {
+  for (const std::string& host : arguments.Names("hosts")) {
+    if (!fleet_->StartHost(host)) return Fail(fleet_->last_reason());
+  }
+  return true;
+}
+
+bool ScenarioRun::StartTarget(const StepArguments& arguments) {
+  const std::string id = arguments.Text("id");
+  history_.targets[id] = {.pool = arguments.Text("pool"),
+                          .version = arguments.Text("version")};
+  if (fleet_->StartTarget({.host = arguments.Text("host"),
+                           .id = id,
+                           .pool = arguments.Text("pool"),
+                           .version = arguments.Text("version"),
+                           .arguments = Words(arguments.Text("more"))})) {
+    return true;
+  }
+  return Fail(fleet_->last_reason());
+}
+
+// The target listens on a port that was found free for it, so that the relay
+// can be told before the target announces it.
+bool ScenarioRun::StartRelayedTarget(const StepArguments& arguments) {
+  const std::string id = arguments.Text("id");
+  const Endpoint behind = fleet_->RelayedTargetEndpoint(arguments.Text("host"));
+  auto relay = std::make_unique<Relay>(Relay::Options{
+      .listen = {.address = behind.address, .port = 0}, .to = behind});
+  if (!relay->Start()) return Fail(relay->last_reason());
+  const std::string announced = relay->endpoint().ToString();
+  relays_[id] = std::move(relay);
+  history_.targets[id] = {.pool = arguments.Text("pool"),
+                          .version = arguments.Text("version")};
+  std::vector<std::string> more = Words(arguments.Text("more"));
+  more.insert(more.end(),
+              {"--announce", announced, "--listen", behind.ToString()});
+  if (fleet_->StartTarget({.host = arguments.Text("host"),
+                           .id = id,
+                           .pool = arguments.Text("pool"),
+                           .version = arguments.Text("version"),
+                           .arguments = std::move(more)})) {
+    return true;
+  }
+  return Fail(fleet_->last_reason());
+}
+
+bool ScenarioRun::Kill(const StepArguments& arguments) {
+  return ForEachProcess(*fleet_, arguments.Names("names"),
+                        [](Process& process) { process.Kill(); }) ||
+         Fail("a process was never started");
+}
+
+bool ScenarioRun::Terminate(const StepArguments& arguments) {
+  for (const std::string& name : arguments.Names("names")) {
+    if (history_.targets.contains(name)) {
+      history_.leaves.push_back({.at = EventNow(), .target = name});
+    } else {
+      drain_began_[name] = EventNow();
+    }
+  }
+  return ForEachProcess(*fleet_, arguments.Names("names"),
+                        [](Process& process) { process.Terminate(); }) ||
+         Fail("a process was never started");
+}
+
+bool ScenarioRun::Freeze(const StepArguments& arguments) {
+  return ForEachProcess(*fleet_, arguments.Names("names"),
+                        [](Process& process) { process.Freeze(); }) ||
+         Fail("a process was never started");
+}
+
+bool ScenarioRun::Thaw(const StepArguments& arguments) {
+  return ForEachProcess(*fleet_, arguments.Names("names"),
+                        [](Process& process) { process.Thaw(); }) ||
+         Fail("a process was never started");
+}
+
+bool ScenarioRun::Cut(const StepArguments& arguments) {
+  for (const std::string& name : arguments.Names("names")) {
+    if (!relays_.contains(name)) return Fail(name + " has no relay");
+    relays_[name]->Cut();
+  }
+  return true;
+}
+
+bool ScenarioRun::Heal(const StepArguments& arguments) {
+  for (const std::string& name : arguments.Names("names")) {
+    if (!relays_.contains(name)) return Fail(name + " has no relay");
+    relays_[name]->Heal();
+  }
+  return true;
+}
+
+bool ScenarioRun::Silence(const StepArguments& arguments) {
+  for (const std::string& name : arguments.Names("names")) {
+    if (!relays_.contains(name)) return Fail(name + " has no relay");
+    relays_[name]->SilenceOpen();
+  }
+  return true;
+}
+
+bool ScenarioRun::SwitchPlatform(const StepArguments& arguments) {
+  if (fleet_->ControlPlatform(
+          fmt::format(R"({{"mode": "{}"}})", arguments.Text("mode")))) {
+    return true;
+  }
+  return Fail(fleet_->last_reason());
+}
+
+bool ScenarioRun::SlowPlatform(const StepArguments& arguments) {
+  if (fleet_->ControlPlatform(
+          fmt::format(R"({{"mode": "slow", "delay_ms": {}}})",
+                      arguments.Time("delay").count()))) {
+    return true;
+  }
+  return Fail(fleet_->last_reason());
+}
+
+bool ScenarioRun::SetFaults(const StepArguments& arguments) {
+  if (fleet_->ControlTarget(arguments.Text("target"),
+                            arguments.Text("faults"))) {
+    return true;
+  }
+  return Fail(fleet_->last_reason());
+}
+
+}  // namespace camphor
--- /dev/null
+++ b/scenario_tests/run_scenario_main.cc
@@ -0,0 +1,39 @@
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "harness/scenario/scenario_parser.h"
+#include "harness/scenario/scenario_run.h"
+
+// Runs one scenario file. Usage: run_scenario FILE. Exit codes: 0 all as
+// expected, 1 not, 2 the file can not be read.
+int main(int argc, char** argv) {
+  if (argc != 2) {
+    fmt::print(stderr, "usage: run_scenario FILE\n");
+    return 2;
+  }
+  const std::filesystem::path file(argv[1]);
+  std::ifstream stream(file);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  camphor::ScenarioParser parser(camphor::ScenarioRun::Forms());
+  const auto steps = parser.Parse(text.str());
+  if (!stream || !steps) {
+    fmt::print(stderr, "run_scenario: {}: {}\n", file.string(),
+               steps ? "can not be read" : parser.last_reason().ToString());
+    return 2;
+  }
+
+  camphor::ScenarioRun run(
+      {.folder = file.parent_path().string(), .run_id = file.stem().string()});
+  if (run.Run(*steps)) {
+    fmt::print(stderr, "run_scenario: {}: as expected\n", file.stem().string());
+    return 0;
+  }
+  fmt::print(stderr, "run_scenario: {}: {}\n{}", file.string(),
+             run.last_reason(), run.fleet().LogTails(12));
+  return 1;
+}
