Cut single hosts off; add fuzzers and a fixed seed for properties

Cause: a partition needs both sides alive, so freezing a process is no stand-in. Change: with links, hosts reach each other's mesh and forward listeners and the platform through relays; a relay finds which process connected by the kernel's table of that process's own sockets, so that a host can be cut off both ways. RapidCheck gets a fixed seed in ctest: a verdict may not differ from run to run. Weighed: a shim preloaded into camphord; it would have to fake readiness of sockets for two event loops. Binding sources; the mesh library offers no way.

--- a/cmake/camphor.cmake
+++ b/cmake/camphor.cmake
@@ -10,6 +10,11 @@
   target_link_options(camphor_flags INTERFACE -fsanitize=${CAMPHOR_SANITIZE})
 endif()
 
+if(CAMPHOR_FUZZ)
+  # Coverage of every package guides the fuzzers.
+  target_compile_options(camphor_flags INTERFACE -fsanitize=fuzzer-no-link)
+endif()
+
 # Adds one package as a static library of every source below the current folder.
 # Sources named main.cc, *_main.cc and *_test.cc are left to their programs.
 function(camphor_package NAME)
@@ -49,5 +54,6 @@
   target_link_libraries(${NAME} PRIVATE camphor_flags ${ARG_DEPS} camphor_gtest)
   set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
   gtest_discover_tests(${NAME} DISCOVERY_TIMEOUT 60
-    PROPERTIES TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}")
+    PROPERTIES TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}"
+    ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
--- /dev/null
+++ b/fuzz/announcement_fuzz.cc
@@ -0,0 +1,17 @@
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+#include <vector>
+
+#include "node/targets/target_announcement.h"
+
+// Announcements of any bytes are read, or refused with at least one reason.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  const std::string_view text(reinterpret_cast<const char*>(data), size);
+  std::vector<camphor::FieldError> errors;
+  const auto announcement = camphor::TargetAnnouncement::Parse(text, errors);
+  if (!announcement && errors.empty()) std::abort();
+  return 0;
+}
--- a/harness/fleet.cc
+++ b/harness/fleet.cc
@@ -7,6 +7,8 @@
 #include <thread>
 #include <utility>
 
+#include "harness/socket_owner.h"
+
 namespace camphor {
 namespace {
 
@@ -15,6 +17,8 @@
 constexpr std::uint16_t kMeshPort = 18082;
 constexpr std::uint16_t kAdminPort = 18083;
 constexpr std::uint16_t kPlatformPort = 18090;
+// Behind links, processes listen here in place of the ports above.
+constexpr std::uint16_t kBehindLinkOffset = 100;
 constexpr unsigned kPlatformNumber = AddressBlock::kSize;
 constexpr Milliseconds kPoll{10};
 constexpr int kApplyAttempts = 10;
@@ -27,6 +31,12 @@
   return number;
 }
 
+Endpoint BehindLink(const Endpoint& endpoint) {
+  return {
+      .address = endpoint.address,
+      .port = static_cast<std::uint16_t>(endpoint.port + kBehindLinkOffset)};
+}
+
 std::string FolderOfThisProgram() {
   return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
 }
@@ -52,8 +62,12 @@
 
 bool Fleet::StartPlatform(const std::vector<std::string>& more_arguments) {
   if (!addresses_) return Fail("no block of loopback addresses is free");
-  std::vector<std::string> arguments{"--listen",
-                                     platform_endpoint().ToString()};
+  Endpoint listen = platform_endpoint();
+  if (options_.links) {
+    listen = BehindLink(listen);
+    if (!StartLink("platform", platform_endpoint(), listen)) return false;
+  }
+  std::vector<std::string> arguments{"--listen", listen.ToString()};
   for (const std::string& argument : options_.platform_arguments)
     arguments.push_back(argument);
   arguments.insert(arguments.end(), more_arguments.begin(),
@@ -83,10 +97,22 @@
   if (!addresses_) return Fail("no block of loopback addresses is free");
   if (HostNumber(host) == 0) return Fail("a host's name is h and a number");
   Forget(host);
+  if (options_.links && !links_.contains(host + " mesh")) {
+    if (!StartLink(host + " mesh", mesh(host), BehindLink(mesh(host))) ||
+        !StartLink(host + " forward", forward(host),
+                   BehindLink(forward(host)))) {
+      return false;
+    }
+  }
   const std::string file = folder_.Write(host + ".json", SettingsOf(host));
-  return Launch({.name = host,
-                 .program = options_.programs + "/camphord",
-                 .arguments = {"--settings", file}});
+  if (!Launch({.name = host,
+               .program = options_.programs + "/camphord",
+               .arguments = {"--settings", file}})) {
+    return false;
+  }
+  const std::lock_guard lock(pids_mutex_);
+  host_pids_[host] = process(host)->pid();
+  return true;
 }
 
 bool Fleet::AwaitReady(const std::string& host) {
@@ -171,6 +197,22 @@
   return true;
 }
 
+bool Fleet::CutHost(const std::string& host) {
+  if (!links_.contains(host + " mesh")) return Fail(host + " has no links");
+  links_[host + " mesh"]->Cut();
+  links_[host + " forward"]->Cut();
+  for (const auto& [name, link] : links_) link->CutFrom(host);
+  return true;
+}
+
+bool Fleet::HealHost(const std::string& host) {
+  if (!links_.contains(host + " mesh")) return Fail(host + " has no links");
+  links_[host + " mesh"]->Heal();
+  links_[host + " forward"]->Heal();
+  for (const auto& [name, link] : links_) link->HealFrom(host);
+  return true;
+}
+
 bool Fleet::ControlPlatform(const std::string& body) {
   HttpConnection connection(platform_endpoint());
   const auto answer =
@@ -277,13 +319,33 @@
   return true;
 }
 
+bool Fleet::StartLink(const std::string& name, const Endpoint& listen,
+                      const Endpoint& to) {
+  auto link = std::make_unique<Relay>(Relay::Options{
+      .listen = listen, .to = to, .connector = [this](std::uint16_t port) {
+        return ConnectorOf(port);
+      }});
+  if (!link->Start()) return Fail(link->last_reason());
+  links_[name] = std::move(link);
+  return true;
+}
+
+// The host whose process holds a connection from the port; empty for others.
+std::string Fleet::ConnectorOf(std::uint16_t port) {
+  const std::lock_guard lock(pids_mutex_);
+  for (const auto& [host, pid] : host_pids_) {
+    if (HoldsSocket(pid, port)) return host;
+  }
+  return "";
+}
+
 std::string Fleet::SettingsOf(const std::string& host) const {
   const unsigned number = HostNumber(host);
   boost::json::array seeds;
   for (unsigned seed = 1; seed <= options_.seeds; ++seed)
     seeds.push_back(
         boost::json::string(mesh("h" + std::to_string(seed)).ToString()));
-  const boost::json::object settings{
+  boost::json::object settings{
       {"host", host},
       {"failure_domain",
        fmt::format("d{}", 1 + (number - 1) % options_.domains)},
@@ -296,6 +358,12 @@
       {"platform", platform_endpoint().ToString()},
       {"operator_token", operator_token_},
       {"log", {{"level", options_.log_level}, {"history", options_.history}}}};
+  if (options_.links) {
+    settings["mesh_listen"] = BehindLink(mesh(host)).ToString();
+    settings["forward_listen"] = BehindLink(forward(host)).ToString();
+    settings["mesh_advertise"] = mesh(host).ToString();
+    settings["forward_advertise"] = forward(host).ToString();
+  }
   std::string text = boost::json::serialize(settings);
   if (!options_.extra_settings.empty()) {
     text.pop_back();
--- a/harness/fleet.h
+++ b/harness/fleet.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "harness/address_block.h"
 #include "harness/admin_client.h"
 #include "harness/process.h"
+#include "harness/relay.h"
 #include "harness/temporary_folder.h"
 
 namespace camphor {
@@ -32,12 +34,14 @@
 class Fleet {
  public:
   struct Options {
-    std::string programs{};          ///< folder of the programs; found if empty
-    unsigned hosts = 6;              ///< hosts that StartHosts starts
-    unsigned domains = 3;            ///< failure domains that they stand in
-    unsigned seeds = 3;              ///< hosts that the others join through
-    bool history = false;            ///< processes log events for the checker
-    std::string log_level = "info";  ///< least level that hosts log
+    std::string programs{};  ///< folder of the programs; found if empty
+    unsigned hosts = 6;      ///< hosts that StartHosts starts
+    unsigned domains = 3;    ///< failure domains that they stand in
+    unsigned seeds = 3;      ///< hosts that the others join through
+    bool history = false;    ///< processes log events for the checker
+    bool links = false;  ///< hosts reach each other and the platform through
+                         ///< relays, so that CutHost works
+    std::string log_level = "info";   ///< least level that hosts log
     std::string extra_settings = "";  ///< more JSON members for each host's
                                       ///< settings, without the braces
     std::vector<std::string> platform_arguments{};  ///< limits and so on
@@ -89,6 +93,13 @@
   /// Waits until every running host sees the target, or no longer does.
   bool AwaitTarget(const std::string& target, bool seen, Milliseconds timeout);
 
+  /// Cuts a host off from every other host and from the platform, both ways,
+  /// without a word to anybody. @pre the options ask for links.
+  bool CutHost(const std::string& host);
+
+  /// Lets a host that was cut off be reached again.
+  bool HealHost(const std::string& host);
+
   /// Switches the platform stand-in, for example {"mode": "out"}.
   bool ControlPlatform(const std::string& body);
 
@@ -140,6 +151,9 @@
   bool Fail(std::string reason);
   bool Launch(Process::Options options);
   std::string SettingsOf(const std::string& host) const;
+  bool StartLink(const std::string& name, const Endpoint& listen,
+                 const Endpoint& to);
+  std::string ConnectorOf(std::uint16_t port);
   Endpoint EndpointOf(const std::string& host, std::uint16_t port) const;
 
   Options options_;
@@ -149,6 +163,9 @@
   std::map<std::string, std::unique_ptr<Process>> processes_;
   std::vector<std::unique_ptr<Process>> ended_;
   std::map<std::string, Endpoint> targets_;
+  std::mutex pids_mutex_;
+  std::map<std::string, pid_t> host_pids_;  // guarded by pids_mutex_
+  std::map<std::string, std::unique_ptr<Relay>> links_;
   std::uint16_t next_relayed_port_ = 18200;
   std::string last_reason_;
 };
--- a/harness/relay.cc
+++ b/harness/relay.cc
@@ -26,6 +26,7 @@
       : options(std::move(options_in)), acceptor(context) {}
 
   void Accept();
+  void ResumeAll();
 
   Options options;
   std::string last_reason;
@@ -34,6 +35,7 @@
   tcp::acceptor acceptor;
   std::set<std::shared_ptr<Link>> links;
   bool cut = false;
+  std::set<std::string> cut_connectors;
   std::thread thread;
 };
 
@@ -51,6 +53,11 @@
     const tcp::endpoint target(
         asio::ip::make_address(relay_.options.to.address),
         relay_.options.to.port);
+    if (relay_.options.connector) {
+      error_code ignored;
+      connector_ =
+          relay_.options.connector(near_.remote_endpoint(ignored).port());
+    }
     far_.async_connect(target, [self = shared_from_this()](error_code error) {
       if (error) return self->Close();
       error_code ignored;
@@ -65,6 +72,7 @@
 
   // Passes on what was read while the relay was cut.
   void Resume() {
+    if (IsCut()) return;
     for (Direction* direction : {&to_far_, &to_near_}) {
       if (std::exchange(direction->held, false)) Write(*direction);
     }
@@ -86,6 +94,10 @@
     bool held = false;
   };
 
+  bool IsCut() const {
+    return relay_.cut || relay_.cut_connectors.contains(connector_);
+  }
+
   void Read(Direction& direction) {
     direction.from.async_read_some(asio::buffer(direction.block),
                                    [self = shared_from_this(), &direction](
@@ -96,7 +108,7 @@
                                      if (error) return self->Close();
                                      direction.count = count;
                                      if (self->silent_) return;
-                                     if (self->relay_.cut) {
+                                     if (self->IsCut()) {
                                        direction.held = true;
                                        return;
                                      }
@@ -118,9 +130,15 @@
   tcp::socket far_;
   Direction to_far_;
   Direction to_near_;
+  std::string connector_;
   bool silent_ = false;
 };
 
+void Relay::State::ResumeAll() {
+  const std::set<std::shared_ptr<Link>> all = links;
+  for (const auto& link : all) link->Resume();
+}
+
 void Relay::State::Accept() {
   acceptor.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
@@ -183,11 +201,22 @@
   asio::post(state_->context, [this] { state_->cut = true; });
 }
 
+void Relay::CutFrom(const std::string& connector) {
+  asio::post(state_->context,
+             [this, connector] { state_->cut_connectors.insert(connector); });
+}
+
 void Relay::Heal() {
   asio::post(state_->context, [this] {
     state_->cut = false;
-    const std::set<std::shared_ptr<Link>> links = state_->links;
-    for (const auto& link : links) link->Resume();
+    state_->ResumeAll();
+  });
+}
+
+void Relay::HealFrom(const std::string& connector) {
+  asio::post(state_->context, [this, connector] {
+    state_->cut_connectors.erase(connector);
+    state_->ResumeAll();
   });
 }
 
--- a/harness/relay.h
+++ b/harness/relay.h
@@ -1,6 +1,8 @@
 #ifndef CAMPHORHILL_HARNESS_RELAY_H_
 #define CAMPHORHILL_HARNESS_RELAY_H_
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -18,6 +20,9 @@
   struct Options {
     Endpoint listen{};  ///< where to accept; port 0 takes any
     Endpoint to{};      ///< where to connect
+    std::function<std::string(std::uint16_t)>
+        connector{};  ///< name of the process that connected from a port; runs
+                      ///< on the relay's thread
   };
 
   explicit Relay(Options options);
@@ -39,9 +44,17 @@
   /// any thread.
   void Cut();
 
-  /// Lets cut connections go on. Thread safety: any thread.
+  /// Does the same to the connections of one process. @pre the options name
+  /// connectors. Thread safety: any thread.
+  void CutFrom(const std::string& connector);
+
+  /// Lets all connections go on, but those of processes that are cut off.
+  /// Thread safety: any thread.
   void Heal();
 
+  /// Lets the connections of one process go on. Thread safety: any thread.
+  void HealFrom(const std::string& connector);
+
   /// Address in use after Start. Thread safety: any thread.
   Endpoint endpoint() const;
 
--- a/harness/scenario/process_steps.cc
+++ b/harness/scenario/process_steps.cc
@@ -29,17 +29,26 @@
 
 }  // namespace
 
-bool ScenarioRun::MakeFleet(const StepArguments& arguments) {
+bool ScenarioRun::StartFleet(const StepArguments& arguments, bool links) {
   fleet_ = std::make_unique<Fleet>(Fleet::Options{
       .programs = options_.programs,
       .domains = static_cast<unsigned>(arguments.Count("domains", 3)),
       .seeds = static_cast<unsigned>(arguments.Count("seeds", 3)),
       .history = true,
+      .links = links,
       .extra_settings =
           arguments.Text("settings", R"("proxy": {"debug_headers": true})")});
   return true;
 }
 
+bool ScenarioRun::MakeFleet(const StepArguments& arguments) {
+  return StartFleet(arguments, false);
+}
+
+bool ScenarioRun::MakeLinkedFleet(const StepArguments& arguments) {
+  return StartFleet(arguments, true);
+}
+
 bool ScenarioRun::StartPlatform(const StepArguments& arguments) {
   if (fleet_->StartPlatform(Words(arguments.Text("more")))) return true;
   return Fail(fleet_->last_reason());
@@ -128,18 +137,25 @@
          Fail("a process was never started");
 }
 
+// A target is cut off by its relay, a host by the links of the fleet.
 bool ScenarioRun::Cut(const StepArguments& arguments) {
   for (const std::string& name : arguments.Names("names")) {
-    if (!relays_.contains(name)) return Fail(name + " has no relay");
-    relays_[name]->Cut();
+    if (relays_.contains(name)) {
+      relays_[name]->Cut();
+    } else if (!fleet_->CutHost(name)) {
+      return Fail(fleet_->last_reason());
+    }
   }
   return true;
 }
 
 bool ScenarioRun::Heal(const StepArguments& arguments) {
   for (const std::string& name : arguments.Names("names")) {
-    if (!relays_.contains(name)) return Fail(name + " has no relay");
-    relays_[name]->Heal();
+    if (relays_.contains(name)) {
+      relays_[name]->Heal();
+    } else if (!fleet_->HealHost(name)) {
+      return Fail(fleet_->last_reason());
+    }
   }
   return true;
 }
--- a/harness/scenario/scenario_run.cc
+++ b/harness/scenario/scenario_run.cc
@@ -23,10 +23,12 @@
 
 const std::vector<ScenarioRun::StepForm>& ScenarioRun::StepForms() {
   using Run = ScenarioRun;
-  static const std::vector<StepForm> kForms = {
+  static const std::vector<StepForm> forms = {
       {"fleet [domains {domains:count}] [seeds {seeds:count}] "
        "[settings {settings:text}]",
        &Run::MakeFleet},
+      {"fleet with links [domains {domains:count}] [settings {settings:text}]",
+       &Run::MakeLinkedFleet},
       {"start platform [with {more:text}]", &Run::StartPlatform},
       {"start hosts {count:count}", &Run::StartHosts},
       {"start host {hosts:names}", &Run::StartHost},
@@ -83,13 +85,13 @@
       {"expect {count:count} of {names:names} ended", &Run::ExpectEnded},
       {"expect {host:name} dead on {others:names} within {time:time}",
        &Run::ExpectHostDead}};
-  return kForms;
+  return forms;
 }
 
 std::vector<std::string> ScenarioRun::Forms() {
-  std::vector<std::string> forms;
-  for (const StepForm& form : StepForms()) forms.emplace_back(form.form);
-  return forms;
+  std::vector<std::string> texts;
+  for (const StepForm& form : StepForms()) texts.emplace_back(form.form);
+  return texts;
 }
 
 bool ScenarioRun::Run(const std::vector<ScenarioStep>& steps) {
--- a/harness/scenario/scenario_run.h
+++ b/harness/scenario/scenario_run.h
@@ -56,6 +56,7 @@
 
   // Steps that start, stop and disturb processes.
   bool MakeFleet(const StepArguments& arguments);
+  bool MakeLinkedFleet(const StepArguments& arguments);
   bool StartPlatform(const StepArguments& arguments);
   bool StartHosts(const StepArguments& arguments);
   bool StartHost(const StepArguments& arguments);
@@ -94,6 +95,7 @@
   bool ExpectEnded(const StepArguments& arguments);
   bool ExpectHostDead(const StepArguments& arguments);
 
+  bool StartFleet(const StepArguments& arguments, bool links);
   bool StartLoad(const StepArguments& arguments, bool keyed);
   EditEvent Edit(const std::string& editor, const std::string& host,
                  const std::string& tables, std::optional<std::uint64_t> base);
--- /dev/null
+++ b/harness/socket_owner.cc
@@ -0,0 +1,58 @@
+#include "harness/socket_owner.h"
+
+#include <fmt/format.h>
+
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <string>
+
+namespace camphor {
+namespace {
+
+// Inodes of the sockets with that port, from the kernel's table of sockets.
+std::set<std::string> InodesOfPort(pid_t pid, std::uint16_t port) {
+  const std::string suffix = fmt::format(":{:04X}", port);
+  std::set<std::string> inodes;
+  std::ifstream table(fmt::format("/proc/{}/net/tcp", pid));
+  std::string line;
+  std::getline(table, line);  // the heading
+  while (std::getline(table, line)) {
+    // Columns: number, own address, other address, state, queues, timer,
+    // retransmissions, user, timeout, inode.
+    std::istringstream columns(line);
+    std::string number;
+    std::string own_address;
+    std::string skipped;
+    std::string inode;
+    columns >> number >> own_address;
+    for (int column = 0; column < 7; ++column) columns >> skipped;
+    columns >> inode;
+    if (own_address.ends_with(suffix)) inodes.insert(inode);
+  }
+  return inodes;
+}
+
+}  // namespace
+
+bool HoldsSocket(pid_t pid, std::uint16_t port) {
+  const std::set<std::string> inodes = InodesOfPort(pid, port);
+  std::error_code error;
+  std::filesystem::directory_iterator files(fmt::format("/proc/{}/fd", pid),
+                                            error);
+  if (error) return false;
+  for (const auto& file : files) {
+    const std::string link =
+        std::filesystem::read_symlink(file.path(), error).string();
+    constexpr std::string_view kPrefix = "socket:[";
+    if (error || !link.starts_with(kPrefix)) continue;
+    if (inodes.contains(
+            link.substr(kPrefix.size(), link.size() - kPrefix.size() - 1))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace camphor
--- a/unit_tests/harness/relay_test.cc
+++ b/unit_tests/harness/relay_test.cc
@@ -1,7 +1,9 @@
 #include "harness/relay.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
+#include "harness/socket_owner.h"
 #include "stand_ins/http/http_connection.h"
 #include "stand_ins/target/target_stand_in.h"
 
@@ -46,5 +48,31 @@
   EXPECT_TRUE(Answers(connection));
 }
 
+TEST_F(RelayTest, CutFromOneProcess_LeavesOthersWorking) {
+  std::uint16_t cut_port = 0;
+  Relay relay({.listen = {.address = "127.0.0.1"},
+               .to = target_.endpoint(),
+               .connector = [&](std::uint16_t port) -> std::string {
+                 // The first connection is that of the process to cut off.
+                 if (cut_port == 0) cut_port = port;
+                 return port == cut_port ? "first" : "other";
+               }});
+  ASSERT_TRUE(relay.Start()) << relay.last_reason();
+  HttpConnection first(relay.endpoint());
+  HttpConnection other(relay.endpoint());
+  EXPECT_TRUE(Answers(first));
+  EXPECT_TRUE(Answers(other));
+  relay.CutFrom("first");
+  EXPECT_FALSE(Answers(first, Milliseconds(100)));
+  EXPECT_TRUE(Answers(other));
+}
+
+TEST(HoldsSocket, OwnPort_IsFound) {
+  TargetStandIn target({.id = "t1"});
+  ASSERT_TRUE(target.Start()) << target.last_reason();
+  EXPECT_TRUE(HoldsSocket(getpid(), target.endpoint().port));
+  EXPECT_FALSE(HoldsSocket(getpid(), 1));
+}
+
 }  // namespace
 }  // namespace camphor
