--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -70,7 +70,7 @@
 }
 
 CallerRequest::CallerRequest(ProxyContext& context, Options options)
-    : context_(context), options_(std::move(options)) {}
+    : context_(context), options_(options) {}
 
 asio::awaitable<CallerRequest::Ended> CallerRequest::Run() {
   fingerprint_ = RequestFingerprint(*options_.header, options_.body->prefix());
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -59,7 +59,9 @@
     const std::size_t count = acc::count(accumulator_);
     for (std::size_t index = 0; index < kQuantiles.size(); ++index) {
       const double value =
-          count == 0 ? 0 : acc::extended_p_square(accumulator_)[index];
+          count == 0 ? 0
+                     : acc::extended_p_square(
+                           accumulator_)[static_cast<std::ptrdiff_t>(index)];
       fmt::format_to(std::back_inserter(text), "{}{{quantile=\"{}\"}} {:.6f}\n",
                      name, kQuantiles[index], value);
     }
