--- a/node/log/log_sink.cc
+++ b/node/log/log_sink.cc
@@ -79,21 +79,16 @@
 void LogSink::History(std::string_view event,
                       std::initializer_list<LogField> fields) {
   if (!history_) return;
-  std::string text = "event=";
-  text += event;
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  std::string text =
+      fmt::format("event={} t_us={}", event,
+                  std::chrono::duration_cast<Microseconds>(now).count());
   for (const LogField& field : fields) AppendField(text, field);
   History(text);
 }
 
 void LogSink::History(std::string_view text) {
-  if (!history_) return;
-  // The time stands behind the event's name.
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  const std::size_t name_end = std::min(text.find(' '), text.size());
-  Enqueue(fmt::format("camphord history: {} t_us={}{}",
-                      text.substr(0, name_end),
-                      std::chrono::duration_cast<Microseconds>(now).count(),
-                      text.substr(name_end)));
+  if (history_) Enqueue(fmt::format("camphord history: {}", text));
 }
 
 bool LogSink::Enabled(LogLevel level, std::string_view part) const {
--- a/node/log/log_sink.h
+++ b/node/log/log_sink.h
@@ -63,7 +63,7 @@
   /// any thread.
   void History(std::string_view event, std::initializer_list<LogField> fields);
 
-  /// The same with the text "event=NAME key=value ..." made by the caller.
+  /// The same with the text "event=NAME t_us=TIME ..." made by the caller.
   /// Thread safety: any thread.
   void History(std::string_view text);
 
