Claim idempotency keys in group commits

Cause: nothing kept a booking that may not be repeated from running twice. A lost answer is settled by writing the same claim again: it takes effect or meets its own token. Ruled out: reading back after a lost answer, since a row that is not there yet may still come while the write is on its way.

--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -9,21 +9,13 @@
 #include "core/base/endpoint.h"
 #include "core/base/identifier.h"
 #include "core/base/time.h"
+#include "core/claims/claim_status.h"
 #include "core/routing/effective_routing.h"
 #include "core/routing/request_sample.h"
 #include "proxy/proxy_limits.h"
 
 namespace camphor {
 
-/// What is known of an idempotency claim.
-enum class ClaimStatus : std::uint8_t {
-  kGranted,         ///< this request alone may run under the key
-  kAlreadyClaimed,  ///< another attempt holds the key: this one must not run
-  kNotMade,  ///< no claim stands: the request was not run and may be sent again
-  kUnknown,  ///< it can not be said whether the claim stands: this attempt must
-             ///< not run
-};
-
 using ClaimCallback = std::function<void(ClaimStatus)>;
 
 /// Serves callers on one listener and other hosts' proxies on another, both on
--- /dev/null
+++ b/unit_tests/core/claims/claim_batcher_test.cc
@@ -0,0 +1,212 @@
+#include "core/claims/claim_batcher.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+namespace camphor {
+namespace {
+
+using Event = ClaimMachine::Event;
+using State = ClaimMachine::State;
+
+constexpr MonoTime kStart{Seconds(1000)};
+
+ClaimRequest Request(std::uint64_t id, const std::string& key) {
+  return {.id = id, .key = key, .owner = "o" + std::to_string(id)};
+}
+
+TEST(ClaimMachineTake, EachEnding_IsReached) {
+  const std::vector<std::pair<std::vector<Event>, State>> cases = {
+      {{}, State::kQueued},
+      {{Event::kSent}, State::kInFlight},
+      {{Event::kSent, Event::kNotApplied}, State::kQueued},
+      {{Event::kSent, Event::kNoAnswer}, State::kDoubtful},
+      {{Event::kSent, Event::kNoAnswer, Event::kSent},
+       State::kDoubtfulInFlight},
+      {{Event::kSent, Event::kTookEffect}, State::kGranted},
+      {{Event::kSent, Event::kHeldByOther}, State::kHeld},
+      {{Event::kGiveUp}, State::kNotMade},
+      {{Event::kSent, Event::kGiveUp}, State::kUnknown},
+      {{Event::kSent, Event::kNoAnswer, Event::kSent, Event::kHeldByUs},
+       State::kGranted},
+      {{Event::kSent, Event::kNoAnswer, Event::kSent, Event::kNotApplied,
+        Event::kGiveUp},
+       State::kUnknown}};
+  for (const auto& [events, state] : cases) {
+    ClaimMachine machine;
+    for (const Event event : events) EXPECT_TRUE(machine.Take(event));
+    EXPECT_EQ(machine.state(), state);
+  }
+}
+
+TEST(ClaimMachineTake, AnyEvents_DoubtNeverEndsAsNotMade) {
+  EXPECT_TRUE(rc::check([] {
+    ClaimMachine machine;
+    bool doubt = false;
+    for (const int event :
+         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 7))) {
+      const State before = machine.state();
+      machine.Take(static_cast<Event>(event));
+      doubt = doubt || machine.state() == State::kDoubtful;
+      if (before >= State::kGranted) RC_ASSERT(machine.state() == before);
+    }
+    RC_ASSERT(!doubt || machine.state() != State::kNotMade);
+  }));
+}
+
+TEST(ClaimBatcherNextBatch, ManyClaims_GoInOneWrite) {
+  ClaimBatcher batcher({});
+  for (std::uint64_t id = 1; id <= 50; ++id) {
+    EXPECT_TRUE(batcher.Submit(Request(id, std::to_string(id)), kStart));
+  }
+  const auto batch = batcher.NextBatch(kStart);
+  ASSERT_TRUE(batch);
+  EXPECT_EQ(batch->claims.size(), 50U);
+  EXPECT_EQ(batcher
+                .OnResult(batch->number,
+                          {.kind = BatchResult::Kind::kTookEffect}, kStart)
+                .size(),
+            50U);
+}
+
+TEST(ClaimBatcherNextBatch, SameKeyTwice_WaitsForTheFirst) {
+  ClaimBatcher batcher({});
+  batcher.Submit(Request(1, "k"), kStart);
+  batcher.Submit(Request(2, "k"), kStart);
+  const auto first = batcher.NextBatch(kStart);
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->claims.size(), 1U);
+  const MonoTime later = kStart + Milliseconds(10);
+  EXPECT_FALSE(batcher.NextBatch(later));
+  batcher.OnResult(first->number, {.kind = BatchResult::Kind::kTookEffect},
+                   later);
+  const auto second = batcher.NextBatch(later);
+  ASSERT_TRUE(second);
+  const auto decisions = batcher.OnResult(
+      second->number,
+      {.kind = BatchResult::Kind::kConflict, .held = {{"k", "o1"}}}, later);
+  EXPECT_EQ(decisions,
+            (std::vector<ClaimDecision>{{.id = 2, .state = State::kHeld}}));
+}
+
+TEST(ClaimBatcherOnResult, OneKeyHeld_OthersAreWrittenAgain) {
+  ClaimBatcher batcher({});
+  batcher.Submit(Request(1, "a"), kStart);
+  batcher.Submit(Request(2, "b"), kStart);
+  const auto batch = batcher.NextBatch(kStart);
+  const auto decisions = batcher.OnResult(
+      batch->number,
+      {.kind = BatchResult::Kind::kConflict, .held = {{"a", "x"}}}, kStart);
+  EXPECT_EQ(decisions,
+            (std::vector<ClaimDecision>{{.id = 1, .state = State::kHeld}}));
+  const auto again = batcher.NextBatch(kStart + Milliseconds(10));
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->claims.front().id, 2U);
+}
+
+TEST(ClaimBatcherSubmit, PlatformOut_RefusesAtOnce) {
+  ClaimBatcher batcher({});
+  MonoTime now = kStart;
+  batcher.Submit(Request(1, "a"), now);
+  for (int round = 0; round < 3; ++round) {
+    now += Milliseconds(100);
+    const auto batch = batcher.NextBatch(now);
+    ASSERT_TRUE(batch);
+    batcher.OnResult(batch->number, {.kind = BatchResult::Kind::kNotApplied},
+                     now);
+  }
+  EXPECT_FALSE(batcher.Submit(Request(2, "b"), now));
+  const auto given_up = batcher.Expire(kStart + Milliseconds(1000));
+  EXPECT_EQ(given_up,
+            (std::vector<ClaimDecision>{{.id = 1, .state = State::kNotMade}}));
+  EXPECT_TRUE(batcher.Submit(Request(3, "c"), now));
+}
+
+/// A platform that loses answers, refuses, and applies some writes late.
+class UnreliableTable {
+ public:
+  BatchResult Write(const ClaimBatcher::Batch& batch, int fate) {
+    if (fate == 1) return {.kind = BatchResult::Kind::kNotApplied};
+    if (fate == 2) return {.kind = BatchResult::Kind::kNoAnswer};
+    if (fate == 3) {
+      late_.push_back(batch);
+      return {.kind = BatchResult::Kind::kNoAnswer};
+    }
+    const BatchResult result = Apply(batch);
+    if (fate == 4) return {.kind = BatchResult::Kind::kNoAnswer};
+    return result;
+  }
+
+  void ApplyLate() {
+    for (const ClaimBatcher::Batch& batch : late_) Apply(batch);
+    late_.clear();
+  }
+
+  const std::map<std::string, std::string>& rows() const { return rows_; }
+
+ private:
+  BatchResult Apply(const ClaimBatcher::Batch& batch) {
+    BatchResult result{.kind = BatchResult::Kind::kConflict};
+    for (const ClaimRequest& claim : batch.claims) {
+      const auto row = rows_.find(claim.key);
+      if (row != rows_.end()) result.held.insert(*row);
+    }
+    if (!result.held.empty()) return result;
+    for (const ClaimRequest& claim : batch.claims) {
+      rows_[claim.key] = claim.owner;
+    }
+    return {.kind = BatchResult::Kind::kTookEffect};
+  }
+
+  std::map<std::string, std::string> rows_;
+  std::vector<ClaimBatcher::Batch> late_;
+};
+
+TEST(ClaimBatcherOnResult, UnreliablePlatform_GrantsEachKeyAtMostOnce) {
+  EXPECT_TRUE(rc::check([] {
+    // Two hosts claim the same few keys.
+    UnreliableTable table;
+    std::array<ClaimBatcher, 2> hosts{ClaimBatcher({.most_in_batch = 3}),
+                                      ClaimBatcher({.most_in_batch = 3})};
+    std::map<std::uint64_t, std::string> keys;
+    std::map<std::string, int> granted;
+    std::map<std::uint64_t, State> ended;
+    MonoTime now = kStart;
+    std::uint64_t next_id = 1;
+    const auto take = [&](const std::vector<ClaimDecision>& decisions) {
+      for (const ClaimDecision& decision : decisions) {
+        RC_ASSERT(ended.emplace(decision.id, decision.state).second);
+        if (decision.state == State::kGranted) ++granted[keys[decision.id]];
+      }
+    };
+    for (const int fate :
+         *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 6))) {
+      ClaimBatcher& host = hosts.at(next_id % 2);
+      const std::string key = std::to_string(*rc::gen::inRange(0, 5));
+      keys[next_id] = key;
+      host.Submit(Request(next_id, key), now);
+      ++next_id;
+      if (fate == 5) table.ApplyLate();
+      for (ClaimBatcher& writer : hosts) {
+        if (const auto batch = writer.NextBatch(now)) {
+          take(writer.OnResult(batch->number, table.Write(*batch, fate), now));
+        }
+        take(writer.Expire(now));
+      }
+      now += Milliseconds(40);
+    }
+    for (const auto& [key, count] : granted) RC_ASSERT(count == 1);
+    // What was called not made does not stand.
+    for (const auto& [id, state] : ended) {
+      const auto row = table.rows().find(keys[id]);
+      if (state != State::kNotMade || row == table.rows().end()) continue;
+      RC_ASSERT(row->second != "o" + std::to_string(id));
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace camphor
