Refuse texts with control characters; format years past 2262

Ruled out: limiting the years, since the time type itself holds them. Change: formatting by time_t; the mesh refuses a NUL in a text; JSON strings that settings, tables and announcements bring may hold no control character.

--- a/core/base/json_fields.cc
+++ b/core/base/json_fields.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <utility>
 
@@ -30,6 +31,18 @@
   return std::nullopt;
 }
 
+namespace {
+
+// Such a character would break a log line, or end a text in a message between
+// hosts.
+bool HasControlCharacter(std::string_view text) {
+  return std::ranges::any_of(text, [](unsigned char character) {
+    return character < 0x20 || character == 0x7f;
+  });
+}
+
+}  // namespace
+
 JsonFields::JsonFields(const boost::json::object& object, std::string path,
                        std::vector<FieldError>& errors)
     : object_(object), path_(std::move(path)), errors_(errors) {}
@@ -40,8 +53,11 @@
   const boost::json::value* value = Find(key, !fallback.has_value());
   if (value == nullptr) return fallback.value_or("");
   const boost::json::string* text = value->if_string();
-  if (text == nullptr || text->empty() || text->size() > longest) {
-    Report(key, fmt::format("must be a string of 1 to {} characters", longest));
+  if (text == nullptr || text->empty() || text->size() > longest ||
+      HasControlCharacter({text->data(), text->size()})) {
+    Report(key, fmt::format("must be a string of 1 to {} characters, without "
+                            "control characters",
+                            longest));
     return fallback.value_or("");
   }
   return {text->data(), text->size()};
@@ -95,8 +111,9 @@
     return strings;
   }
   for (const boost::json::value& item : *list) {
-    if (!item.is_string()) {
-      Report(key, "must be a list of strings");
+    if (!item.is_string() || HasControlCharacter({item.get_string().data(),
+                                                  item.get_string().size()})) {
+      Report(key, "must be a list of strings without control characters");
       return {};
     }
     strings.emplace_back(item.get_string().data(), item.get_string().size());
--- a/core/base/json_fields.h
+++ b/core/base/json_fields.h
@@ -38,7 +38,8 @@
   JsonFields(const boost::json::object& object, std::string path,
              std::vector<FieldError>& errors);
 
-  /// A string of 1 to `longest` characters. Thread safety: one thread.
+  /// A string of 1 to `longest` characters, none of them a control character.
+  /// Thread safety: one thread.
   std::string String(std::string_view key,
                      const std::optional<std::string>& fallback = {},
                      std::size_t longest = 256);
--- a/core/base/wall_time_text.cc
+++ b/core/base/wall_time_text.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <cstdio>
+#include <ctime>
 
 namespace camphor {
 
@@ -35,10 +36,10 @@
 }
 
 std::string FormatWallTime(WallTime time) {
+  // Not by system_clock, whose nanoseconds overflow after the year 2262.
   const auto seconds = std::chrono::floor<std::chrono::seconds>(time);
-  return fmt::format(
-      "{:%Y-%m-%dT%H:%M:%SZ}",
-      fmt::gmtime(std::chrono::system_clock::to_time_t(seconds)));
+  const std::time_t since_epoch = seconds.time_since_epoch().count();
+  return fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(since_epoch));
 }
 
 }  // namespace camphor
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -4,12 +4,18 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace camphor {
 namespace {
 
+// A text that holds a NUL would be sent on without what follows it, so that two
+// hosts would hold different records of one sequence.
 std::string ToString(capnp::Text::Reader text) {
+  KJ_REQUIRE(std::string_view(text.cStr(), text.size()).find('\0') ==
+                 std::string_view::npos,
+             "a text holds a NUL");
   return {text.cStr(), text.size()};
 }
 
--- /dev/null
+++ b/unit_tests/core/base/wall_time_text_test.cc
@@ -0,0 +1,19 @@
+#include "core/base/wall_time_text.h"
+
+#include <gtest/gtest.h>
+
+namespace camphor {
+namespace {
+
+TEST(ParseWallTime, YearPastTheRangeOfNanoseconds_IsReadBack) {
+  const auto time = ParseWallTime("4054-03-31T18:00:00Z");
+  ASSERT_TRUE(time);
+  EXPECT_EQ(FormatWallTime(*time), "4054-03-31T18:00:00Z");
+}
+
+TEST(ParseWallTime, ImpossibleHour_IsRefused) {
+  EXPECT_FALSE(ParseWallTime("2027-03-31T24:00:00Z"));
+}
+
+}  // namespace
+}  // namespace camphor
