--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -4,12 +4,18 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace camphor {
 namespace {
 
+// A text that holds a NUL would be sent on without what follows it, so that two
+// hosts would hold different records of one sequence.
 std::string ToString(capnp::Text::Reader text) {
+  KJ_REQUIRE(std::string_view(text.cStr(), text.size()).find('\0') ==
+                 std::string_view::npos,
+             "a text holds a NUL");
   return {text.cStr(), text.size()};
 }
 
@@ -226,6 +232,7 @@
     auto heartbeat = out.initHeartbeat();
     Write(message.head, heartbeat.initHead());
     heartbeat.setFingerprint(message.fingerprint);
+    heartbeat.setAppliedFingerprint(message.applied_fingerprint);
     heartbeat.setReady(message.ready);
     heartbeat.setReplyWanted(message.reply_wanted);
   }
@@ -286,6 +293,7 @@
 Heartbeat ReadHeartbeat(wire::Heartbeat::Reader in) {
   return {.head = Read(in.getHead()),
           .fingerprint = in.getFingerprint(),
+          .applied_fingerprint = in.getAppliedFingerprint(),
           .ready = in.getReady(),
           .reply_wanted = in.getReplyWanted()};
 }
