--- /dev/null
+++ b/unit_tests/platform/fake_platform.h
@@ -0,0 +1,131 @@
+#ifndef CAMPHORHILL_UNIT_TESTS_PLATFORM_FAKE_PLATFORM_H_
+#define CAMPHORHILL_UNIT_TESTS_PLATFORM_FAKE_PLATFORM_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "platform/platform_client.h"
+
+namespace camphor {
+
+/// A platform in memory. Calls wait until Step answers the oldest or any other
+/// of them, well or with a fault. One thread.
+class FakePlatform final : public PlatformClient {
+ public:
+  enum class Fault {
+    kNone,        ///< takes effect and is answered
+    kRefused,     ///< has no effect, and says so
+    kLostBefore,  ///< has no effect, and no answer
+    kLostAfter,   ///< takes effect, but without an answer
+  };
+
+  void Read(std::string table, std::string key,
+            PlatformCallback done) override {
+    Add(std::move(done), [this, table, key] { return DoRead(table, key); });
+  }
+  void Scan(std::string, std::string, PlatformCallback done) override {
+    Add(std::move(done), [] { return PlatformAnswer{}; });
+  }
+  void Transact(TableTransaction transaction, PlatformCallback done) override {
+    Add(std::move(done),
+        [this, transaction] { return DoTransact(transaction); });
+  }
+  void PutObject(std::string key, std::string bytes,
+                 PlatformCallback done) override {
+    Add(std::move(done), [this, key, bytes] {
+      objects_[key] = bytes;
+      return PlatformAnswer{.status = PlatformStatus::kOk};
+    });
+  }
+  void GetObject(std::string key, PlatformCallback done) override {
+    Add(std::move(done), [this, key] {
+      const auto found = objects_.find(key);
+      if (found == objects_.end())
+        return PlatformAnswer{.status = PlatformStatus::kNotFound};
+      return PlatformAnswer{.status = PlatformStatus::kOk,
+                            .object = found->second};
+    });
+  }
+
+  /// Calls back later, as a timer would.
+  void Schedule(std::function<void()> run) {
+    waiting_.push_back([run = std::move(run)](Fault) { run(); });
+  }
+
+  std::size_t waiting() const { return waiting_.size(); }
+
+  /// Ends one waiting call. @pre index < waiting().
+  void Step(Fault fault, std::size_t index = 0) {
+    const auto run = std::move(waiting_[index]);
+    waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(index));
+    run(fault);
+  }
+
+  /// Ends every call well, also those that follow.
+  void Run() {
+    while (!waiting_.empty()) Step(Fault::kNone);
+  }
+
+  /// The value of a row; empty when there is none.
+  std::string Value(const std::string& table, const std::string& key) const {
+    const auto found = rows_.find({table, key});
+    return found == rows_.end() ? "" : found->second.value;
+  }
+  std::size_t CountRows(const std::string& table) const {
+    std::size_t count = 0;
+    for (const auto& [key, row] : rows_)
+      if (key.first == table) ++count;
+    return count;
+  }
+
+ private:
+  void Add(PlatformCallback done, std::function<PlatformAnswer()> effect) {
+    waiting_.push_back(
+        [done = std::move(done), effect = std::move(effect)](Fault fault) {
+          if (fault == Fault::kRefused) {
+            done({.status = PlatformStatus::kUnavailable, .reason = "refused"});
+            return;
+          }
+          PlatformAnswer answer{.status = PlatformStatus::kUnknown,
+                                .reason = "lost"};
+          if (fault == Fault::kNone) answer = effect();
+          if (fault == Fault::kLostAfter) effect();
+          done(answer);
+        });
+  }
+
+  PlatformAnswer DoRead(const std::string& table, const std::string& key) {
+    const auto found = rows_.find({table, key});
+    if (found == rows_.end()) return {.status = PlatformStatus::kNotFound};
+    return {.status = PlatformStatus::kOk, .rows = {found->second}};
+  }
+
+  PlatformAnswer DoTransact(const TableTransaction& transaction) {
+    for (const RowCondition& condition : transaction.conditions) {
+      const auto found = rows_.find({condition.table, condition.key});
+      const std::uint64_t revision =
+          found == rows_.end() ? 0 : found->second.revision;
+      if (revision != condition.revision)
+        return {.status = PlatformStatus::kConflict};
+    }
+    for (const RowWrite& write : transaction.writes) {
+      rows_[{write.table, write.key}] = {.table = write.table,
+                                         .key = write.key,
+                                         .value = *write.value,
+                                         .revision = ++revision_};
+    }
+    return {.status = PlatformStatus::kOk};
+  }
+
+  std::deque<std::function<void(Fault)>> waiting_;
+  std::map<std::pair<std::string, std::string>, TableRow> rows_;
+  std::map<std::string, std::string> objects_;
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_UNIT_TESTS_PLATFORM_FAKE_PLATFORM_H_
