--- a/node/decisions/decision_thread.cc
+++ b/node/decisions/decision_thread.cc
@@ -1,5 +1,6 @@
 #include "node/decisions/decision_thread.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -51,7 +52,12 @@
 }
 
 void DecisionThread::RunAfter(Milliseconds delay, Task task) {
-  delayed_.emplace(std::chrono::steady_clock::now() + delay, std::move(task));
+  {
+    const std::lock_guard lock(mutex_);
+    delayed_.emplace(std::chrono::steady_clock::now() + delay, std::move(task));
+    woken_ = true;
+  }
+  wake_.notify_one();
 }
 
 std::vector<DecisionThread::RingLoad> DecisionThread::ring_loads() const {
@@ -75,17 +81,14 @@
     const bool worked = RunTasks();
     RunSamples();
     const MonoTime now = std::chrono::steady_clock::now();
+    RunDelayed(now);
     if (now >= next_tick) {
       options_.on_tick();
-      RunDelayed(now);
       next_tick = now + options_.tick;
     }
     options_.on_idle();
     if (worked || !own_tasks_.empty()) continue;
-
-    std::unique_lock lock(mutex_);
-    wake_.wait_until(lock, next_tick, [this] { return woken_; });
-    woken_ = false;
+    Sleep(next_tick);
   }
   RunTasks();
 }
@@ -116,13 +119,25 @@
 }
 
 void DecisionThread::RunDelayed(MonoTime now) {
+  std::unique_lock lock(mutex_);
   while (!delayed_.empty() && delayed_.begin()->first <= now) {
     const Task task = std::move(delayed_.begin()->second);
     delayed_.erase(delayed_.begin());
+    lock.unlock();
     task();
+    lock.lock();
   }
 }
 
+void DecisionThread::Sleep(MonoTime next_tick) {
+  std::unique_lock lock(mutex_);
+  const MonoTime until = delayed_.empty()
+                             ? next_tick
+                             : std::min(next_tick, delayed_.begin()->first);
+  wake_.wait_until(lock, until, [this] { return woken_; });
+  woken_ = false;
+}
+
 void DecisionThread::RunSamples() {
   for (std::size_t count = 0; count < options_.sample_capacity; ++count) {
     const std::optional<RequestSample> sample = samples_.Pop();
--- a/node/decisions/decision_thread.h
+++ b/node/decisions/decision_thread.h
@@ -85,17 +85,18 @@
   bool RunTasks();
   bool RunOwnTasks();
   void RunDelayed(MonoTime now);
+  void Sleep(MonoTime next_tick);
   void RunSamples();
   void Wake();
 
   Options options_;
   std::array<std::unique_ptr<TaskRing>, 5> rings_;
   BoundedRing<RequestSample> samples_;
-  std::deque<Task> own_tasks_;             ///< posted by this thread itself
-  std::multimap<MonoTime, Task> delayed_;  ///< by the time that they are due
+  std::deque<Task> own_tasks_;  ///< posted by this thread itself
   std::mutex mutex_;
   std::condition_variable wake_;
   bool woken_ = false;
+  std::multimap<MonoTime, Task> delayed_;  ///< by the time that they are due
   std::atomic<bool> stopping_{false};
   std::atomic<std::thread::id> thread_id_{};  ///< of the running thread
   std::thread thread_;
--- a/node/node.cc
+++ b/node/node.cc
@@ -15,6 +15,7 @@
 #include "node/decisions/published.h"
 #include "node/metrics/node_metrics.h"
 #include "node/platform_sync/platform_sync.h"
+#include "platform/claim_store.h"
 #include "platform/http_platform_client.h"
 #include "proxy/proxy_server.h"
 
@@ -55,7 +56,8 @@
         decisions(DecisionOptions()),
         proxy(ProxyOptions()),
         mesh(MeshOptions()),
-        platform({.platform = settings.platform}) {}
+        platform({.platform = settings.platform}),
+        claims(ClaimOptions()) {}
 
   Options options;
   const Settings& settings;
@@ -75,6 +77,7 @@
   ProxyServer proxy;
   MeshTransport mesh;
   HttpPlatformClient platform;
+  ClaimStore claims;
   std::unique_ptr<HostController> controller;
   std::unique_ptr<PlatformSync> sync;
   std::unique_ptr<AdminApi> api;
@@ -83,6 +86,7 @@
   DecisionThread::Options DecisionOptions();
   ProxyServer::Options ProxyOptions();
   MeshTransport::Options MeshOptions();
+  ClaimStore::Options ClaimOptions();
   HostController::Options ControllerOptions();
   PlatformSync::Options SyncOptions();
   AdminApi::Options ApiOptions();
@@ -168,6 +172,15 @@
               }};
 }
 
+ClaimStore::Options Node::State::ClaimOptions() {
+  return {.client = &platform,
+          .schedule =
+              [this](Milliseconds delay, DecisionThread::Task task) {
+                decisions.RunAfter(delay, std::move(task));
+              },
+          .owner = settings.host.value() + "/" + std::to_string(incarnation)};
+}
+
 HostController::Options Node::State::ControllerOptions() {
   return {.settings = settings,
           .incarnation = incarnation,
@@ -198,10 +211,8 @@
                 decisions.Post(Source::kPlatform, std::move(task));
               },
           .schedule =
-              [this](Milliseconds delay, const DecisionThread::Task& task) {
-                decisions.Post(Source::kPlatform, [this, delay, task] {
-                  decisions.RunAfter(delay, task);
-                });
+              [this](Milliseconds delay, DecisionThread::Task task) {
+                decisions.RunAfter(delay, std::move(task));
               }};
 }
 
@@ -303,7 +314,7 @@
                           .mesh = mesh.counters(),
                           .admin_requests = admin.requests(),
                           .log_dropped = log.dropped()}) +
-         proxy.MetricsText();
+         proxy.MetricsText() + claims.MetricsText();
 }
 
 bool Node::State::Fail(std::string_view part, const std::string& reason) {
