--- a/core/rollout/rollout_state_machine.cc
+++ b/core/rollout/rollout_state_machine.cc
@@ -28,6 +28,7 @@
   using initial_state = Pending;
 
   // The order of the rows gives the states their numbers: that of the stages.
+  // NOLINTNEXTLINE(readability-identifier-naming): the library asks for it.
   struct transition_table
       : boost::mpl::vector<Row<Pending, TargetsReady, Canary, none, none>,
                            Row<Canary, CanaryPassed, Ramp, none, none>,
--- a/core/rollout/sequential_judge.cc
+++ b/core/rollout/sequential_judge.cc
@@ -11,12 +11,11 @@
 
 }  // namespace
 
-SequentialJudge::SequentialJudge(Options options)
-    : options_(std::move(options)) {}
+SequentialJudge::SequentialJudge(Options options) : options_(options) {}
 
 void SequentialJudge::AddBlock(const EvidenceBlock& block) {
   if (!started_) started_ = block.end;
-  lone_ = block.new_targets <= 1;
+  lone_ = block.new_targets <= 1 || !options_.leave_one_out;
   for (const RouteBlock& route : SplitByRoute(block))
     AddRoute(route, block.end);
   EndBlock();
