--- a/core/rollout/route_comparison.cc
+++ b/core/rollout/route_comparison.cc
@@ -119,13 +119,19 @@
   // Compare before learning, so that a block is not its own yardstick.
   if (new_requests > 0 && old_requests > 0) {
     const Tolerance& tolerance = options_->tolerance[IndexOf(signal)];
-    const double usual_rate =
+    const double old_rate =
         (baseline.hits + kPriorHits) / (baseline.requests + kPriorRequests);
+    const double new_rate =
+        baseline.new_hits / (baseline.new_requests + kPriorRequests);
     const double dispersion = DispersionOf(baseline);
     for (const Sample& sample : new_samples) {
       if (sample.requests <= 0) continue;
       const double excess =
           sample.cold ? options_->cold_failure_excess : tolerance.excess;
+      // Were the new version as good, the old one's rate would have to be at
+      // least this now: a tolerated excess weighs less beside a high rate.
+      const double usual_rate =
+          std::max(old_rate, (new_rate - excess) / tolerance.ratio);
       const double tolerated = tolerance.ratio + excess / usual_rate;
       // Of the hits on both sides, how many fall to this target? Each target
       // is set against its part of the old version's.
@@ -145,6 +151,9 @@
     }
   }
   Learn(baseline, old_samples, options_->baseline_half_life);
+  const double keep = std::exp2(-new_requests / options_->new_half_life);
+  baseline.new_requests = baseline.new_requests * keep + new_requests;
+  baseline.new_hits = baseline.new_hits * keep + new_hits;
 }
 
 void RouteComparison::Learn(Baseline& baseline,
--- a/core/rollout/route_comparison.h
+++ b/core/rollout/route_comparison.h
@@ -31,7 +31,9 @@
       4;  ///< most that one target may add to the evidence in a block
   double baseline_half_life =
       60'000;  ///< requests after which the old version's rates weigh half
-  double most_dispersion = 8;  ///< bound on the measured dispersion
+  double new_half_life =
+      1'000;  ///< requests after which the new version's rate weighs half
+  double most_dispersion = 3;  ///< bound on the measured dispersion
 };
 
 /// What was counted on one signal so far.
@@ -72,12 +74,14 @@
     double hits;             ///< of these: failed, or slow
     bool cold;               ///< in its cold start
   };
-  /// What is known of the old version on one signal.
+  /// What is known on one signal: of the old version, if not said otherwise.
   struct Baseline {
-    double requests = 0;   ///< decayed count
-    double hits = 0;       ///< decayed count
-    double deviation = 0;  ///< decayed sum of squared deviations
-    double expected = 0;   ///< decayed sum of expected variances
+    double requests = 0;      ///< decayed count
+    double hits = 0;          ///< decayed count
+    double deviation = 0;     ///< decayed sum of squared deviations
+    double expected = 0;      ///< decayed sum of expected variances
+    double new_requests = 0;  ///< decayed count of the new version
+    double new_hits = 0;      ///< decayed count of the new version
   };
 
   void LearnHistogram(const VersionCells& old_version);
--- a/performance_test/rollout/pool_model.cc
+++ b/performance_test/rollout/pool_model.cc
@@ -39,6 +39,11 @@
     constexpr std::size_t kConfounders =
         static_cast<std::size_t>(Confounder::kBadHost);
     confounder_ = static_cast<Confounder>(1 + random_.Index(kConfounders));
+    // With few requests, a version that is bad under load never is.
+    if (confounder_ == Confounder::kFewRequests &&
+        kind.when == BadWhen::kUnderLoad) {
+      confounder_ = Confounder::kNone;
+    }
   }
   if (confounder_ == Confounder::kNoisyLatency) {
     noise_.latency_drift *= workload.confounder.noise_factor;
