Judge by what most targets show, at the load that they meet

Two targets with a spell of slowness at once were enough, as one target alone could add any evidence; and while the share shifts, the new targets carry more load than the old ones.

Ruled out: the threshold (spells last, so evidence grows past any) and the measured dispersion, which does not see that a spell lasts.

Change: the fifth of the targets that adds the most does not count, and one target adds at most 0.6 of what is enough. New targets carry no more load than old ones while they can. What the old version did at the same load scales the tolerated rate (LoadProfile).

--- a/core/rollout/evidence_stream.cc
+++ b/core/rollout/evidence_stream.cc
@@ -1,6 +1,9 @@
 #include "core/rollout/evidence_stream.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <vector>
 
 namespace camphor {
 
@@ -30,14 +33,27 @@
   EndBlock();
 }
 
-double EvidenceStream::Strength(bool lone) const {
+double EvidenceStream::Strength(const StrengthRule& rule) const {
+  if (rule.lone) return std::ranges::max(total_);
+  constexpr std::size_t kFewestForLimit = 3;
+  const std::size_t targets = by_target_.size();
+  const auto outliers = std::max<std::size_t>(
+      1, static_cast<std::size_t>(
+             std::lround(rule.outlier_share * static_cast<double>(targets))));
+  const bool limited = targets >= kFewestForLimit && rule.target_limit > 0;
   double strength = 0;
+  std::vector<double> parts;
   for (std::size_t size = 0; size < total_.size(); ++size) {
-    double largest = 0;
+    if (total_[size] <= strength) continue;
+    parts.clear();
     for (const auto& [target, sums] : by_target_) {
-      largest = std::max(largest, sums[size]);
+      parts.push_back(limited ? std::min(sums[size], rule.target_limit)
+                              : sums[size]);
     }
-    strength = std::max(strength, lone ? total_[size] : total_[size] - largest);
+    std::ranges::sort(parts);
+    if (parts.size() <= outliers) continue;
+    const auto end = parts.end() - static_cast<std::ptrdiff_t>(outliers);
+    strength = std::max(strength, std::accumulate(parts.begin(), end, 0.0));
   }
   return strength;
 }
--- a/core/rollout/evidence_stream.h
+++ b/core/rollout/evidence_stream.h
@@ -16,12 +16,21 @@
 /// Log likelihood ratios, one for each effect size.
 using LogRatios = std::array<double, kEffectSizes.size()>;
 
+/// Which part of the evidence counts.
+struct StrengthRule {
+  bool lone = false;  ///< the version has but one target: all of it counts
+  double target_limit =
+      0;  ///< most that one target may add, if there are three or more
+  double outlier_share = 0.2;  ///< targets that add the most and do not count;
+                               ///< at least one
+};
+
 /// Sums evidence against the new version on one route and signal, kept apart
 /// by target.
 ///
 /// Each sum restarts at zero when it would fall below (CUSUM), so that a long
-/// healthy time does not hide a fault that comes later. The evidence that
-/// counts is what remains without the target that adds the most: one bad host
+/// healthy time does not hide a fault that comes later. The targets that add
+/// the most do not count, and no target adds more than a limit: one bad host
 /// among good ones does not condemn the version. Not thread safe.
 class EvidenceStream {
  public:
@@ -34,10 +43,8 @@
   /// Takes back what the target ever added.
   void Forget(const TargetId& target);
 
-  /// The largest sum over the effect sizes, without the target that adds the
-  /// most to it; the whole sum when `lone` says that the version has but one
-  /// target.
-  double Strength(bool lone) const;
+  /// The largest sum over the effect sizes that is left by the rule.
+  double Strength(const StrengthRule& rule) const;
 
  private:
   std::map<TargetId, LogRatios> by_target_;
--- a/core/rollout/ramp_plan.cc
+++ b/core/rollout/ramp_plan.cc
@@ -74,12 +74,15 @@
 }
 
 std::uint32_t CanaryTargetsFor(const RampOptions& options,
-                               std::uint32_t share_ppm, std::size_t targets) {
-  const double share = static_cast<double>(share_ppm) / kWholeShare;
-  const auto normal_load =
-      static_cast<std::size_t>(std::ceil(share * static_cast<double>(targets)));
-  const std::size_t count = std::max(options.canary_targets, normal_load);
-  return count >= targets ? 0 : static_cast<std::uint32_t>(count);
+                               std::uint32_t share_ppm, std::size_t old_targets,
+                               std::size_t new_targets) {
+  if (share_ppm >= kWholeShare) return 0;
+  const double odds = static_cast<double>(share_ppm) /
+                      static_cast<double>(kWholeShare - share_ppm);
+  const auto equal_load = static_cast<std::size_t>(
+      std::ceil(odds * static_cast<double>(old_targets)));
+  const std::size_t count = std::max(options.canary_targets, equal_load);
+  return count >= new_targets ? 0 : static_cast<std::uint32_t>(count);
 }
 
 std::vector<RouteShare> RouteSharesFor(
--- a/core/rollout/ramp_plan.h
+++ b/core/rollout/ramp_plan.h
@@ -68,9 +68,10 @@
                                        const RampState& state, WallTime now);
 
 /// Targets that the new version's share is to be concentrated on, so that each
-/// meets about its normal load; 0 for all. Thread safety: any thread.
+/// meets about the load of an old one; 0 for all. Thread safety: any thread.
 std::uint32_t CanaryTargetsFor(const RampOptions& options,
-                               std::uint32_t share_ppm, std::size_t targets);
+                               std::uint32_t share_ppm, std::size_t old_targets,
+                               std::size_t new_targets);
 
 /// Shares of the routes when the pool's share is `share_ppm`: half of the
 /// canary's budget is spread alike over the routes, so that rare ones are
--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -209,6 +209,7 @@
   next.route_shares =
       RouteSharesFor(options_.settings.ramp, next.share_ppm, Weights());
   next.canary_targets = CanaryTargetsFor(options_.settings.ramp, next.share_ppm,
+                                         targets_.old_version.size(),
                                          targets_.new_version.size());
   last_step_ = now;
   Enter(RolloutEvent::kTargetsReady, std::move(next), wall_now);
@@ -273,7 +274,8 @@
   RolloutRecord next = record_;
   next.share_ppm = std::max(share_ppm, record_.share_ppm);
   next.canary_targets =
-      CanaryTargetsFor(ramp, share_ppm, targets_.new_version.size());
+      CanaryTargetsFor(ramp, share_ppm, targets_.old_version.size(),
+                       targets_.new_version.size());
   next.route_shares = RouteSharesFor(ramp, share_ppm, Weights());
   last_step_ = now;
   if (share_ppm + ramp.control_share_ppm < kWholeShare) {
--- a/core/rollout/route_comparison.cc
+++ b/core/rollout/route_comparison.cc
@@ -22,7 +22,8 @@
 RouteComparison::RouteComparison(const ComparisonOptions& options)
     : options_(&options) {}
 
-void RouteComparison::Compare(const RouteBlock& block, const IsCold& is_cold,
+void RouteComparison::Compare(const RouteBlock& block,
+                              const BlockContext& context,
                               std::array<SignalCounts, kJudgeSignals>& counts,
                               const Sink& sink) {
   // Failures: a cold target counts as well, with a wider tolerance.
@@ -35,12 +36,12 @@
       samples.push_back({.target = &cell->target,
                          .requests = static_cast<double>(RequestsOf(*cell)),
                          .hits = static_cast<double>(FailuresOf(*cell)),
-                         .cold = is_cold(cell->target, is_new)});
+                         .cold = context.is_cold(cell->target, is_new)});
     }
   };
   add_failures(block.old_version, false, old_samples);
   add_failures(block.new_version, true, new_samples);
-  CompareSignal(JudgeSignal::kFailures, old_samples, new_samples,
+  CompareSignal(JudgeSignal::kFailures, old_samples, new_samples, context,
                 counts[IndexOf(JudgeSignal::kFailures)], sink);
 
   // Latency: a cold target does not count.
@@ -54,7 +55,7 @@
                               std::vector<Sample>& samples) {
       samples.clear();
       for (const EvidenceCell* cell : version.cells) {
-        if (is_cold(cell->target, is_new)) continue;
+        if (context.is_cold(cell->target, is_new)) continue;
         samples.push_back(
             {.target = &cell->target,
              .requests = static_cast<double>(CountFrom(cell->latency, 0)),
@@ -64,8 +65,8 @@
     };
     add_slow(block.old_version, false, old_samples);
     add_slow(block.new_version, true, new_samples);
-    CompareSignal(signal, old_samples, new_samples, counts[IndexOf(signal)],
-                  sink);
+    CompareSignal(signal, old_samples, new_samples, context,
+                  counts[IndexOf(signal)], sink);
   }
   LearnHistogram(block.old_version);
 }
@@ -97,6 +98,7 @@
 void RouteComparison::CompareSignal(JudgeSignal signal,
                                     const std::vector<Sample>& old_samples,
                                     const std::vector<Sample>& new_samples,
+                                    const BlockContext& context,
                                     SignalCounts& counts, const Sink& sink) {
   Baseline& baseline = baselines_[IndexOf(signal)];
   double old_requests = 0;
@@ -124,6 +126,8 @@
     const double new_rate =
         baseline.new_hits / (baseline.new_requests + kPriorRequests);
     const double dispersion = DispersionOf(baseline);
+    const double load_ratio =
+        profiles_[IndexOf(signal)].Ratio(context.old_load, context.new_load);
     for (const Sample& sample : new_samples) {
       if (sample.requests <= 0) continue;
       const double excess =
@@ -132,7 +136,8 @@
       // least this now: a tolerated excess weighs less beside a high rate.
       const double usual_rate =
           std::max(old_rate, (new_rate - excess) / tolerance.ratio);
-      const double tolerated = tolerance.ratio + excess / usual_rate;
+      const double tolerated =
+          load_ratio * (tolerance.ratio + excess / usual_rate);
       // Of the hits on both sides, how many fall to this target? Each target
       // is set against its part of the old version's.
       const double part = sample.requests / new_requests;
@@ -150,6 +155,7 @@
       sink(signal, *sample.target, ratios);
     }
   }
+  profiles_[IndexOf(signal)].Learn(context.old_load, old_requests, old_hits);
   Learn(baseline, old_samples, options_->baseline_half_life);
   const double keep = std::exp2(-new_requests / options_->new_half_life);
   baseline.new_requests = baseline.new_requests * keep + new_requests;
--- a/core/rollout/route_comparison.h
+++ b/core/rollout/route_comparison.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/rollout/evidence_stream.h"
+#include "core/rollout/load_profile.h"
 #include "core/rollout/route_block.h"
 
 namespace camphor {
@@ -44,6 +45,14 @@
   std::uint64_t old_hits = 0;      ///< of these: failed, or slow
 };
 
+/// What holds for all routes of a block.
+struct BlockContext {
+  std::function<bool(const TargetId&, bool is_new)>
+      is_cold{};        ///< says whether a target is in its cold start
+  double old_load = 0;  ///< requests a second of one target; 0 if not known
+  double new_load = 0;  ///< the same of the new version
+};
+
 /// Compares both versions on one route, block by block.
 ///
 /// Keeps the old version's usual rates, from which the tolerated ratio and the
@@ -55,14 +64,11 @@
   /// Takes the evidence of one new target on one signal.
   using Sink =
       std::function<void(JudgeSignal, const TargetId&, const LogRatios&)>;
-  /// Says whether a target is in its cold start.
-  using IsCold = std::function<bool(const TargetId&, bool is_new)>;
-
   explicit RouteComparison(const ComparisonOptions& options);
 
   /// Compares a block, adds to the counts and hands the evidence of each new
   /// target to the sink.
-  void Compare(const RouteBlock& block, const IsCold& is_cold,
+  void Compare(const RouteBlock& block, const BlockContext& context,
                std::array<SignalCounts, kJudgeSignals>& counts,
                const Sink& sink);
 
@@ -88,13 +94,15 @@
   std::optional<std::size_t> SlowBucket(double share) const;
   void CompareSignal(JudgeSignal signal, const std::vector<Sample>& old_samples,
                      const std::vector<Sample>& new_samples,
-                     SignalCounts& counts, const Sink& sink);
+                     const BlockContext& context, SignalCounts& counts,
+                     const Sink& sink);
   static void Learn(Baseline& baseline, const std::vector<Sample>& samples,
                     double half_life);
   double DispersionOf(const Baseline& baseline) const;
 
   const ComparisonOptions* options_;
   std::array<Baseline, kJudgeSignals> baselines_{};
+  std::array<LoadProfile, kJudgeSignals> profiles_{};
   std::array<double, kLatencyBuckets> histogram_{};
   std::array<std::optional<std::size_t>, kJudgeSignals> slow_bucket_{};
 };
--- a/core/rollout/sequential_judge.cc
+++ b/core/rollout/sequential_judge.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace camphor {
 namespace {
@@ -16,22 +17,43 @@
 void SequentialJudge::AddBlock(const EvidenceBlock& block) {
   if (!started_) started_ = block.end;
   lone_ = block.new_targets <= 1 || !options_.leave_one_out;
-  for (const RouteBlock& route : SplitByRoute(block))
-    AddRoute(route, block.end);
+  const BlockContext context = ContextOf(block);
+  for (const RouteBlock& route : SplitByRoute(block)) AddRoute(route, context);
+  last_end_ = block.end;
   EndBlock();
 }
 
-void SequentialJudge::AddRoute(const RouteBlock& route, MonoTime now) {
+BlockContext SequentialJudge::ContextOf(const EvidenceBlock& block) {
+  BlockContext context;
+  context.is_cold = [this, now = block.end](const TargetId& target,
+                                            bool is_new) {
+    return IsCold(target, is_new, now);
+  };
+  // Without a start of the block, the loads are not known.
+  if (!last_end_ || block.end <= *last_end_) return context;
+  const double seconds =
+      std::chrono::duration<double>(block.end - *last_end_).count();
+  std::set<TargetId> old_targets;
+  std::set<TargetId> new_targets;
+  for (const EvidenceCell& cell : block.cells) {
+    const bool is_new = cell.version == block.new_version;
+    (is_new ? new_targets : old_targets).insert(cell.target);
+    (is_new ? context.new_load : context.old_load) +=
+        static_cast<double>(RequestsOf(cell)) / seconds;
+  }
+  context.old_load /= std::max<double>(1, old_targets.size());
+  context.new_load /= std::max<double>(1, new_targets.size());
+  return context;
+}
+
+void SequentialJudge::AddRoute(const RouteBlock& route,
+                               const BlockContext& context) {
   RouteComparison& comparison =
       comparisons_.try_emplace(route.route, options_.comparison).first->second;
   Track& track = tracks_[route.route];
   const auto before = track.counts;
   comparison.Compare(
-      route,
-      [&](const TargetId& target, bool is_new) {
-        return IsCold(target, is_new, now);
-      },
-      track.counts,
+      route, context, track.counts,
       [&](JudgeSignal signal, const TargetId& target, const LogRatios& ratios) {
         const auto index = static_cast<std::size_t>(signal);
         track.streams[index].Add(target, ratios);
@@ -53,7 +75,7 @@
   const auto end_track = [&](Track& track) {
     for (EvidenceStream& stream : track.streams) {
       stream.EndBlock();
-      evidence_ = std::max(evidence_, stream.Strength(lone_) / threshold);
+      evidence_ = std::max(evidence_, stream.Strength(Rule()) / threshold);
     }
   };
   for (auto& [route, track] : tracks_) end_track(track);
@@ -91,7 +113,7 @@
           .new_hits = counts.new_hits,
           .old_requests = counts.old_requests,
           .old_hits = counts.old_hits,
-          .evidence = track.streams[signal].Strength(lone_) / Threshold()};
+          .evidence = track.streams[signal].Strength(Rule()) / Threshold()};
 }
 
 bool SequentialJudge::IsCold(const TargetId& target, bool is_new,
@@ -102,6 +124,10 @@
   return now < seen->second + options_.comparison.cold_start;
 }
 
+StrengthRule SequentialJudge::Rule() const {
+  return {.lone = lone_, .target_limit = options_.target_limit * Threshold()};
+}
+
 double SequentialJudge::Threshold() const {
   const auto streams =
       static_cast<double>(kJudgeSignals * (tracks_.size() + 1));
--- a/core/rollout/sequential_judge.h
+++ b/core/rollout/sequential_judge.h
@@ -25,6 +25,8 @@
     double false_alarm = 1e-3;  ///< bound on a false alarm for one block
     bool leave_one_out =
         true;  ///< the target that adds the most evidence does not count
+    double target_limit =
+        0.6;  ///< most that one target adds, of what is enough
     ComparisonOptions comparison{};  ///< tolerances and discounts
   };
 
@@ -42,7 +44,9 @@
     std::array<SignalCounts, kJudgeSignals> counts{};
   };
 
-  void AddRoute(const RouteBlock& route, MonoTime now);
+  void AddRoute(const RouteBlock& route, const BlockContext& context);
+  BlockContext ContextOf(const EvidenceBlock& block);
+  StrengthRule Rule() const;
   void EndBlock();
   bool IsCold(const TargetId& target, bool is_new, MonoTime now);
   double Threshold() const;
@@ -55,6 +59,7 @@
   Track pooled_;
   std::map<TargetId, MonoTime> first_seen_;
   std::optional<MonoTime> started_;
+  std::optional<MonoTime> last_end_;
   bool lone_ = false;
   double evidence_ = 0;
 };
