Let less evidence decide when no time is left; spread the canary evenly

Change: at the latest start of the ramp and at the end of the bake half of the evidence decides, since this is one look and not one every block. Three quarters of the canary's and the control's share are spread alike over the routes, over four targets. Refusals do not count while the old version refuses too. The control share is 2%.

--- a/core/rollout/ramp_plan.cc
+++ b/core/rollout/ramp_plan.cc
@@ -28,13 +28,24 @@
   return std::max(FloatMs(0), allowed * options.margin_part);
 }
 
-/// Share of one route of what is spread half by requests and half alike.
-double EvenShare(double budget, double weight, std::size_t routes) {
-  return budget / 2 + budget / 2 / (static_cast<double>(routes) * weight);
+/// Share of one route of a budget that is spread in part by requests and in
+/// part alike over the routes.
+double EvenShare(double budget, double even_part, double weight,
+                 std::size_t routes) {
+  return budget * (1 - even_part) +
+         budget * even_part / (static_cast<double>(routes) * weight);
 }
 
 }  // namespace
 
+bool HasTimeToWait(const RampOptions& options, const RampState& state,
+                   WallTime now) {
+  // Twice the shortest steps, so that the last ones are not rushed.
+  const FloatMs shortest_ramp =
+      2 * StepsLeft(options, state.share_ppm) * options.shortest_step;
+  return now + MarginOf(options, state) + shortest_ramp < state.complete_by;
+}
+
 bool CanaryPassed(const RampOptions& options, const RampState& state,
                   WallTime now) {
   assert(state.stage == RolloutStage::kCanary);
@@ -45,25 +56,20 @@
   const FloatMs planned =
       std::min<FloatMs>(allowed * part, options.longest_canary);
   if (spent < planned) return false;
-  if (state.evidence < options.doubt) return true;
-  // Wait for the doubt to settle while the shortest ramp still fits.
-  const FloatMs shortest_ramp =
-      StepsLeft(options, options.canary_share_ppm) * options.shortest_step * 2;
-  return now + MarginOf(options, state) + shortest_ramp >= state.complete_by;
+  return state.evidence < options.doubt || !HasTimeToWait(options, state, now);
 }
 
 std::optional<std::uint32_t> NextShare(const RampOptions& options,
                                        const RampState& state, WallTime now) {
   assert(state.stage == RolloutStage::kRamp);
   if (state.since_step < options.shortest_step) return std::nullopt;
-  const double steps = StepsLeft(options, state.share_ppm);
-  const FloatMs left = state.complete_by - now - MarginOf(options, state);
-  const FloatMs shortest = steps * options.shortest_step * 2;
-  if (left > shortest) {
+  if (HasTimeToWait(options, state, now)) {
     if (state.evidence >= options.doubt) return std::nullopt;
-    // The time since the last step counts towards this one.
-    const FloatMs planned = (left + FloatMs(state.since_step)) / (steps + 1);
-    const FloatMs longest = FloatMs(options.longest_ramp) / (steps + 1);
+    // Spread the steps over the time left; that since the last step counts.
+    const double steps = StepsLeft(options, state.share_ppm) + 1;
+    const FloatMs left = state.complete_by - now - MarginOf(options, state);
+    const FloatMs planned = (left + FloatMs(state.since_step)) / steps;
+    const FloatMs longest = FloatMs(options.longest_ramp) / steps;
     const FloatMs dwell = state.hurry ? FloatMs(options.shortest_step)
                                       : std::min(planned, longest);
     if (FloatMs(state.since_step) < dwell) return std::nullopt;
@@ -92,12 +98,14 @@
   if (weights.size() < 2) return shares;
   for (const RouteWeight& route : weights) {
     if (route.weight <= 0) continue;
-    const double canary = std::min<double>(
-        EvenShare(options.canary_share_ppm, route.weight, weights.size()),
-        options.most_route_share_ppm);
-    const double control = std::min<double>(
-        EvenShare(options.control_share_ppm, route.weight, weights.size()),
-        options.most_route_control_ppm);
+    const double canary =
+        std::min<double>(EvenShare(options.canary_share_ppm, options.even_part,
+                                   route.weight, weights.size()),
+                         options.most_route_share_ppm);
+    const double control =
+        std::min<double>(EvenShare(options.control_share_ppm, options.even_part,
+                                   route.weight, weights.size()),
+                         options.most_route_control_ppm);
     const double narrow = share_ppm <= options.canary_share_ppm
                               ? canary
                               : std::max<double>(share_ppm, canary);
--- a/core/rollout/ramp_plan.h
+++ b/core/rollout/ramp_plan.h
@@ -18,13 +18,15 @@
   std::uint32_t canary_share_ppm =
       7'000;  ///< share of the pool's requests while it is a canary
   std::uint32_t control_share_ppm =
-      10'000;  ///< share that stays with the old version while it is watched at
+      20'000;  ///< share that stays with the old version while it is watched at
                ///< full share, so that both can be compared
   std::uint32_t most_route_share_ppm =
       200'000;  ///< most that a rare route gives the canary
   std::uint32_t most_route_control_ppm =
-      50'000;  ///< most that a rare route leaves to the old version
-  std::size_t canary_targets = 3;  ///< targets that share the canary's requests
+      200'000;  ///< most that a rare route leaves to the old version
+  double even_part = 0.75;  ///< part of that share, and of the control's, that
+                            ///< is spread alike over the routes
+  std::size_t canary_targets = 4;  ///< targets that share the canary's requests
   double step = 1.6;               ///< each step widens the share so many times
   double canary_part = 0.6;   ///< part of the time allowed that is spent as a
                               ///< canary
@@ -56,6 +58,12 @@
   double weight = 0;  ///< its share of the pool's requests
 };
 
+/// True while a doubt may hold the share: the rest of the ramp still fits into
+/// the time left. @pre the stage is kCanary or kRamp. Thread safety: any
+/// thread.
+bool HasTimeToWait(const RampOptions& options, const RampState& state,
+                   WallTime now);
+
 /// True when the canary has run long enough. A doubt prolongs it as long as
 /// the time allows. @pre state.stage is kCanary. Thread safety: any thread.
 bool CanaryPassed(const RampOptions& options, const RampState& state,
@@ -73,7 +81,7 @@
                                std::uint32_t share_ppm, std::size_t old_targets,
                                std::size_t new_targets);
 
-/// Shares of the routes when the pool's share is `share_ppm`: half of the
+/// Shares of the routes when the pool's share is `share_ppm`: most of the
 /// canary's budget is spread alike over the routes, so that rare ones are
 /// judged too; a wider share overtakes it. Thread safety: any thread.
 std::vector<RouteShare> RouteSharesFor(const RampOptions& options,
--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -181,13 +181,15 @@
       return true;
     }
   }
+  // The time to wait for more evidence is over: less of it decides.
   const bool late = wall_now >= options_.pool.rollout->complete_by;
-  if (late && record_.stage < RolloutStage::kBake &&
-      judge_->evidence() >= options_.settings.deadline_doubt) {
-    RollBack({.signal = "deadline",
-              .sentence = "the time was up while the evidence against the new "
-                          "version was strong"},
-             wall_now);
+  const bool out_of_time =
+      record_.stage == RolloutStage::kBake
+          ? wall_now >= record_.stage_since + 2 * options_.pool.rollout->bake
+          : IsWidening(record_.stage) &&
+                !HasTimeToWait(options_.settings.ramp, StateOf(now), wall_now);
+  if (out_of_time && judge_->evidence() >= options_.settings.last_doubt) {
+    RollBack(LastDoubt(), wall_now);
     return true;
   }
   if (!targets_.new_version.empty()) {
@@ -202,6 +204,13 @@
   return true;
 }
 
+RolloutReason RolloutTracker::LastDoubt() const {
+  RolloutReason reason = judge_->Strongest();
+  reason.sentence =
+      "no time was left to settle the doubt that " + reason.sentence;
+  return reason;
+}
+
 void RolloutTracker::DecidePending(MonoTime now, WallTime wall_now) {
   if (targets_.new_version.empty()) return;
   RolloutRecord next = record_;
@@ -241,7 +250,7 @@
   if (spent < bake) return;
   // A doubt is watched on, for as long again at most.
   const bool doubt = judge_->evidence() >= options_.settings.ramp.doubt;
-  if (doubt && spent < 2 * bake) return;
+  if (doubt && spent <= 2 * bake) return;
   RolloutRecord next = record_;
   next.share_ppm = kWholeShare;
   next.route_shares.clear();
--- a/core/rollout/rollout_tracker.h
+++ b/core/rollout/rollout_tracker.h
@@ -32,8 +32,9 @@
                                     ///< target for so long
   Milliseconds ejection{60'000};    ///< a local ejection lasts so long, unless
                                     ///< the rollout is rolled back
-  double deadline_doubt =
-      0.7;  ///< evidence against the version that rolls it back at the deadline
+  double last_doubt = 0.5;  ///< evidence that rolls the version back when there
+                            ///< is no more time to wait for more: at the latest
+                            ///< start of the ramp, and at the end of the bake
   std::function<std::unique_ptr<VersionJudge>()>
       make_judge{};  ///< judge of the owner; empty for the sequential one
   std::function<std::unique_ptr<VersionJudge>()>
@@ -114,6 +115,7 @@
   EvidenceBlock BlockOf(std::vector<EvidenceCell> cells, MonoTime now) const;
   void Decide(MonoTime now, WallTime wall_now);
   bool DecideEnd(MonoTime now, WallTime wall_now);
+  RolloutReason LastDoubt() const;
   void DecidePending(MonoTime now, WallTime wall_now);
   void DecideCanary(MonoTime now, WallTime wall_now);
   void DecideRamp(MonoTime now, WallTime wall_now);
--- a/core/rollout/route_block.cc
+++ b/core/rollout/route_block.cc
@@ -10,6 +10,7 @@
   version.cells.push_back(&cell);
   version.requests += RequestsOf(cell);
   version.failures += FailuresOf(cell);
+  version.refused += cell.refused;
   for (std::size_t bucket = 0; bucket < kLatencyBuckets; ++bucket) {
     version.latency[bucket] += cell.latency[bucket];
     version.successes += cell.latency[bucket];
--- a/core/rollout/route_block.h
+++ b/core/rollout/route_block.h
@@ -14,6 +14,7 @@
   std::vector<const EvidenceCell*> cells{};  ///< one for each target
   std::uint64_t requests = 0;                ///< run or refused
   std::uint64_t failures = 0;                ///< failed or refused
+  std::uint64_t refused = 0;                 ///< refused
   std::uint64_t successes = 0;               ///< requests in the histogram
   LatencyHistogram latency{};                ///< of the successes
 };
--- a/core/rollout/route_comparison.cc
+++ b/core/rollout/route_comparison.cc
@@ -9,7 +9,8 @@
 
 constexpr double kLatencyShare = 0.25;  // of the old version's requests
 constexpr double kTailShare = 0.05;
-constexpr double kFewestForBounds = 100;  // successes of the old version
+constexpr double kOverloadedShare = 0.01;  // of the old version's requests
+constexpr double kFewestForBounds = 100;   // successes of the old version
 constexpr double kPriorRequests = 100;
 constexpr double kPriorHits = 0.3;
 
@@ -26,7 +27,11 @@
                               const BlockContext& context,
                               std::array<SignalCounts, kJudgeSignals>& counts,
                               const Sink& sink) {
-  // Failures: a cold target counts as well, with a wider tolerance.
+  // Failures: a cold target counts as well, with a wider tolerance. When the
+  // old version refuses requests too, the load is at fault.
+  const bool overloaded =
+      static_cast<double>(block.old_version.refused) >
+      kOverloadedShare * static_cast<double>(block.old_version.requests);
   std::vector<Sample> old_samples;
   std::vector<Sample> new_samples;
   const auto add_failures = [&](const VersionCells& version, bool is_new,
@@ -34,8 +39,10 @@
     samples.clear();
     for (const EvidenceCell* cell : version.cells) {
       samples.push_back({.target = &cell->target,
-                         .requests = static_cast<double>(RequestsOf(*cell)),
-                         .hits = static_cast<double>(FailuresOf(*cell)),
+                         .requests = static_cast<double>(
+                             overloaded ? cell->requests : RequestsOf(*cell)),
+                         .hits = static_cast<double>(
+                             overloaded ? cell->failures : FailuresOf(*cell)),
                          .cold = context.is_cold(cell->target, is_new)});
     }
   };
--- a/core/rollout/route_comparison.h
+++ b/core/rollout/route_comparison.h
@@ -34,7 +34,7 @@
       60'000;  ///< requests after which the old version's rates weigh half
   double new_half_life =
       1'000;  ///< requests after which the new version's rate weighs half
-  double most_dispersion = 3;  ///< bound on the measured dispersion
+  double most_dispersion = 1.5;  ///< bound on the measured dispersion
 };
 
 /// What was counted on one signal so far.
--- a/core/rollout/version_judge.cc
+++ b/core/rollout/version_judge.cc
@@ -39,17 +39,21 @@
   return "unknown";
 }
 
-std::optional<RolloutReason> VersionJudge::Condemnation() const {
-  if (evidence() < 1) return std::nullopt;
+RolloutReason VersionJudge::Strongest() const {
   const std::vector<EvidenceView> views = View();
   const auto worst =
       std::ranges::max_element(views, {}, &EvidenceView::evidence);
-  if (worst == views.end()) return std::nullopt;
-  return RolloutReason{.signal = std::string(NameOf(worst->signal)),
-                       .route = worst->route,
-                       .new_requests = worst->new_requests,
-                       .old_requests = worst->old_requests,
-                       .sentence = SentenceOf(*worst)};
+  if (worst == views.end()) return {};
+  return {.signal = std::string(NameOf(worst->signal)),
+          .route = worst->route,
+          .new_requests = worst->new_requests,
+          .old_requests = worst->old_requests,
+          .sentence = SentenceOf(*worst)};
+}
+
+std::optional<RolloutReason> VersionJudge::Condemnation() const {
+  if (evidence() < 1) return std::nullopt;
+  return Strongest();
 }
 
 }  // namespace camphor
--- a/core/rollout/version_judge.h
+++ b/core/rollout/version_judge.h
@@ -70,6 +70,9 @@
   /// The strongest evidence against the new version; 1 is enough to roll back.
   virtual double evidence() const = 0;
 
+  /// What speaks most against the new version.
+  RolloutReason Strongest() const;
+
   /// Why the new version is to be rolled back, once the evidence suffices.
   std::optional<RolloutReason> Condemnation() const;
 };
--- a/performance_test/rollout/measure_rollout_main.cc
+++ b/performance_test/rollout/measure_rollout_main.cc
@@ -29,6 +29,7 @@
   int seed = 1;
   int moves = 120;
   int threads = 4;
+  int index = 0;
   std::string workload;
   std::string record;
   std::string kind;
@@ -123,7 +124,7 @@
 
   TrialSummary summary;
   for (std::size_t index = 0; index < moves; ++index) {
-    summary.Add(kinds[index % kinds.size()], results[index]);
+    summary.Add(kinds[index % kinds.size()], index, results[index]);
   }
   return summary;
 }
@@ -133,10 +134,12 @@
   std::ofstream file(arguments.record);
   file << "seconds,stage,share,new_requests,new_failures,old_requests,"
           "old_failures,evidence\n";
+  const auto index = static_cast<std::size_t>(arguments.index);
+  const RolloutKind& kind = kinds[index % kinds.size()];
   const TrialResult result = RunTrial(
       {.workload = workload,
-       .kind = kinds.front(),
-       .seed = TrialSeed(arguments.seed, 0),
+       .kind = kind,
+       .seed = TrialSeed(arguments.seed, index),
        .record = [&file](const TrialMoment& moment) {
          file << fmt::format("{},{},{},{},{},{},{},{}\n", moment.seconds,
                              NameOf(moment.record.stage),
@@ -149,8 +152,8 @@
     return EXIT_FAILURE;
   }
   fmt::print("kind={} rolled_back={} in_time={} bad_share={:.5f} reason={}\n",
-             kinds.front().name, result.rolled_back, result.in_time,
-             result.bad_share, result.reason.sentence);
+             kind.name, result.rolled_back, result.in_time, result.bad_share,
+             result.reason.sentence);
   return EXIT_SUCCESS;
 }
 
@@ -210,6 +213,8 @@
       {"workload", 0, POPT_ARG_STRING, &workload, 0,
        "workload in JSON with comments", "FILE"},
       {"kind", 0, POPT_ARG_STRING, &kind, 0, "try this kind alone", "NAME"},
+      {"index", 0, POPT_ARG_INT, &arguments.index, 0,
+       "which of the rollouts to record", "N"},
       {"record", 0, POPT_ARG_STRING, &record, 0,
        "run one rollout and write it as CSV", "FILE"},
       {"no-baselines", 0, POPT_ARG_NONE, &no_baselines, 0,
@@ -221,7 +226,8 @@
       poptGetContext("measure_rollout", argc, argv, options, 0);
   const int parsed = poptGetNextOpt(context);
   const bool valid = parsed == -1 && poptPeekArg(context) == nullptr &&
-                     arguments.moves > 0 && arguments.threads > 0;
+                     arguments.moves > 0 && arguments.threads > 0 &&
+                     arguments.index >= 0;
   if (!valid)
     fmt::print(stderr, "measure_rollout: bad arguments, see --help\n");
   arguments.baselines = no_baselines == 0;
--- a/performance_test/rollout/trial_summary.cc
+++ b/performance_test/rollout/trial_summary.cc
@@ -53,10 +53,12 @@
   return values[static_cast<std::size_t>(std::max(rank, 0.0))];
 }
 
-void TrialSummary::Add(const RolloutKind& kind, const TrialResult& result) {
+void TrialSummary::Add(const RolloutKind& kind, std::size_t index,
+                       const TrialResult& result) {
   Row& row = rows_[kind.name];
   row.kind = kind;
   row.results.push_back(result);
+  row.indices.push_back(index);
 }
 
 std::string TrialSummary::Table() const {
@@ -105,13 +107,15 @@
 std::string TrialSummary::Faults() const {
   std::string lines;
   for (const auto& [name, row] : rows_) {
-    for (const TrialResult& result : row.results) {
+    for (std::size_t entry = 0; entry < row.results.size(); ++entry) {
+      const TrialResult& result = row.results[entry];
       if (row.kind.bad ? result.rolled_back : result.in_time) continue;
-      lines += fmt::format("{}: {} {}\n", name,
-                           result.rolled_back ? "rolled back:"
-                           : result.ended     ? "done:"
-                                              : "not ended:",
-                           result.reason.signal + " " + result.reason.sentence);
+      const std::string_view end = result.rolled_back ? "rolled back"
+                                   : result.ended     ? "done"
+                                                      : "not ended";
+      lines +=
+          fmt::format("{} index={}: {}: {}: {}\n", name, row.indices[entry],
+                      end, result.reason.signal, result.reason.sentence);
     }
   }
   return lines;
--- a/performance_test/rollout/trial_summary.h
+++ b/performance_test/rollout/trial_summary.h
@@ -13,8 +13,9 @@
 /// Adds up how many rollouts went; prints them. Not thread safe.
 class TrialSummary {
  public:
-  /// Adds one rollout.
-  void Add(const RolloutKind& kind, const TrialResult& result);
+  /// Adds one rollout; `index` is its place in the measurement.
+  void Add(const RolloutKind& kind, std::size_t index,
+           const TrialResult& result);
 
   /// One row for each kind.
   std::string Table() const;
@@ -29,6 +30,7 @@
   struct Row {
     RolloutKind kind{};
     std::vector<TrialResult> results{};
+    std::vector<std::size_t> indices{};
   };
 
   std::map<std::string, Row> rows_;
