Count fast requests too, and leave queueing out of the judgement

Cause: latency was judged by slow requests alone, as if they were rare; where a quarter is slow this overstates the chance spread.

Change: FrequentHitEvidence takes both into account. Latency and refusals do not count while the slots of the new targets would be more than 0.85 busy at the old version's present service time.

--- /dev/null
+++ b/core/rollout/hit_evidence.cc
@@ -0,0 +1,61 @@
+#include "core/rollout/hit_evidence.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace camphor {
+namespace {
+
+constexpr double kHighestRate = 0.97;
+constexpr double kLeastEffect = 1.02;  // a smaller one cannot be told
+
+/// Log likelihood ratio of events that the new version is to have `effect`
+/// times as often as `tolerated` times the old version's rate. The target is
+/// set against its part of the old version's events.
+double ConditionalRatio(const HitCounts& counts, double target_events,
+                        double old_events, double tolerated, double effect) {
+  const double part = counts.target_requests / counts.new_requests;
+  const double scale =
+      (counts.old_requests + tolerated * effect * counts.new_requests) /
+      (counts.old_requests + tolerated * counts.new_requests);
+  return target_events * std::log(effect) -
+         (target_events + old_events * part) * std::log(scale);
+}
+
+}  // namespace
+
+LogRatios RareHitEvidence(const HitCounts& counts, double tolerated) {
+  assert(counts.new_requests > 0 && counts.old_requests > 0);
+  LogRatios ratios{};
+  for (std::size_t size = 0; size < ratios.size(); ++size) {
+    ratios[size] = ConditionalRatio(counts, counts.target_hits, counts.old_hits,
+                                    tolerated, kEffectSizes[size]);
+  }
+  return ratios;
+}
+
+LogRatios FrequentHitEvidence(const HitCounts& counts, double tolerated,
+                              double usual_rate) {
+  assert(counts.new_requests > 0 && counts.old_requests > 0);
+  assert(usual_rate > 0 && usual_rate < 1);
+  LogRatios ratios{};
+  const double null_rate = std::min(tolerated * usual_rate, kHighestRate);
+  const double null_misses = (1 - null_rate) / (1 - usual_rate);
+  for (std::size_t size = 0; size < ratios.size(); ++size) {
+    // A rate cannot pass one: large effects are as large as they can be.
+    const double rate = std::min(null_rate * kEffectSizes[size], kHighestRate);
+    const double effect = rate / null_rate;
+    if (effect < kLeastEffect) continue;
+    const double misses_effect = (1 - rate) / (1 - null_rate);
+    ratios[size] =
+        ConditionalRatio(counts, counts.target_hits, counts.old_hits,
+                         null_rate / usual_rate, effect) +
+        ConditionalRatio(counts, counts.target_requests - counts.target_hits,
+                         counts.old_requests - counts.old_hits, null_misses,
+                         misses_effect);
+  }
+  return ratios;
+}
+
+}  // namespace camphor
--- a/core/rollout/latency_histogram.cc
+++ b/core/rollout/latency_histogram.cc
@@ -28,4 +28,17 @@
   return static_cast<std::size_t>(bound - kLatencyBounds.begin());
 }
 
+double MeanLatencySeconds(const LatencyHistogram& histogram) {
+  double requests = 0;
+  double seconds = 0;
+  for (std::size_t bucket = 0; bucket < kLatencyBuckets; ++bucket) {
+    // The middle of a bucket, on the logarithmic scale.
+    const double middle = kFirstBoundMicroseconds * 1e-6 *
+                          std::exp2(static_cast<double>(bucket) / 2 - 0.25);
+    requests += histogram[bucket];
+    seconds += histogram[bucket] * middle;
+  }
+  return requests > 0 ? seconds / requests : 0;
+}
+
 }  // namespace camphor
--- a/core/rollout/latency_histogram.h
+++ b/core/rollout/latency_histogram.h
@@ -17,6 +17,10 @@
 /// Bucket that counts the given latency. Thread safety: any thread.
 std::size_t LatencyBucketOf(Microseconds latency);
 
+/// Mean latency of the histogram in seconds, about; 0 when it is empty. Thread
+/// safety: any thread.
+double MeanLatencySeconds(const LatencyHistogram& histogram);
+
 }  // namespace camphor
 
 #endif  // CAMPHORHILL_CORE_ROLLOUT_LATENCY_HISTOGRAM_H_
--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -153,6 +153,7 @@
           .new_version = options_.pool.rollout->version,
           .end = now,
           .new_targets = chosen,
+          .slots = options_.pool.slots_per_target,
           .cells = std::move(cells)};
 }
 
--- a/core/rollout/route_comparison.cc
+++ b/core/rollout/route_comparison.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numeric>
 
+#include "core/rollout/hit_evidence.h"
+
 namespace camphor {
 namespace {
 
@@ -13,6 +15,7 @@
 constexpr double kFewestForBounds = 100;   // successes of the old version
 constexpr double kPriorRequests = 100;
 constexpr double kPriorHits = 0.3;
+constexpr double kHighestUsualRate = 0.95;
 
 std::size_t IndexOf(JudgeSignal signal) {
   return static_cast<std::size_t>(signal);
@@ -27,11 +30,12 @@
                               const BlockContext& context,
                               std::array<SignalCounts, kJudgeSignals>& counts,
                               const Sink& sink) {
-  // Failures: a cold target counts as well, with a wider tolerance. When the
-  // old version refuses requests too, the load is at fault.
+  // Failures: a cold target counts as well, with a wider tolerance. Refusals
+  // are the load's fault when the old version refuses requests too, or would.
   const bool overloaded =
+      context.new_busy > options_->most_busy ||
       static_cast<double>(block.old_version.refused) >
-      kOverloadedShare * static_cast<double>(block.old_version.requests);
+          kOverloadedShare * static_cast<double>(block.old_version.requests);
   std::vector<Sample> old_samples;
   std::vector<Sample> new_samples;
   const auto add_failures = [&](const VersionCells& version, bool is_new,
@@ -51,13 +55,13 @@
   CompareSignal(JudgeSignal::kFailures, old_samples, new_samples, context,
                 counts[IndexOf(JudgeSignal::kFailures)], sink);
 
-  // Latency: a cold target does not count.
+  // Latency: a cold target does not count, nor does one that queues.
   for (const auto& [signal, share] :
        {std::pair(JudgeSignal::kLatency, kLatencyShare),
         std::pair(JudgeSignal::kTail, kTailShare)}) {
     std::optional<std::size_t>& bucket = slow_bucket_[IndexOf(signal)];
     if (!bucket) bucket = SlowBucket(share);
-    if (!bucket) continue;
+    if (!bucket || context.new_busy > options_->most_busy) continue;
     const auto add_slow = [&](const VersionCells& version, bool is_new,
                               std::vector<Sample>& samples) {
       samples.clear();
@@ -145,19 +149,18 @@
           std::max(old_rate, (new_rate - excess) / tolerance.ratio);
       const double tolerated =
           load_ratio * (tolerance.ratio + excess / usual_rate);
-      // Of the hits on both sides, how many fall to this target? Each target
-      // is set against its part of the old version's.
-      const double part = sample.requests / new_requests;
-      const double hits = sample.hits + old_hits * part;
-      LogRatios ratios{};
-      for (std::size_t size = 0; size < ratios.size(); ++size) {
-        const double effect = kEffectSizes[size];
-        const double scale =
-            (old_requests + tolerated * effect * new_requests) /
-            (old_requests + tolerated * new_requests);
-        const double ratio =
-            sample.hits * std::log(effect) - hits * std::log(scale);
-        ratios[size] = std::min(ratio / dispersion, options_->block_limit);
+      const HitCounts hits{.target_requests = sample.requests,
+                           .target_hits = sample.hits,
+                           .new_requests = new_requests,
+                           .old_requests = old_requests,
+                           .old_hits = old_hits};
+      LogRatios ratios =
+          signal == JudgeSignal::kFailures
+              ? RareHitEvidence(hits, tolerated)
+              : FrequentHitEvidence(hits, tolerated,
+                                    std::min(old_rate, kHighestUsualRate));
+      for (double& ratio : ratios) {
+        ratio = std::min(ratio / dispersion, options_->block_limit);
       }
       sink(signal, *sample.target, ratios);
     }
--- a/core/rollout/route_comparison.h
+++ b/core/rollout/route_comparison.h
@@ -27,7 +27,10 @@
   double cold_failure_excess =
       0.08;  ///< more failures than that are no cold start
   Seconds cold_start{
-      60};  ///< a new target's latency does not count for so long
+      90};  ///< a new target's latency does not count for so long
+  double most_busy =
+      0.85;  ///< busy part of the slots above which requests queue whatever
+             ///< the version: latency and refusals do not count
   double block_limit =
       4;  ///< most that one target may add to the evidence in a block
   double baseline_half_life =
@@ -51,6 +54,8 @@
       is_cold{};        ///< says whether a target is in its cold start
   double old_load = 0;  ///< requests a second of one target; 0 if not known
   double new_load = 0;  ///< the same of the new version
+  double new_busy = 0;  ///< busy part of the new targets' slots, if they ran
+                        ///< their requests as fast as the old version does
 };
 
 /// Compares both versions on one route, block by block.
--- a/core/rollout/sequential_judge.h
+++ b/core/rollout/sequential_judge.h
@@ -44,8 +44,20 @@
     std::array<SignalCounts, kJudgeSignals> counts{};
   };
 
+  /// Mean latency of the old version's recent requests on a route.
+  class ServiceTime {
+   public:
+    /// Learns from a block; returns the mean in seconds.
+    double Learn(const VersionCells& old_version);
+
+   private:
+    double requests_ = 0;
+    double seconds_ = 0;
+  };
+
   void AddRoute(const RouteBlock& route, const BlockContext& context);
-  BlockContext ContextOf(const EvidenceBlock& block);
+  BlockContext ContextOf(const EvidenceBlock& block,
+                         const std::vector<RouteBlock>& routes);
   StrengthRule Rule() const;
   void EndBlock();
   bool IsCold(const TargetId& target, bool is_new, MonoTime now);
@@ -56,6 +68,7 @@
   Options options_;
   std::map<RouteName, RouteComparison> comparisons_;
   std::map<RouteName, Track> tracks_;
+  std::map<RouteName, ServiceTime> service_times_;
   Track pooled_;
   std::map<TargetId, MonoTime> first_seen_;
   std::optional<MonoTime> started_;
--- a/core/rollout/version_judge.h
+++ b/core/rollout/version_judge.h
@@ -18,7 +18,8 @@
   TargetVersion new_version;  ///< version that is to take over
   MonoTime end{};             ///< end of the period
   std::size_t new_targets =
-      0;  ///< targets of the new version that get requests
+      0;                     ///< targets of the new version that get requests
+  std::uint32_t slots = 10;  ///< requests that one target runs at a time
   std::vector<EvidenceCell> cells{};  ///< sorted by route, version and target
 };
 
--- a/performance_test/rollout/rollout_trial.cc
+++ b/performance_test/rollout/rollout_trial.cc
@@ -83,7 +83,8 @@
        .version = TargetVersion(kOldVersion),
        .rollout = RolloutSpec{.version = TargetVersion(kNewVersion),
                               .complete_by = WallAt(workload.time_allowed_s),
-                              .bake = Seconds(workload.bake_s)}});
+                              .bake = Seconds(workload.bake_s)},
+       .slots_per_target = static_cast<std::uint32_t>(workload.slots)});
   return snapshot;
 }
 
