--- /dev/null
+++ b/node/decisions/decision_thread.cc
@@ -0,0 +1,142 @@
+#include "node/decisions/decision_thread.h"
+
+#include <string_view>
+#include <utility>
+
+namespace camphor {
+namespace {
+
+constexpr std::array<std::string_view, 5> kSourceNames = {
+    "main", "mesh", "proxy", "platform", "admin"};
+constexpr Milliseconds kFullRingPause{1};
+
+}  // namespace
+
+DecisionThread::DecisionThread(Options options)
+    : options_(std::move(options)),
+      samples_({.name = "samples", .capacity = options_.sample_capacity}) {
+  for (std::size_t index = 0; index < rings_.size(); ++index) {
+    rings_.at(index) = std::make_unique<TaskRing>(
+        TaskRing::Options{.name = std::string(kSourceNames.at(index)),
+                          .capacity = options_.task_capacity,
+                          .wake = [this] { Wake(); }});
+  }
+}
+
+DecisionThread::~DecisionThread() { Stop(); }
+
+void DecisionThread::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void DecisionThread::Stop() {
+  if (!thread_.joinable()) return;
+  stopping_ = true;
+  Wake();
+  thread_.join();
+}
+
+bool DecisionThread::Post(Source source, Task task) {
+  if (std::this_thread::get_id() == thread_id_.load()) {
+    own_tasks_.push_back(std::move(task));
+    return true;
+  }
+  TaskRing& ring = *rings_.at(static_cast<std::size_t>(source));
+  const auto message = std::make_shared<Task>(std::move(task));
+  while (!stopping_) {
+    if (ring.Push(message)) return true;
+    std::this_thread::sleep_for(kFullRingPause);
+  }
+  return false;
+}
+
+void DecisionThread::RunAfter(Milliseconds delay, Task task) {
+  delayed_.emplace(std::chrono::steady_clock::now() + delay, std::move(task));
+}
+
+std::vector<DecisionThread::RingLoad> DecisionThread::ring_loads() const {
+  std::vector<RingLoad> loads;
+  for (const auto& ring : rings_) {
+    loads.push_back({.name = ring->name(),
+                     .depth = ring->depth(),
+                     .refused = ring->refused()});
+  }
+  loads.push_back({.name = samples_.name(),
+                   .depth = samples_.depth(),
+                   .refused = samples_.refused()});
+  return loads;
+}
+
+void DecisionThread::Run() {
+  thread_id_ = std::this_thread::get_id();
+  MonoTime next_tick = std::chrono::steady_clock::now();
+  while (!stopping_) {
+    // Samples wake nobody: they are taken with the tick or with other work.
+    const bool worked = RunTasks();
+    RunSamples();
+    const MonoTime now = std::chrono::steady_clock::now();
+    if (now >= next_tick) {
+      options_.on_tick();
+      RunDelayed(now);
+      next_tick = now + options_.tick;
+    }
+    options_.on_idle();
+    if (worked || !own_tasks_.empty()) continue;
+
+    std::unique_lock lock(mutex_);
+    wake_.wait_until(lock, next_tick, [this] { return woken_; });
+    woken_ = false;
+  }
+  RunTasks();
+}
+
+bool DecisionThread::RunTasks() {
+  // One task of each source in turn, so that none starves another.
+  bool worked = false;
+  for (std::size_t round = 0; round < options_.task_capacity; ++round) {
+    bool round_worked = false;
+    for (const auto& ring : rings_) {
+      const std::optional<std::shared_ptr<Task>> task = ring->Pop();
+      if (!task.has_value()) continue;
+      (**task)();
+      round_worked = true;
+    }
+    if (!round_worked) break;
+    worked = true;
+  }
+  return RunOwnTasks() || worked;
+}
+
+bool DecisionThread::RunOwnTasks() {
+  // Those that these tasks post run in the next round.
+  std::deque<Task> tasks;
+  tasks.swap(own_tasks_);
+  for (const Task& task : tasks) task();
+  return !tasks.empty();
+}
+
+void DecisionThread::RunDelayed(MonoTime now) {
+  while (!delayed_.empty() && delayed_.begin()->first <= now) {
+    const Task task = std::move(delayed_.begin()->second);
+    delayed_.erase(delayed_.begin());
+    task();
+  }
+}
+
+void DecisionThread::RunSamples() {
+  for (std::size_t count = 0; count < options_.sample_capacity; ++count) {
+    const std::optional<RequestSample> sample = samples_.Pop();
+    if (!sample.has_value()) return;
+    options_.on_sample(*sample);
+  }
+}
+
+void DecisionThread::Wake() {
+  {
+    const std::lock_guard lock(mutex_);
+    woken_ = true;
+  }
+  wake_.notify_one();
+}
+
+}  // namespace camphor
