--- /dev/null
+++ b/node/platform_sync/platform_sync.cc
@@ -0,0 +1,119 @@
+#include "node/platform_sync/platform_sync.h"
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <utility>
+
+namespace camphor {
+namespace {
+
+MonoTime Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+PlatformSync::PlatformSync(Options options)
+    : options_(std::move(options)),
+      repository_({.client = options_.platform,
+                   .schedule = options_.schedule,
+                   .random_seed = options_.random_seed}),
+      schedule_({.poll = options_.settings.poll,
+                 .slow_poll = options_.settings.slow_poll,
+                 .random_seed = options_.random_seed}),
+      archive_({.platform = options_.platform,
+                .post = options_.post,
+                .publish = [this](const RolloutRecord& record) {
+                  options_.controller->replicator().Publish(record, Now());
+                }}) {}
+
+void PlatformSync::Tick(MonoTime now) {
+  const Replicator& replicator = options_.controller->replicator();
+  const bool poller = replicator.is_platform_poller();
+  if (schedule_.Due(now, {.ready = replicator.ready(), .poller = poller})) {
+    ReadHead();
+  }
+  archive_.Tick(replicator.rollouts(), poller, now);
+}
+
+void PlatformSync::OnConfigChanged(const ConfigSnapshot& snapshot) {
+  archive_.SetConfig(snapshot);
+}
+
+void PlatformSync::ReadHead() {
+  repository_.ReadHead([this](const HeadResult& result) {
+    options_.post([this, result] { OnHead(result); });
+  });
+}
+
+void PlatformSync::OnHead(const HeadResult& result) {
+  const MonoTime now = Now();
+  const bool was_reachable = reachable();
+  schedule_.Finished(result.head.has_value(), now);
+  if (!result.head.has_value()) {
+    last_reason_ = result.reason;
+    if (was_reachable) {
+      options_.log->Log(LogLevel::kWarning, "platform",
+                        "the platform does not answer; serving goes on",
+                        {{"reason", result.reason}});
+    }
+    return;
+  }
+  if (!was_reachable) {
+    options_.log->Log(LogLevel::kInfo, "platform",
+                      "the platform answers again");
+  }
+  options_.controller->replicator().OnPlatformHead(*result.head, now);
+}
+
+void PlatformSync::FetchSnapshot(const ConfigHead& head) {
+  if (fetching_ == head) return;
+  fetching_ = head;
+  repository_.FetchSnapshot(head, [this, head](const SnapshotResult& result) {
+    options_.post([this, head, result] { OnSnapshot(head, result); });
+  });
+}
+
+void PlatformSync::OnSnapshot(const ConfigHead& head,
+                              const SnapshotResult& result) {
+  if (fetching_ == head) fetching_.reset();
+  if (result.snapshot.has_value()) {
+    options_.controller->replicator().OnPlatformSnapshot(*result.snapshot,
+                                                         Now());
+    return;
+  }
+  options_.log->Log(LogLevel::kWarning, "platform",
+                    "a snapshot could not be fetched",
+                    {{"version", head.version}, {"reason", result.reason}});
+}
+
+void PlatformSync::Accept(ConfigEdit edit,
+                          std::function<void(const AcceptResult&)> done) {
+  const ConfigSnapshot tables = edit.tables;
+  repository_.Accept(std::move(edit), [this, tables, done = std::move(done)](
+                                          const AcceptResult& result) {
+    options_.post([this, tables, done, result] {
+      OnAccepted(tables, result);
+      done(result);
+    });
+  });
+}
+
+void PlatformSync::OnAccepted(const ConfigSnapshot& tables,
+                              const AcceptResult& result) {
+  Replicator& replicator = options_.controller->replicator();
+  if (result.head.version > 0) replicator.OnPlatformHead(result.head, Now());
+  if (result.status != AcceptStatus::kAccepted) return;
+  // Spreads at once from here, without a read of the object store.
+  ConfigSnapshot accepted = tables;
+  accepted.head = result.head;
+  replicator.OnPlatformSnapshot(accepted, Now());
+}
+
+boost::json::object PlatformSync::Dump() const {
+  return {{"reachable", reachable()},
+          {"failures", schedule_.failures()},
+          {"last_reason", last_reason_},
+          {"fetching", fetching_.has_value() ? fetching_->version : 0},
+          {"rollouts_unread", archive_.unread()}};
+}
+
+}  // namespace camphor
