--- a/harness/fleet.h
+++ b/harness/fleet.h
@@ -90,7 +90,8 @@
   /// Waits until every running host serves at least the version.
   bool AwaitVersion(std::uint64_t version, Milliseconds timeout);
 
-  /// Waits until every running host sees the target, or no longer does.
+  /// Waits until every running host sees the target as one that takes work, or
+  /// no longer does.
   bool AwaitTarget(const std::string& target, bool seen, Milliseconds timeout);
 
   /// Cuts a host off from every other host and from the platform, both ways,
@@ -138,6 +139,9 @@
   /// The last lines of each log, for a failure report.
   std::string LogTails(std::size_t lines) const;
 
+  /// Writes the state dump of each running host into the folder.
+  void WriteDumps();
+
   /// Folder with logs and settings.
   const std::filesystem::path& folder() const { return folder_.path(); }
 
--- a/harness/scenario/process_steps.cc
+++ b/harness/scenario/process_steps.cc
@@ -37,7 +37,8 @@
       .history = true,
       .links = links,
       .extra_settings =
-          arguments.Text("settings", R"("proxy": {"debug_headers": true})")});
+          arguments.Text("settings", R"("proxy": {"debug_headers": true})"),
+      .keep_logs = options_.keep_logs});
   return true;
 }
 
--- a/harness/scenario/scenario_run.cc
+++ b/harness/scenario/scenario_run.cc
@@ -100,6 +100,7 @@
     for (const StepForm& form : StepForms()) {
       if (step.form != form.form) continue;
       if ((this->*form.run)(step.arguments)) continue;
+      if (options_.keep_logs) fleet_->WriteDumps();
       return Fail(
           fmt::format("line {}: {}\n  {}", step.line, step.text, last_reason_));
     }
--- a/harness/scenario/scenario_run.h
+++ b/harness/scenario/scenario_run.h
@@ -27,6 +27,7 @@
     std::string folder{};    ///< folder that tables are read from
     std::string programs{};  ///< folder of the programs; found if empty
     std::string run_id{};    ///< names the run in reports
+    bool keep_logs = false;  ///< leaves the processes' logs and settings
   };
 
   explicit ScenarioRun(Options options);
