--- /dev/null
+++ b/unit_tests/core/config/config_delta_test.cc
@@ -0,0 +1,103 @@
+#include "core/config/config_delta.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "core/config/config_codec.h"
+#include "core/config/table_diff.h"
+
+namespace camphor {
+namespace {
+
+// Tables of up to six pools, each with up to two routes.
+ConfigSnapshot AnySnapshot(ConfigVersion version) {
+  std::string pools;
+  std::string routes;
+  for (int pool = 0; pool < 6; ++pool) {
+    if (*rc::gen::inRange(0, 3) == 0) continue;
+    pools += fmt::format(R"({{"name": "p{}", "version": "v{}"}},)", pool,
+                         *rc::gen::inRange(0, 3));
+    for (int route = *rc::gen::inRange(0, 3); route > 0; --route)
+      routes += fmt::format(
+          R"({{"name": "r{}-{}", "pool": "p{}", "timeout_ms": {}}},)", pool,
+          route, pool, *rc::gen::inRange(1, 4));
+  }
+  ConfigCodec codec;
+  return *codec.Decode(
+      fmt::format(R"({{"routes": [{}], "pools": [{}]}})", routes, pools),
+      version);
+}
+
+TEST(ConfigDeltaApply, AnyTwoSnapshots_GivesTheSecondFromTheFirst) {
+  EXPECT_TRUE(rc::check([] {
+    const ConfigSnapshot from = AnySnapshot(1);
+    const ConfigSnapshot to = AnySnapshot(2);
+    const ConfigDelta delta = ConfigDelta::Between(from, to);
+    ConfigError reason;
+    const auto decoded =
+        ConfigDelta::Decode(delta.Encode(), delta.base, delta.head, reason);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(*decoded == delta);
+    RC_ASSERT(decoded->Apply(from, reason) == to);
+    RC_ASSERT(TableDiff::Between(from, to).rows.empty() ==
+              (from.head.digest == to.head.digest));
+  }));
+}
+
+TEST(ConfigDeltaApply, OtherBase_IsRefused) {
+  EXPECT_TRUE(rc::check([] {
+    ConfigCodec codec;
+    const ConfigSnapshot other =
+        *codec.Decode(R"({"pools": [{"name": "other", "version": "v1"}]})", 1);
+    const ConfigDelta delta =
+        ConfigDelta::Between(AnySnapshot(1), AnySnapshot(2));
+    ConfigError reason;
+    RC_ASSERT(!delta.Apply(other, reason));
+    RC_ASSERT(reason.kind == ConfigError::Kind::kMissingBase);
+  }));
+}
+
+TEST(ConfigDeltaApply, LostRow_IsRefusedByTheDigest) {
+  ConfigCodec codec;
+  const ConfigSnapshot from = *codec.Decode(R"({"pools": []})", 1);
+  const ConfigSnapshot to = *codec.Decode(
+      R"({"pools": [{"name": "a", "version": "1"}, {"name": "b", "version": "1"}]})",
+      2);
+  ConfigDelta delta = ConfigDelta::Between(from, to);
+  delta.pools.pop_back();
+  ConfigError reason;
+  EXPECT_FALSE(delta.Apply(from, reason));
+  EXPECT_EQ(reason.kind, ConfigError::Kind::kDigestMismatch);
+}
+
+TEST(ConfigDeltaDecode, UnknownField_IsRefusedWithItsName) {
+  ConfigError reason;
+  EXPECT_FALSE(ConfigDelta::Decode(R"({"routs": []})", {}, {}, reason));
+  EXPECT_EQ(reason.field, "routs");
+}
+
+TEST(TableDiffBetween, AddedRemovedChanged_AreListedWithFields) {
+  ConfigCodec codec;
+  const ConfigSnapshot before = *codec.Decode(
+      R"({"pools": [{"name": "a", "version": "1"}, {"name": "b", "version": "1"}]})",
+      1);
+  const ConfigSnapshot after = *codec.Decode(
+      R"({"pools": [{"name": "b", "version": "2"}, {"name": "c", "version": "1"}]})",
+      2);
+  const TableDiff diff = TableDiff::Between(before, after);
+  ASSERT_EQ(diff.rows.size(), 3U);
+  EXPECT_EQ(diff.rows[0].kind, RowChange::Kind::kRemoved);
+  EXPECT_EQ(diff.rows[1].kind, RowChange::Kind::kChanged);
+  EXPECT_EQ(diff.rows[1].fields,
+            (std::vector<FieldChange>{
+                {.field = "version", .before = "\"1\"", .after = "\"2\""}}));
+  EXPECT_EQ(diff.rows[2].kind, RowChange::Kind::kAdded);
+  EXPECT_NE(diff.ToText().find("~ pools b\n    version: \"1\" -> \"2\""),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace camphor
--- /dev/null
+++ b/unit_tests/core/membership/overlay_test.cc
@@ -0,0 +1,80 @@
+#include "core/membership/overlay.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+namespace camphor {
+namespace {
+
+std::map<HostId, HostRecord> Hosts(int count, int domains) {
+  std::map<HostId, HostRecord> hosts;
+  for (int index = 0; index < count; ++index) {
+    const HostId id(fmt::format("host-{}", index));
+    hosts.emplace(id, HostRecord{.host = id,
+                                 .domain = FailureDomain(
+                                     fmt::format("d{}", index % domains))});
+  }
+  return hosts;
+}
+
+TEST(OverlayNeighboursOf, ManyHosts_SymmetricBoundedAndMostlyOwnDomain) {
+  const auto hosts = Hosts(1800, 9);
+  const Overlay overlay(hosts, {});
+  std::size_t own = 0;
+  std::size_t all = 0;
+  for (const auto& [id, record] : hosts) {
+    const std::set<HostId> neighbours = overlay.NeighboursOf(id);
+    EXPECT_LE(neighbours.size(), 6U);
+    for (const HostId& neighbour : neighbours) {
+      EXPECT_TRUE(overlay.NeighboursOf(neighbour).contains(id));
+      ++all;
+      if (hosts.at(neighbour).domain == record.domain) ++own;
+    }
+  }
+  EXPECT_GT(own * 3, all * 2);
+}
+
+TEST(OverlayNeighboursOf, ManyHosts_EveryHostIsFewHopsAway) {
+  const auto hosts = Hosts(1800, 9);
+  const Overlay overlay(hosts, {});
+  std::map<HostId, int> hops{{hosts.begin()->first, 0}};
+  std::deque<HostId> open{hosts.begin()->first};
+  while (!open.empty()) {
+    const HostId host = open.front();
+    open.pop_front();
+    for (const HostId& next : overlay.NeighboursOf(host))
+      if (hops.emplace(next, hops.at(host) + 1).second) open.push_back(next);
+  }
+  EXPECT_EQ(hops.size(), hosts.size());
+  EXPECT_LE(std::ranges::max_element(
+                hops, {}, [](const auto& entry) { return entry.second; })
+                ->second,
+            10);
+}
+
+TEST(OverlayNeighboursOf, DeadHost_HasNoPlace) {
+  auto hosts = Hosts(6, 3);
+  hosts.at(HostId("host-2")).status = HostStatus::kDead;
+  const Overlay overlay(hosts, {});
+  EXPECT_TRUE(overlay.NeighboursOf(HostId("host-2")).empty());
+  for (const auto& [id, record] : hosts)
+    EXPECT_FALSE(overlay.NeighboursOf(id).contains(HostId("host-2")));
+}
+
+TEST(OverlayPollersOf, EachDomain_HasItsFewPollers) {
+  const auto hosts = Hosts(90, 9);
+  const Overlay overlay(hosts, {});
+  for (int domain = 0; domain < 9; ++domain) {
+    const FailureDomain name(fmt::format("d{}", domain));
+    const auto pollers = overlay.PollersOf(name);
+    EXPECT_EQ(pollers.size(), 2U);
+    for (const HostId& poller : pollers)
+      EXPECT_EQ(hosts.at(poller).domain, name);
+  }
+}
+
+}  // namespace
+}  // namespace camphor
