--- a/core/replication/cold_start.cc
+++ b/core/replication/cold_start.cc
@@ -10,11 +10,11 @@
 }
 
 void ColdStart::OnServingPeer(const FailureDomain& domain,
-                              const ConfigHead& head, MonoTime now) {
+                              ConfigVersion version, MonoTime now) {
   if (ready_) return;
   const bool added = !named_.contains(domain);
   ConfigVersion& named = named_[domain];
-  named = std::max(named, head.version);
+  named = std::max(named, version);
   if (added && named_.size() <= settings_.cold_start_domains)
     enough_named_since_ = now;
 }
--- a/core/replication/cold_start.h
+++ b/core/replication/cold_start.h
@@ -25,8 +25,9 @@
   /// The platform named its head in this life of the process.
   void OnPlatformHead(const ConfigHead& head);
 
-  /// A host of the failure domain, which serves already, names its head.
-  void OnServingPeer(const FailureDomain& domain, const ConfigHead& head,
+  /// A host of the failure domain, which serves already, names its
+  /// version.
+  void OnServingPeer(const FailureDomain& domain, ConfigVersion version,
                      MonoTime now);
 
   /// Decides anew. `in_force` is the version this host holds, `domains` the
--- a/core/replication/mesh_message.h
+++ b/core/replication/mesh_message.h
@@ -49,7 +49,7 @@
 /// Says that the sender lives and how far it is; sent to each overlay neighbour
 /// every period. Immutable value type.
 struct Heartbeat {
-  ConfigHead head{};              ///< newest configuration that it serves
+  ConfigVersion version = 0;      ///< newest configuration that it holds
   std::uint64_t fingerprint = 0;  ///< of all its records; equal means in step
   std::uint64_t applied_fingerprint =
       0;                      ///< the same of the versions hosts serve
--- a/core/replication/push_queue.cc
+++ b/core/replication/push_queue.cc
@@ -17,8 +17,16 @@
 void PushQueue::AddApplied(std::uint32_t incarnation_hash,
                            ConfigVersion version,
                            const std::optional<Endpoint>& from) {
-  applied_.insert_or_assign(incarnation_hash,
-                            Applied{.version = version, .from = from});
+  Applied applied{.version = version};
+  if (from) applied.known_by.insert(*from);
+  applied_.insert_or_assign(incarnation_hash, std::move(applied));
+}
+
+void PushQueue::NoteApplied(std::uint32_t incarnation_hash,
+                            ConfigVersion version, const Endpoint& from) {
+  const auto found = applied_.find(incarnation_hash);
+  if (found != applied_.end() && found->second.version == version)
+    found->second.known_by.insert(from);
 }
 
 void PushQueue::Flush(MonoTime now) {
@@ -53,7 +61,7 @@
   for (const Endpoint& neighbour : options_.neighbours()) {
     std::map<ConfigVersion, AppliedVersions> by_version;
     for (const auto& [hash, applied] : changed) {
-      if (applied.from == neighbour) continue;
+      if (applied.known_by.contains(neighbour)) continue;
       AppliedVersions& message = by_version[applied.version];
       message.version = applied.version;
       message.hosts.push_back(hash);
--- a/core/replication/push_queue.h
+++ b/core/replication/push_queue.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/base/endpoint.h"
@@ -40,6 +41,10 @@
   void AddApplied(std::uint32_t incarnation_hash, ConfigVersion version,
                   const std::optional<Endpoint>& from);
 
+  /// A peer knows already what waits to be pushed: it need not hear of it.
+  void NoteApplied(std::uint32_t incarnation_hash, ConfigVersion version,
+                   const Endpoint& from);
+
   /// Pushes what is due. Call after each message and about ten times a second.
   void Flush(MonoTime now);
 
@@ -51,7 +56,7 @@
 
   struct Applied {
     ConfigVersion version = 0;
-    Source from{};
+    std::set<Endpoint> known_by{};
   };
 
   void PushRecords();
--- a/core/replication/replicator.cc
+++ b/core/replication/replicator.cc
@@ -168,13 +168,15 @@
   TellDeadSender(from);
   const HostRecord* sender = store.FindHost(from);
   if (sender != nullptr && heartbeat.ready) {
-    cold_start.OnServingPeer(sender->domain, heartbeat.head, now);
-    Applied(*sender, heartbeat.head.version, from);
+    cold_start.OnServingPeer(sender->domain, heartbeat.version, now);
+    Applied(*sender, heartbeat.version, from);
   }
   if (!Repairs()) return;
-  config.OnPeerHead(from, heartbeat.head, now);
-  if (heartbeat.head.version < config.head().version)
+  // The one of the two that is ahead names its head, and the other one asks.
+  if (heartbeat.version < config.head().version)
     options.send(from, RecordsMessage{.head = config.head()});
+  if (heartbeat.version > config.head().version)
+    options.send(from, MakeHeartbeat(false));
   RepairIfDiffering(from, heartbeat);
   if (membership.IsNeighbour(from)) RepairAppliedIfDiffering(from, heartbeat);
 }
@@ -205,11 +207,13 @@
   for (const std::uint32_t hash : applied.hosts) {
     if (store.SetApplied(hash, applied.version))
       push.AddApplied(hash, applied.version, from);
+    else
+      push.NoteApplied(hash, applied.version, from);
   }
 }
 
 Heartbeat Replicator::State::MakeHeartbeat(bool reply_wanted) const {
-  return {.head = config.head(),
+  return {.version = config.head().version,
           .fingerprint = store.fingerprint(),
           .applied_fingerprint = store.applied_fingerprint(),
           .ready = cold_start.ready(),
@@ -341,6 +345,7 @@
 void Replicator::State::AskForHeads() {
   if (cold_start.ready() || now < next_ask) return;
   next_ask = now + kColdStartAskPeriod;
+  // A host that is ahead of this one names its head in return.
   for (const Endpoint& host : membership.SomeHosts(kColdStartHostsAsked))
     options.send(host, MakeHeartbeat(true));
 }
--- a/core/replication/replicator_settings.h
+++ b/core/replication/replicator_settings.h
@@ -24,8 +24,8 @@
                                    ///< neighbours each
   std::uint32_t global_rings = 1;  ///< rings over all hosts: two neighbours
                                    ///< each
-  Milliseconds heartbeat_period{2000};  ///< between heartbeats to a neighbour
-  Milliseconds suspect_after{5000};     ///< silence until other watchers are
+  Milliseconds heartbeat_period{2500};  ///< between heartbeats to a neighbour
+  Milliseconds suspect_after{6500};     ///< silence until other watchers are
                                         ///< asked
   Milliseconds lost_link_after{1000};   ///< the same, once the peer refused a
                                         ///< connection
--- a/mesh/mesh.capnp
+++ b/mesh/mesh.capnp
@@ -93,7 +93,7 @@
 }
 
 struct Heartbeat {
-  head @0 :Head;
+  version @0 :UInt64;
   fingerprint @1 :UInt64;
   ready @2 :Bool;
   replyWanted @3 :Bool;
--- a/mesh/mesh.capnp.h
+++ b/mesh/mesh.capnp.h
@@ -225,7 +225,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(823562126d8e22c5, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(823562126d8e22c5, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1699,8 +1699,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHead() const;
-  inline  ::camphor::wire::Head::Reader getHead() const;
+  inline  ::uint64_t getVersion() const;
 
   inline  ::uint64_t getFingerprint() const;
 
@@ -1738,12 +1737,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHead();
-  inline  ::camphor::wire::Head::Builder getHead();
-  inline void setHead( ::camphor::wire::Head::Reader value);
-  inline  ::camphor::wire::Head::Builder initHead();
-  inline void adoptHead(::capnp::Orphan< ::camphor::wire::Head>&& value);
-  inline ::capnp::Orphan< ::camphor::wire::Head> disownHead();
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
   inline  ::uint64_t getFingerprint();
   inline void setFingerprint( ::uint64_t value);
@@ -1775,7 +1770,6 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphor::wire::Head::Pipeline getHead();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4471,99 +4465,74 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasHead() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Heartbeat::Builder::hasHead() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::camphor::wire::Head::Reader Heartbeat::Reader::getHead() const {
-  return ::capnp::_::PointerHelpers< ::camphor::wire::Head>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::camphor::wire::Head::Builder Heartbeat::Builder::getHead() {
-  return ::capnp::_::PointerHelpers< ::camphor::wire::Head>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::camphor::wire::Head::Pipeline Heartbeat::Pipeline::getHead() {
-  return  ::camphor::wire::Head::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setHead( ::camphor::wire::Head::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphor::wire::Head>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::camphor::wire::Head::Builder Heartbeat::Builder::initHead() {
-  return ::capnp::_::PointerHelpers< ::camphor::wire::Head>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::uint64_t Heartbeat::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::adoptHead(
-    ::capnp::Orphan< ::camphor::wire::Head>&& value) {
-  ::capnp::_::PointerHelpers< ::camphor::wire::Head>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t Heartbeat::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::camphor::wire::Head> Heartbeat::Builder::disownHead() {
-  return ::capnp::_::PointerHelpers< ::camphor::wire::Head>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void Heartbeat::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Heartbeat::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Heartbeat::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::getReady() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool Heartbeat::Builder::getReady() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setReady(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::getReplyWanted() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 
 inline bool Heartbeat::Builder::getReplyWanted() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setReplyWanted(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t Heartbeat::Reader::getAppliedFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Heartbeat::Builder::getAppliedFingerprint() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setAppliedFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t SyncEntry::Reader::getKey() const {
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -230,7 +230,7 @@
   }
   void operator()(const Heartbeat& message) {
     auto heartbeat = out.initHeartbeat();
-    Write(message.head, heartbeat.initHead());
+    heartbeat.setVersion(message.version);
     heartbeat.setFingerprint(message.fingerprint);
     heartbeat.setAppliedFingerprint(message.applied_fingerprint);
     heartbeat.setReady(message.ready);
@@ -291,7 +291,7 @@
 }
 
 Heartbeat ReadHeartbeat(wire::Heartbeat::Reader in) {
-  return {.head = Read(in.getHead()),
+  return {.version = in.getVersion(),
           .fingerprint = in.getFingerprint(),
           .applied_fingerprint = in.getAppliedFingerprint(),
           .ready = in.getReady(),
