Join seeds that nobody has heard of until the mesh is one

Cause: a host that had one neighbour stopped joining, and looked for lost hosts only every 20 s. Hosts that start a little apart found each other in pairs: with 4 processes, h1+h3 and h2+h4 stayed apart, and a target or a configuration of one part was not seen in the other (found by scenarios; state dumps showed two host records on every host, repair idle, no suspicion). Ruled out: the mesh (all handshakes succeed), repair (both parts were equal within), heartbeats. Change: while some seed stands in no host record, it is joined with the backoff of a first join (at most 5 s); known ones are looked for rarely, as before. A control test had to follow: PushWithoutRepair_LeavesHostsBehind wants some of 20 seeds behind at half of the messages lost. It now takes 200 seeds and wants more than one in twenty, the share that it wanted. A seed address that is never used costs each host one attempt in 5 s at most.

--- a/core/membership/membership.cc
+++ b/core/membership/membership.cc
@@ -189,6 +189,14 @@
     ContactForJoin(now);
     return;
   }
+  // A seed that nobody here has heard of may be in another part of the mesh,
+  // which formed while this one did.
+  const std::vector<Endpoint> unheard = UnheardSeeds();
+  if (!unheard.empty()) {
+    next_contact_ = now + join_backoff_.Next(random_);
+    options_.join(Choose(unheard));
+    return;
+  }
   // Two parts of the mesh that lost each other find together again through a
   // seed or a host that is held for dead.
   join_backoff_.Reset();
@@ -203,9 +211,21 @@
   candidates.insert(candidates.end(), join_candidates_.begin(),
                     join_candidates_.end());
   std::erase(candidates, options_.mesh);
-  if (candidates.empty()) return;
+  if (!candidates.empty()) options_.join(Choose(candidates));
+}
+
+std::vector<Endpoint> Membership::UnheardSeeds() const {
+  std::vector<Endpoint> unheard;
+  std::ranges::copy_if(options_.seeds, std::back_inserter(unheard),
+                       [this](const Endpoint& seed) {
+                         return store_.FindHost(seed) == nullptr;
+                       });
+  return unheard;
+}
+
+const Endpoint& Membership::Choose(const std::vector<Endpoint>& candidates) {
   std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
-  options_.join(candidates[draw(random_)]);
+  return candidates[draw(random_)];
 }
 
 std::optional<Endpoint> Membership::ChooseLost() {
@@ -215,8 +235,7 @@
       candidates.push_back(record.mesh);
   }
   if (candidates.empty()) return std::nullopt;
-  std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
-  return candidates[draw(random_)];
+  return Choose(candidates);
 }
 
 void Membership::SendToHost(const HostId& host, const MeshMessage& message) {
--- a/core/membership/membership.h
+++ b/core/membership/membership.h
@@ -105,6 +105,8 @@
   void Contact(MonoTime now);
   void ContactForJoin(MonoTime now);
   std::optional<Endpoint> ChooseLost();
+  std::vector<Endpoint> UnheardSeeds() const;
+  const Endpoint& Choose(const std::vector<Endpoint>& candidates);
   void SendToHost(const HostId& host, const MeshMessage& message);
   Milliseconds Jittered(Milliseconds period);
 
--- a/unit_tests/core/replication/replicator_test.cc
+++ b/unit_tests/core/replication/replicator_test.cc
@@ -34,15 +34,17 @@
 TEST(ReplicatorDissemination, PushWithoutRepair_LeavesHostsBehind) {
   ReplicatorSettings settings;
   settings.mode = DisseminationMode::kPushOnly;
+  constexpr int kRuns = 200;
   int behind = 0;
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+  for (std::uint64_t seed = 1; seed <= kRuns; ++seed) {
     FakeMesh mesh(
         {.hosts = 12, .seed = seed, .loss = 0.5, .settings = settings});
     mesh.Run(10s);
     mesh.Accept(0);
     if (!mesh.RunUntil([&] { return mesh.AllServeNewest(); }, 19s)) ++behind;
   }
-  EXPECT_GT(behind, 0);
+  // More than one run in twenty.
+  EXPECT_GT(20 * behind, kRuns);
 }
 
 TEST(ReplicatorDissemination, PlatformOutAfterAcceptance_AllServeIt) {
