--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -105,6 +105,7 @@
   if (!fetched) {
     const bool late = control.stopped() == RequestControl::Stop::kDeadline;
     if (late) co_await WriteError(ProxyError::kTooLate, false);
+    if (stalled_) co_await WriteError(ProxyError::kSlowRequest, false);
     co_return false;
   }
 
--- a/proxy/error_answer.cc
+++ b/proxy/error_answer.cc
@@ -20,6 +20,8 @@
     {status::bad_request, "bad_request", "the request is malformed", true},
     {status::request_header_fields_too_large, "header_too_long",
      "the header is too long", true},
+    {status::request_timeout, "slow_request",
+     "the request took too long to arrive", true},
     {status::bad_request, "key_missing",
      "this route needs an Idempotency-Key header", true},
     {status::not_found, "no_route", "no route takes this request", true},
--- a/proxy/error_answer.h
+++ b/proxy/error_answer.h
@@ -14,6 +14,7 @@
 enum class ProxyError : std::uint8_t {
   kBadRequest,     ///< the request is malformed or unsafe to pass on
   kHeaderTooLong,  ///< its header passes the limit
+  kSlowRequest,    ///< the caller took too long to send it
   kKeyMissing,     ///< the route needs an idempotency key
   kNoRoute,        ///< no route takes it
   kNotReady,       ///< this proxy has no configuration yet
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -17,8 +17,11 @@
     : context_(context),
       socket_(std::move(socket)),
       progress_(socket_.get_executor(), [this] {
+        // The step that waits ends, and what follows may still tell why.
+        stalled_ = true;
         if (!idle_) context_.metrics.Count(ProxyMetrics::Counter::kSlowCallers);
-        Close();
+        beast::error_code ignored;
+        socket_.cancel(ignored);
       }) {
   beast::error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
@@ -82,8 +85,10 @@
     --context_.in_flight;
     co_return more;
   }
-  if (error == http::error::header_limit ||
-      error == http::error::buffer_overflow) {
+  if (stalled_) {
+    co_await WriteError(ProxyError::kSlowRequest, false);
+  } else if (error == http::error::header_limit ||
+             error == http::error::buffer_overflow) {
     context_.metrics.Count(ProxyMetrics::Counter::kBadRequests);
     co_await WriteError(ProxyError::kHeaderTooLong, false);
   } else if (error.category() ==
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -57,6 +57,7 @@
   beast::flat_buffer buffer_;
   ProgressTimer progress_;
   std::shared_ptr<RequestControl> control_;
+  bool stalled_ = false;  ///< the sender took too long
 
  private:
   asio::awaitable<bool> AwaitRequest();
--- /dev/null
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -0,0 +1,394 @@
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <condition_variable>
+#include <future>
+#include <string>
+#include <thread>
+
+#include "unit_tests/proxy/two_hosts.h"
+
+namespace camphor {
+namespace {
+
+/// A target whose answers the test holds back.
+class HoldingTarget {
+ public:
+  void Handle(const HttpExchange& exchange) {
+    const std::scoped_lock lock(mutex_);
+    held_.push_back(exchange);
+    changed_.notify_all();
+  }
+
+  void AwaitHeld(std::size_t count) {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [&] { return held_.size() >= count; });
+  }
+
+  std::size_t held() {
+    const std::scoped_lock lock(mutex_);
+    return held_.size();
+  }
+
+  /// Answers everything that is held. @pre runs on the server's thread.
+  void AnswerAll() {
+    const std::scoped_lock lock(mutex_);
+    for (const HttpExchange& exchange : held_) exchange.Respond({.body = "ok"});
+    held_.clear();
+  }
+
+  void Clear() {
+    const std::scoped_lock lock(mutex_);
+    held_.clear();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<HttpExchange> held_;
+};
+
+/// A target that answers the same bytes to each request, and dies under a path
+/// with /poison: it closes its listener before its connections.
+class RawTarget {
+ public:
+  explicit RawTarget(
+      std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+      : answer_(std::move(answer)),
+        acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    endpoint_ = {.address = "127.0.0.1",
+                 .port = acceptor_.local_endpoint().port()};
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~RawTarget() {
+    Kill();
+    thread_.join();
+  }
+
+  void Kill() {
+    boost::asio::post(io_, [this] { Die(); });
+  }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  bool dead() const { return dead_; }
+
+ private:
+  struct Session {
+    explicit Session(boost::asio::ip::tcp::socket accepted)
+        : socket(std::move(accepted)) {}
+    boost::asio::ip::tcp::socket socket;
+    std::string request;
+  };
+
+  void Run() {
+    Accept();
+    io_.run();
+  }
+
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (error) return;
+      sessions_.push_back(std::make_shared<Session>(std::move(socket)));
+      Read(sessions_.back());
+      Accept();
+    });
+  }
+
+  void Read(const std::shared_ptr<Session>& session) {
+    boost::asio::async_read_until(
+        session->socket, boost::asio::dynamic_buffer(session->request),
+        "\r\n\r\n",
+        [this, session](const boost::system::error_code& error, std::size_t) {
+          if (error) return;
+          if (session->request.find("/poison") != std::string::npos) {
+            return Die();
+          }
+          session->request.clear();
+          boost::system::error_code ignored;
+          boost::asio::write(session->socket, boost::asio::buffer(answer_),
+                             ignored);
+          Read(session);
+        });
+  }
+
+  void Die() {
+    dead_ = true;
+    acceptor_.close();
+    for (const auto& session : sessions_) session->socket.close();
+  }
+
+  std::string answer_;
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<Session>> sessions_;
+  Endpoint endpoint_;
+  std::atomic<bool> dead_ = false;
+  std::thread thread_;
+};
+
+class ProxyFaultsTest : public TwoHosts {
+ protected:
+  void TearDown() override {
+    holding_.Clear();
+    TwoHosts::TearDown();
+  }
+
+  void AddHoldingTarget(const std::string& host, const std::string& id) {
+    AddTarget(host, id, [this](const HttpExchange& exchange) {
+      holding_.Handle(exchange);
+    });
+  }
+
+  void Release(const std::string& id) {
+    targets_[id]->After(Milliseconds(0), [this] { holding_.AnswerAll(); });
+  }
+
+  std::future<std::optional<HttpResponse>> StartCall(HttpRequest request) {
+    return std::async(std::launch::async, [this, request = std::move(request)] {
+      return Call(request);
+    });
+  }
+
+  /// Waits until a host's dump holds the text.
+  void AwaitDump(const std::string& host, const std::string& text) {
+    while (proxies_[host]->DumpJson().find(text) == std::string::npos) {
+      std::this_thread::yield();
+    }
+  }
+
+  /// A port that refuses connections: the address of a target that died.
+  static Endpoint ClosedEndpoint() {
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor(
+        io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return {.address = "127.0.0.1", .port = acceptor.local_endpoint().port()};
+  }
+
+  HoldingTarget holding_;
+};
+
+TEST_F(ProxyFaultsTest, SlotsAndQueueTaken_IsRefusedNotRun) {
+  pool_.slots_per_target = 1;
+  pool_.queue_per_target = 1;
+  AddHoldingTarget("h2", "t1");
+  StartHosts();
+  auto running = StartCall({.method = "POST", .target = "/a"});
+  holding_.AwaitHeld(1);
+  auto waiting = StartCall({.method = "POST", .target = "/b"});
+  AwaitDump("h2", R"("waiting":1)");
+  const auto refused = Call({.method = "POST", .target = "/c"});
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_EQ(refused->fields.at("x-camphor-not-run"), "true");
+  EXPECT_EQ(refused->fields.at("x-camphor-reason"), "full");
+  EXPECT_EQ(holding_.held(), 1U);
+  Release("t1");
+  EXPECT_EQ(running.get()->status, 200);
+  holding_.AwaitHeld(1);
+  Release("t1");
+  EXPECT_EQ(waiting.get()->status, 200);
+}
+
+TEST_F(ProxyFaultsTest, DeadlineInQueue_IsRefusedNotRun) {
+  pool_.slots_per_target = 1;
+  AddHoldingTarget("h2", "t1");
+  StartHosts();
+  auto running = StartCall({.method = "POST", .target = "/a"});
+  holding_.AwaitHeld(1);
+  const auto refused = Call({.method = "POST",
+                             .target = "/b",
+                             .fields = {{"x-camphor-deadline-ms", "100"}}});
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_EQ(refused->fields.at("x-camphor-not-run"), "true");
+  EXPECT_EQ(holding_.held(), 1U);
+  Release("t1");
+  EXPECT_EQ(running.get()->status, 200);
+}
+
+TEST_F(ProxyFaultsTest, CallerGoesAway_TargetIsCancelled) {
+  std::atomic<bool> cancelled = false;
+  AddHoldingTarget("h2", "t1");
+  StartHosts();
+  HttpConnection connection(proxies_["h1"]->caller_endpoint());
+  // The call ends with its own timeout and closes its connection.
+  connection.Call({.method = "POST", .target = "/a", .fields = {{"host", "a"}}},
+                  Milliseconds(50));
+  holding_.AwaitHeld(1);
+  AwaitDump("h2", R"("running":0)");
+  EXPECT_EQ(proxies_["h1"]->in_flight(), 0U);
+}
+
+TEST_F(ProxyFaultsTest, Drain_FinishesWhatIsInFlight) {
+  AddHoldingTarget("h2", "t1");
+  StartHosts();
+  auto running = StartCall({.method = "POST", .target = "/a"});
+  holding_.AwaitHeld(1);
+  proxies_["h1"]->BeginDrain();
+  proxies_["h2"]->BeginDrain();
+  AwaitDump("h1", R"("draining":true)");
+  AwaitDump("h2", R"("draining":true)");
+  EXPECT_FALSE(Call({.method = "POST", .target = "/b"}));
+  Release("t1");
+  const auto answer = running.get();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, "ok");
+  EXPECT_EQ(answer->fields.at("connection"), "close");
+}
+
+TEST_F(ProxyFaultsTest, TargetHostDrains_IsRefusedNotRun) {
+  AddHoldingTarget("h2", "t1");
+  StartHosts();
+  proxies_["h2"]->BeginDrain();
+  AwaitDump("h2", R"("draining":true)");
+  const auto refused = Call({.method = "POST", .target = "/a"});
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_EQ(refused->fields.at("x-camphor-not-run"), "true");
+  EXPECT_EQ(holding_.held(), 0U);
+}
+
+TEST_F(ProxyFaultsTest, TargetGone_AnotherTakesOver) {
+  AddTargetAt("h2", "dead", ClosedEndpoint());
+  AddTarget("h2", "t1", [](const HttpExchange& exchange) {
+    exchange.Respond({.body = "ok"});
+  });
+  StartHosts();
+  for (int call = 0; call < 4; ++call) {
+    const auto answer = Call({.method = "POST", .target = "/a"});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+  }
+}
+
+TEST_F(ProxyFaultsTest, HostSilent_IsNoticedBeforeTheDeadline) {
+  // A listener that takes connections and never says anything.
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor silent(
+      io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  StartHosts({.connect_timeout = Milliseconds(50)});
+  {
+    const std::scoped_lock lock(mutex_);
+    auto routing = *routings_["h1"];
+    routing.pools[0].groups[0].targets = {
+        {.info = {.id = TargetId("x")},
+         .host = HostId("h3"),
+         .forward = {.address = "127.0.0.1",
+                     .port = silent.local_endpoint().port()}}};
+    routings_["h1"] = std::make_shared<const EffectiveRouting>(routing);
+  }
+  const auto answer = Call({.method = "POST", .target = "/a"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_EQ(answer->fields.at("x-camphor-not-run"), "true");
+}
+
+TEST_F(ProxyFaultsTest, SlowTarget_HeartbeatsKeepTheConnection) {
+  AddHoldingTarget("h2", "t1");
+  StartHosts({.heartbeat = Milliseconds(10), .silence = Milliseconds(700)});
+  auto running = StartCall({.method = "POST", .target = "/a"});
+  holding_.AwaitHeld(1);
+  targets_["t1"]->After(Milliseconds(1200), [this] { holding_.AnswerAll(); });
+  const auto answer = running.get();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(Metric("h1", "silent_connections"), 0U);
+}
+
+TEST_F(ProxyFaultsTest, SilentTargetConnection_IsReplacedOnRepeatableRoute) {
+  std::atomic<int> calls = 0;
+  std::vector<HttpExchange> silent;
+  AddTarget("h1", "t1", [&](const HttpExchange& exchange) {
+    if (calls++ == 0) {
+      silent.push_back(exchange);
+    } else {
+      exchange.Respond({.body = "ok"});
+    }
+  });
+  AddTarget("h1", "t2", [&](const HttpExchange& exchange) {
+    if (calls++ == 0) {
+      silent.push_back(exchange);
+    } else {
+      exchange.Respond({.body = "ok"});
+    }
+  });
+  StartHosts();
+  const auto answer = Call({.method = "GET",
+                            .target = "/get",
+                            .fields = {{"x-camphor-deadline-ms", "1000"}}});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(calls, 2);
+  for (const auto& [id, server] : targets_) {
+    server->After(Milliseconds(0), [&] { silent.clear(); });
+    server->Stop();
+  }
+}
+
+TEST_F(ProxyFaultsTest, CutAnswer_IsNeverPassedAsWhole) {
+  // A target that promises more than it sends before it dies.
+  RawTarget target("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+  AddTargetAt("h2", "t1", target.endpoint());
+  StartHosts();
+  auto cut = StartCall({.method = "POST", .target = "/a"});
+  AwaitDump("h2", R"("running":1)");
+  target.Kill();
+  EXPECT_FALSE(cut.get());
+  EXPECT_EQ(Metric("h1", "cut_answers"), 1U);
+  proxies_.clear();
+}
+
+TEST_F(ProxyFaultsTest, AnswerWithoutLength_IsNotPassedOn) {
+  RawTarget target("HTTP/1.1 200 OK\r\n\r\nabc");
+  AddTargetAt("h2", "t1", target.endpoint());
+  StartHosts();
+  const auto answer = Call({.method = "POST", .target = "/a"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 502);
+  EXPECT_EQ(answer->fields.at("x-camphor-reason"), "bad_answer");
+  proxies_.clear();
+}
+
+TEST_F(ProxyFaultsTest, PoisonRequest_IsRefusedBeforeTheThirdDeath) {
+  std::vector<std::unique_ptr<RawTarget>> targets;
+  for (const std::string id : {"t1", "t2", "t3", "t4"}) {
+    targets.push_back(std::make_unique<RawTarget>());
+    AddTargetAt("h2", id, targets.back()->endpoint());
+  }
+  StartHosts();
+  std::optional<HttpResponse> answer;
+  for (int call = 0; call < 8; ++call) {
+    answer = Call({.method = "POST", .target = "/poison"});
+    ASSERT_TRUE(answer);
+  }
+  EXPECT_EQ(answer->status, 422);
+  EXPECT_EQ(answer->fields.at("x-camphor-reason"), "poison");
+  EXPECT_EQ(std::ranges::count_if(
+                targets, [](const auto& target) { return target->dead(); }),
+            2);
+  const auto innocent = Call({.method = "POST", .target = "/a"});
+  ASSERT_TRUE(innocent);
+  EXPECT_EQ(innocent->status, 200);
+  proxies_.clear();
+}
+
+TEST_F(ProxyFaultsTest, RepeatablePoison_IsNotTriedAThirdTime) {
+  std::vector<std::unique_ptr<RawTarget>> targets;
+  for (const std::string id : {"t1", "t2", "t3", "t4"}) {
+    targets.push_back(std::make_unique<RawTarget>());
+    AddTargetAt("h2", id, targets.back()->endpoint());
+  }
+  StartHosts();
+  const auto answer = Call({.method = "GET", .target = "/get/poison"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->fields.at("x-camphor-outcome"), "unknown");
+  EXPECT_EQ(std::ranges::count_if(
+                targets, [](const auto& target) { return target->dead(); }),
+            2);
+  proxies_.clear();
+}
+
+}  // namespace
+}  // namespace camphor
