Give the proxy's claims to the claim store; publish urgent routing at once

Cause: an edit of the hook had not taken, so that every claim ended as not made (scenario at_most_once: 103037 of 103037 calls refused); poison requests waited for the next tick. Ruled out: the store itself and the platform, which got no write at all. Change: claim and release hooks; a poison request, a new configuration and a change of own targets rebuild the routing at once.

--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -10,7 +10,8 @@
 namespace {
 
 /// Host records change in bursts: the routing is built again no more often than
-/// this, but at once for a new configuration.
+/// this, but at once for a new configuration, a poison request and
+/// targets of this host.
 constexpr Milliseconds kLeastBuildInterval{20};
 constexpr std::chrono::minutes kPoisonKept{10};
 
@@ -51,7 +52,7 @@
           },
       .rollout_changed =
           [this](const RolloutRecord& record) { OnRolloutChanged(record); },
-      .poison_changed = [this] { routing_changed_ = true; },
+      .poison_changed = [this] { urgent_ = true; },
       .evidence =
           [this](const EvidenceReport& report) {
             rollouts_->OnEvidence(report, now_);
@@ -157,10 +158,10 @@
 
 void HostController::PublishRouting(MonoTime now) {
   if (!replicator_->ready()) return;
-  if (!routing_changed_ && !config_changed_) return;
-  if (!config_changed_ && now - last_built_ < kLeastBuildInterval) return;
+  if (!routing_changed_ && !urgent_) return;
+  if (!urgent_ && now - last_built_ < kLeastBuildInterval) return;
   routing_changed_ = false;
-  config_changed_ = false;
+  urgent_ = false;
   last_built_ = now;
   auto routing = std::make_shared<EffectiveRouting>(
       BuildRouting({.self = options_.settings.host,
@@ -180,7 +181,7 @@
 }
 
 void HostController::OnConfigChanged(const ConfigSnapshotPtr& snapshot) {
-  config_changed_ = true;
+  urgent_ = true;
   options_.log->Log(LogLevel::kInfo, "decisions", "a configuration is in force",
                     {{"version", snapshot->head.version},
                      {"digest", snapshot->head.digest.hex()}});
@@ -206,7 +207,7 @@
   options_.addresses->Store(
       std::make_shared<TargetAddresses>(registry_.addresses()));
   replicator_->SetTargets(registry_.targets(), now);
-  routing_changed_ = true;
+  urgent_ = true;
 }
 
 void HostController::LogRouting(const EffectiveRouting& routing) {
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -90,7 +90,7 @@
   std::unique_ptr<Replicator> replicator_;
   bool hosts_changed_ = false;   ///< the rollout manager must hear of it
   bool routing_changed_ = true;  ///< the routing must be built again
-  bool config_changed_ = false;  ///< the same, at once
+  bool urgent_ = false;          ///< the same, at once
   MonoTime last_built_{};        ///< when the routing was built last
   MonoTime now_{};               ///< time of the call that runs
 };
--- a/node/node.cc
+++ b/node/node.cc
@@ -141,8 +141,15 @@
               controller->OnTargetDeath(fingerprint, target, Now(), WallNow());
             });
           },
-      .claim = [](const std::string&, std::uint64_t,
-                  const ClaimCallback& done) { done(ClaimStatus::kNotMade); },
+      .claim =
+          [this](std::string key, std::uint64_t fingerprint,
+                 ClaimCallback done) {
+            claims.Claim(std::move(key), fingerprint, std::move(done));
+          },
+      .release_claim =
+          [this](std::string key, std::function<void(bool)> done) {
+            claims.Release(std::move(key), std::move(done));
+          },
       .debug_headers = settings.proxy.debug_headers};
   if (settings.log.history) {
     proxy_options.history = [this](const std::string& text) {
