--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -153,6 +153,7 @@
           .new_version = options_.pool.rollout->version,
           .end = now,
           .new_targets = chosen,
+          .slots = options_.pool.slots_per_target,
           .cells = std::move(cells)};
 }
 
@@ -181,13 +182,15 @@
       return true;
     }
   }
+  // The time to wait for more evidence is over: less of it decides.
   const bool late = wall_now >= options_.pool.rollout->complete_by;
-  if (late && record_.stage < RolloutStage::kBake &&
-      judge_->evidence() >= options_.settings.deadline_doubt) {
-    RollBack({.signal = "deadline",
-              .sentence = "the time was up while the evidence against the new "
-                          "version was strong"},
-             wall_now);
+  const bool out_of_time =
+      record_.stage == RolloutStage::kBake
+          ? wall_now >= record_.stage_since + 2 * options_.pool.rollout->bake
+          : IsWidening(record_.stage) &&
+                !HasTimeToWait(options_.settings.ramp, StateOf(now), wall_now);
+  if (out_of_time && judge_->evidence() >= options_.settings.last_doubt) {
+    RollBack(LastDoubt(), wall_now);
     return true;
   }
   if (!targets_.new_version.empty()) {
@@ -202,6 +205,13 @@
   return true;
 }
 
+RolloutReason RolloutTracker::LastDoubt() const {
+  RolloutReason reason = judge_->Strongest();
+  reason.sentence =
+      "no time was left to settle the doubt that " + reason.sentence;
+  return reason;
+}
+
 void RolloutTracker::DecidePending(MonoTime now, WallTime wall_now) {
   if (targets_.new_version.empty()) return;
   RolloutRecord next = record_;
@@ -209,6 +219,7 @@
   next.route_shares =
       RouteSharesFor(options_.settings.ramp, next.share_ppm, Weights());
   next.canary_targets = CanaryTargetsFor(options_.settings.ramp, next.share_ppm,
+                                         targets_.old_version.size(),
                                          targets_.new_version.size());
   last_step_ = now;
   Enter(RolloutEvent::kTargetsReady, std::move(next), wall_now);
@@ -240,7 +251,7 @@
   if (spent < bake) return;
   // A doubt is watched on, for as long again at most.
   const bool doubt = judge_->evidence() >= options_.settings.ramp.doubt;
-  if (doubt && spent < 2 * bake) return;
+  if (doubt && spent <= 2 * bake) return;
   RolloutRecord next = record_;
   next.share_ppm = kWholeShare;
   next.route_shares.clear();
@@ -273,7 +284,8 @@
   RolloutRecord next = record_;
   next.share_ppm = std::max(share_ppm, record_.share_ppm);
   next.canary_targets =
-      CanaryTargetsFor(ramp, share_ppm, targets_.new_version.size());
+      CanaryTargetsFor(ramp, share_ppm, targets_.old_version.size(),
+                       targets_.new_version.size());
   next.route_shares = RouteSharesFor(ramp, share_ppm, Weights());
   last_step_ = now;
   if (share_ppm + ramp.control_share_ppm < kWholeShare) {
--- a/core/rollout/version_judge.h
+++ b/core/rollout/version_judge.h
@@ -18,7 +18,8 @@
   TargetVersion new_version;  ///< version that is to take over
   MonoTime end{};             ///< end of the period
   std::size_t new_targets =
-      0;  ///< targets of the new version that get requests
+      0;                     ///< targets of the new version that get requests
+  std::uint32_t slots = 10;  ///< requests that one target runs at a time
   std::vector<EvidenceCell> cells{};  ///< sorted by route, version and target
 };
 
@@ -70,6 +71,9 @@
   /// The strongest evidence against the new version; 1 is enough to roll back.
   virtual double evidence() const = 0;
 
+  /// What speaks most against the new version.
+  RolloutReason Strongest() const;
+
   /// Why the new version is to be rolled back, once the evidence suffices.
   std::optional<RolloutReason> Condemnation() const;
 };
