Prove the node whole in one process

Cause: the admin API's promises had tests of its parts alone. Change: a node with a platform and a target: 401, 400, 413, 428 and 409 change nothing; every view; announce, renew, leave; drain; an address that is taken.

--- /dev/null
+++ b/unit_tests/node/node_test.cc
@@ -0,0 +1,201 @@
+#include "node/node.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/json.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "harness/address_block.h"
+#include "harness/fleet.h"
+#include "stand_ins/http/http_connection.h"
+#include "stand_ins/platform/platform_stand_in.h"
+#include "stand_ins/target/target_stand_in.h"
+
+namespace camphor {
+namespace {
+
+constexpr char kTables[] = R"({
+  "routes": [{"name": "bills", "path_prefix": "/billing", "pool": "billing"}],
+  "pools": [{"name": "billing", "version": "v1"}]})";
+
+/// One node with a platform and a target, all in this process.
+class NodeTest : public testing::Test {
+ protected:
+  NodeTest() {
+    EXPECT_TRUE(platform_.Start());
+    const std::string address = addresses_->Address(1);
+    Settings settings{
+        .host = HostId("h1"),
+        .failure_domain = FailureDomain("d1"),
+        .caller_listen = {.address = address},
+        .forward_listen = {.address = address},
+        .mesh_listen = {.address = address, .port = kMeshPort},
+        .admin_listen = {.address = address},
+        .mesh_key = "key",
+        .platform = platform_.endpoint(),
+        .operator_token = "token",
+        .drain = {.notice = Milliseconds(1), .limit = Milliseconds(2000)}};
+    settings.admin.body_bytes = kBodyBytes;
+    node_ = std::make_unique<Node>(
+        Node::Options{.settings = settings, .log = &log_});
+    EXPECT_TRUE(node_->Start()) << node_->last_reason();
+    EXPECT_TRUE(WaitUntil(kLongestWait, [this] {
+      const auto answer = Admin({.method = "GET", .target = "/readyz"});
+      return answer.has_value() && answer->status == 200;
+    }));
+  }
+
+  /// Sends a request to the admin listener.
+  std::optional<HttpResponse> Admin(HttpRequest request) {
+    request.fields["host"] = "node";
+    return HttpConnection(node_->admin_endpoint()).Call(request);
+  }
+
+  int Put(const std::string& body, const std::string& token,
+          const std::string& base) {
+    const auto answer =
+        Admin({.method = "PUT",
+               .target = "/v1/config",
+               .fields = {{"authorization", token}, {"if-match", base}},
+               .body = body});
+    last_body_ = answer.has_value() ? answer->body : "";
+    return answer.has_value() ? answer->status : 0;
+  }
+
+  std::string Get(const std::string& path) {
+    const auto answer = Admin({.method = "GET", .target = path});
+    return answer.has_value() ? answer->body : "";
+  }
+
+  std::uint64_t Version() {
+    return boost::json::parse(Get("/v1/status"))
+        .at("version")
+        .to_number<std::uint64_t>();
+  }
+
+  int Announce(const Endpoint& target) {
+    const auto answer =
+        Admin({.method = "POST",
+               .target = "/v1/targets",
+               .body = R"({"id": "t1", "pool": "billing", "version": "v1",
+                     "slots": 10, "address": ")" +
+                       target.ToString() + "\"}"});
+    return answer.has_value() ? answer->status : 0;
+  }
+
+  std::optional<HttpResponse> Call() {
+    return HttpConnection(node_->caller_endpoint())
+        .Call({.method = "GET",
+               .target = "/billing/1",
+               .fields = {{"host", "billing"}, {"x-request-id", "r1"}}});
+  }
+
+  static constexpr std::uint16_t kMeshPort = 18082;
+  static constexpr std::uint32_t kBodyBytes = 4096;
+  static constexpr Milliseconds kLongestWait{10000};
+
+  std::optional<AddressBlock> addresses_ = AddressBlock::Reserve();
+  PlatformStandIn platform_{{}};
+  LogSink log_{{.write = [](const std::string&) {}}};
+  std::unique_ptr<Node> node_;
+  std::string last_body_;
+};
+
+using NodeAdminEdit = NodeTest;
+using NodeAdminRead = NodeTest;
+using NodeServe = NodeTest;
+using NodeDrain = NodeTest;
+
+TEST_F(NodeAdminEdit, WithoutRightToken_401AndNothingChanges) {
+  EXPECT_EQ(Put(kTables, "", "0"), 401);
+  EXPECT_EQ(Put(kTables, "Bearer wrong", "0"), 401);
+  EXPECT_EQ(Version(), 0U);
+}
+
+TEST_F(NodeAdminEdit, BadBody_400WithReasonAndField) {
+  EXPECT_EQ(Put(R"({"routes": [{"name": "r", "pool": "none"}], "pools": []})",
+                "Bearer token", "0"),
+            400);
+  EXPECT_NE(last_body_.find("\"field\":\"routes"), std::string::npos)
+      << last_body_;
+  EXPECT_EQ(Put(std::string(kBodyBytes + 1, ' '), "Bearer token", "0"), 413);
+  EXPECT_EQ(Put(kTables, "Bearer token", ""), 428);
+  EXPECT_EQ(Version(), 0U);
+}
+
+TEST_F(NodeAdminEdit, Accepted_InForceAndAnOlderBaseConflicts) {
+  EXPECT_EQ(Put(kTables, "Bearer token", "0"), 200) << last_body_;
+  EXPECT_EQ(Version(), 1U);
+  EXPECT_EQ(Put(R"({"routes": [], "pools": []})", "Bearer token", "0"), 409);
+  EXPECT_NE(last_body_.find("\"version\":1"), std::string::npos) << last_body_;
+  EXPECT_EQ(Version(), 1U);
+}
+
+TEST_F(NodeAdminRead, EveryView_IsJsonAndMetricsAreText) {
+  Put(kTables, "Bearer token", "0");
+  for (const char* const path :
+       {"/v1/config", "/v1/routes", "/v1/pools", "/v1/hosts", "/v1/targets",
+        "/v1/rollouts", "/v1/status", "/v1/dump"}) {
+    boost::json::error_code error;
+    const auto view = boost::json::parse(Get(path), error);
+    EXPECT_TRUE(!error && view.is_object()) << path;
+  }
+  const std::string metrics = Get("/metrics");
+  for (const char* const name :
+       {"camphor_config_version 1\n", "camphor_ring_depth{ring=\"samples\"}",
+        "camphor_process_resident_bytes", "camphor_mesh_bytes_total"}) {
+    EXPECT_NE(metrics.find(name), std::string::npos) << name;
+  }
+  EXPECT_EQ(Admin({.method = "GET", .target = "/healthz"})->status, 200);
+}
+
+TEST_F(NodeServe, AnnouncedTarget_AnswersUntilItLeaves) {
+  TargetStandIn target({.id = "t1", .version = "v1"});
+  ASSERT_TRUE(target.Start());
+  ASSERT_EQ(Put(kTables, "Bearer token", "0"), 200);
+  EXPECT_EQ(Admin({.method = "POST", .target = "/v1/targets/t1/renew"})->status,
+            404);
+  ASSERT_EQ(Announce(target.endpoint()), 200);
+  EXPECT_EQ(Admin({.method = "POST", .target = "/v1/targets/t1/renew"})->status,
+            200);
+  EXPECT_TRUE(WaitUntil(kLongestWait, [this] {
+    const auto answer = Call();
+    return answer.has_value() && answer->status == 200;
+  }));
+  EXPECT_EQ(Admin({.method = "DELETE", .target = "/v1/targets/t1"})->status,
+            200);
+  const auto refused = Call();
+  ASSERT_TRUE(refused.has_value());
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_EQ(refused->fields.at("x-camphor-not-run"), "true");
+  target.Stop();
+}
+
+TEST_F(NodeDrain, NothingInFlight_DrainsAndIsNotReadyMeanwhile) {
+  EXPECT_TRUE(node_->Drain());
+  EXPECT_EQ(Admin({.method = "GET", .target = "/readyz"})->status, 503);
+  node_->Stop();
+}
+
+TEST(NodeStart, AddressTaken_SaysSo) {
+  PlatformStandIn platform{{}};
+  ASSERT_TRUE(platform.Start());
+  LogSink log({.write = [](const std::string&) {}});
+  Node node({.settings = {.host = HostId("h1"),
+                          .failure_domain = FailureDomain("d1"),
+                          .caller_listen = platform.endpoint(),
+                          .forward_listen = {.address = "127.0.0.1"},
+                          .mesh_listen = {.address = "127.0.0.1", .port = 1},
+                          .admin_listen = {.address = "127.0.0.1"},
+                          .mesh_key = "key",
+                          .platform = platform.endpoint(),
+                          .operator_token = "token"},
+             .log = &log});
+  EXPECT_FALSE(node.Start());
+  EXPECT_NE(node.last_reason(), "");
+}
+
+}  // namespace
+}  // namespace camphor
