Report the state of a node from a class of its own; count ticks and platform bytes

Change: NodeReport; TickRecorder with Boost.Accumulators; metrics of platform calls; camphorctl prints the rows that the winning edit changed.

--- a/ctl/commands/apply_command.cc
+++ b/ctl/commands/apply_command.cc
@@ -59,18 +59,37 @@
   return current;
 }
 
+/// Prints the rows that others changed, as the node's answer lists them.
+void PrintChanges(const boost::json::value& rows) {
+  if (!rows.is_array()) return;
+  for (const boost::json::value& row : rows.as_array()) {
+    fmt::print(stderr, "  {} {} {}\n", TextOf(row, "kind"),
+               TextOf(row, "table"), TextOf(row, "name"));
+    const boost::json::value* fields =
+        row.is_object() ? row.as_object().if_contains("fields") : nullptr;
+    if (fields == nullptr || !fields->is_array()) continue;
+    for (const boost::json::value& field : fields->as_array()) {
+      fmt::print(stderr, "    {}: {} -> {}\n", TextOf(field, "field"),
+                 TextOf(field, "before"), TextOf(field, "after"));
+    }
+  }
+}
+
 /// Prints what others changed since the operator began.
-int ReportConflict(CommandContext& context, const ConfigSnapshot& base,
+int ReportConflict(const CommandContext& context, ConfigVersion base,
                    const NodeResponse& response) {
   PrintError("another edit was accepted first; nothing was changed");
   if (context.options.json) fmt::print("{}\n", response.body);
-  int exit = kCtlOk;
-  const std::optional<ConfigSnapshot> newest = ReadCurrent(context, exit);
-  if (newest.has_value() && newest->head.version > base.head.version) {
-    fmt::print(stderr, "changed by others from version {} to {}:\n{}",
-               base.head.version, newest->head.version,
-               TableDiff::Between(base, *newest).ToText());
-  }
+  boost::json::error_code error;
+  const boost::json::value body = boost::json::parse(response.body, error);
+  const boost::json::value* details =
+      !error && body.is_object() ? body.as_object().if_contains("error")
+                                 : nullptr;
+  if (details == nullptr || !details->is_object()) return kCtlConflict;
+  fmt::print(stderr, "changed by others since version {}, now version {}:\n",
+             base, TextOf(*details, "version"));
+  const boost::json::value* rows = details->as_object().if_contains("changed");
+  if (rows != nullptr) PrintChanges(*rows);
   return kCtlConflict;
 }
 
@@ -88,20 +107,19 @@
   const CtlOptions& options = context.options;
   const std::string operation_id =
       options.operation_id.empty() ? NewOperationId() : options.operation_id;
-  const std::string base_version =
-      options.base.value_or(std::to_string(base.head.version));
+  const ConfigVersion base_version = options.base.value_or(base.head.version);
   const std::optional<NodeResponse> response =
       context.client.Send({.method = "PUT",
                            .path = "/v1/config",
                            .body = ConfigCodec::Encode(tables),
-                           .if_match = base_version,
+                           .if_match = std::to_string(base_version),
                            .operation_id = operation_id});
   const bool unknown = !response.has_value() ? context.client.outcome_unknown()
                                              : response->status == kUnknown;
-  if (unknown) return ReportUnknown(file, operation_id, base.head.version);
+  if (unknown) return ReportUnknown(file, operation_id, base_version);
   if (!response.has_value()) return ReportFailure(context, response);
   if (response->status == kConflict) {
-    return ReportConflict(context, base, *response);
+    return ReportConflict(context, base_version, *response);
   }
   if (response->status != kOk) return ReportFailure(context, response);
 
--- a/ctl/ctl_options.cc
+++ b/ctl/ctl_options.cc
@@ -2,7 +2,9 @@
 
 #include <popt.h>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <memory>
@@ -32,6 +34,14 @@
   return owned == nullptr ? std::string() : std::string(owned.get());
 }
 
+std::optional<std::uint64_t> ParseNumber(const std::string& text) {
+  std::uint64_t number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc() || rest != end) return std::nullopt;
+  return number;
+}
+
 std::string FromEnvironment(const char* name) {
   const char* const value = std::getenv(name);
   return value == nullptr ? "" : value;
@@ -97,12 +107,19 @@
   std::string nodes = Take(raw.nodes);
   const std::string token_file = Take(raw.token_file);
   options.operation_id = Take(raw.operation_id);
-  if (raw.base != nullptr) options.base = Take(raw.base);
+  const std::string base = Take(raw.base);
   if (result < -1) {
     reason = std::string(poptBadOption(context.get(), 0)) + ": " +
              poptStrerror(result);
     return std::nullopt;
   }
+  if (!base.empty()) {
+    options.base = ParseNumber(base);
+    if (!options.base.has_value()) {
+      reason = "--base: " + base + " is not a version";
+      return std::nullopt;
+    }
+  }
   if (raw.timeout_s < 1) {
     reason = "--timeout: must be at least 1 second";
     return std::nullopt;
--- a/ctl/ctl_options.h
+++ b/ctl/ctl_options.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORHILL_CTL_CTL_OPTIONS_H_
 #define CAMPHORHILL_CTL_CTL_OPTIONS_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -26,7 +27,7 @@
   std::vector<Endpoint> nodes{};         ///< admin listeners to try in turn
   std::string token{};                   ///< operator's token
   std::string operation_id{};            ///< of an edit that is sent again
-  std::optional<std::string> base{};     ///< version that the edit started from
+  std::optional<std::uint64_t> base{};   ///< version that the edit started from
   Seconds timeout{120};                  ///< longest wait of watch
   bool json = false;                     ///< JSON for programs
   bool dry_run = false;                  ///< show what apply would change
--- a/node/decisions/decision_thread.cc
+++ b/node/decisions/decision_thread.cc
@@ -84,6 +84,8 @@
     RunDelayed(now);
     if (now >= next_tick) {
       options_.on_tick();
+      ticks_.Add(std::chrono::duration_cast<Microseconds>(
+          std::chrono::steady_clock::now() - now));
       next_tick = now + options_.tick;
     }
     options_.on_idle();
--- a/node/decisions/decision_thread.h
+++ b/node/decisions/decision_thread.h
@@ -17,6 +17,7 @@
 #include "core/base/bounded_ring.h"
 #include "core/base/time.h"
 #include "core/routing/request_sample.h"
+#include "node/metrics/tick_recorder.h"
 
 namespace camphor {
 
@@ -75,6 +76,9 @@
   /// thread.
   bool PostSample(const RequestSample& sample) { return samples_.Push(sample); }
 
+  /// How long the ticks took. Thread safety: the decisions thread.
+  TickTimes tick_times() const { return ticks_.times(); }
+
   /// Loads of all rings. Thread safety: any thread; depths are estimates.
   std::vector<RingLoad> ring_loads() const;
 
@@ -92,6 +96,7 @@
   Options options_;
   std::array<std::unique_ptr<TaskRing>, 5> rings_;
   BoundedRing<RequestSample> samples_;
+  TickRecorder ticks_;
   std::deque<Task> own_tasks_;  ///< posted by this thread itself
   std::mutex mutex_;
   std::condition_variable wake_;
--- a/node/metrics/node_metrics.cc
+++ b/node/metrics/node_metrics.cc
@@ -43,6 +43,36 @@
   }
 }
 
+void AddTicks(MetricsText& out, const TickTimes& ticks) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const auto add = [&](std::string_view statistic, double microseconds) {
+    out.Gauge("camphor_tick_seconds", "Duration of the decisions' ticks.",
+              microseconds / kMicrosecondsPerSecond,
+              {{"statistic", std::string(statistic)}});
+  };
+  add("mean", ticks.mean_us);
+  add("p99", ticks.p99_us);
+  add("max", ticks.max_us);
+}
+
+void AddPlatform(MetricsText& out,
+                 const HttpPlatformClient::Counters& platform) {
+  out.Counter("camphor_platform_calls_total", "Calls of the platform.",
+              static_cast<double>(platform.calls));
+  out.Counter("camphor_platform_failures_total",
+              "Calls of the platform that had no effect, or an unknown one.",
+              static_cast<double>(platform.unavailable), {{"effect", "none"}});
+  out.Counter("camphor_platform_failures_total",
+              "Calls of the platform that had no effect, or an unknown one.",
+              static_cast<double>(platform.unknown), {{"effect", "unknown"}});
+  out.Counter("camphor_platform_bytes_total", "HTTP bytes with the platform.",
+              static_cast<double>(platform.bytes_sent),
+              {{"direction", "sent"}});
+  out.Counter("camphor_platform_bytes_total", "HTTP bytes with the platform.",
+              static_cast<double>(platform.bytes_received),
+              {{"direction", "received"}});
+}
+
 void AddMesh(MetricsText& out, const MeshTransport::Counters& mesh) {
   out.Counter("camphor_mesh_bytes_total", "Protocol bytes of the mesh.",
               static_cast<double>(mesh.bytes_sent), {{"direction", "sent"}});
@@ -76,6 +106,8 @@
   AddHosts(out, metrics);
   AddProcess(out);
   AddRings(out, metrics);
+  AddTicks(out, metrics.ticks);
+  AddPlatform(out, metrics.platform);
   AddMesh(out, metrics.mesh);
   out.Counter("camphor_admin_requests_total", "Admin requests answered.",
               static_cast<double>(metrics.admin_requests));
--- a/node/node.cc
+++ b/node/node.cc
@@ -9,11 +9,10 @@
 #include "mesh/mesh_transport.h"
 #include "node/admin/admin_api.h"
 #include "node/admin/admin_server.h"
-#include "node/admin/state_view.h"
 #include "node/decisions/decision_thread.h"
 #include "node/decisions/host_controller.h"
 #include "node/decisions/published.h"
-#include "node/metrics/node_metrics.h"
+#include "node/node_report.h"
 #include "node/platform_sync/platform_sync.h"
 #include "platform/claim_store.h"
 #include "platform/http_platform_client.h"
@@ -93,9 +92,7 @@
 
   void OnTick();
   void OnIdle();
-  boost::json::object Status();
-  boost::json::object Dump();
-  std::string Metrics();
+  NodeReport Report();
   bool Fail(std::string_view part, const std::string& reason);
 };
 
@@ -233,9 +230,9 @@
                      std::function<void(const AcceptResult&)> done) {
                 sync->Accept(edit, std::move(done));
               },
-          .status = [this] { return Status(); },
-          .dump = [this] { return Dump(); },
-          .metrics = [this] { return Metrics(); },
+          .status = [this] { return Report().Status(); },
+          .dump = [this] { return Report().Dump(); },
+          .metrics = [this] { return Report().Metrics(); },
           .alive =
               [this] {
                 const MonoTime ticked(MonoTime::duration(last_tick.load()));
@@ -266,62 +263,22 @@
            {"took_ms", static_cast<std::uint64_t>(took)}});
 }
 
-boost::json::object Node::State::Status() {
-  const auto uptime =
-      std::chrono::duration_cast<Seconds>(Now() - started).count();
-  return {{"host", settings.host.value()},
-          {"failure_domain", settings.failure_domain.value()},
-          {"incarnation", incarnation},
-          {"program_version", CAMPHOR_VERSION},
-          {"uptime_s", uptime},
-          {"ready", ready.load()},
-          {"draining", draining.load()},
-          {"requests_in_flight", proxy.in_flight()},
-          {"platform_reachable", sync->reachable()},
-          {"caller", proxy.caller_endpoint().ToString()},
-          {"forward", proxy.forward_endpoint().ToString()},
-          {"mesh", settings.mesh_listen.ToString()}};
-}
-
-boost::json::object Node::State::Dump() {
-  const MeshTransport::Counters counters = mesh.counters();
-  boost::json::object by_purpose;
-  for (const auto& [purpose, bytes] : counters.bytes_by_purpose) {
-    by_purpose[purpose] = bytes;
-  }
-  boost::json::array rings;
-  for (const DecisionThread::RingLoad& load : decisions.ring_loads()) {
-    rings.push_back(boost::json::object{
-        {"name", load.name}, {"depth", load.depth}, {"refused", load.refused}});
-  }
-  return {{"node", Status()},
-          {"proxy", ParsedOrText(proxy.DumpJson())},
-          {"mesh",
-           {{"bytes_sent", counters.bytes_sent},
-            {"bytes_received", counters.bytes_received},
-            {"handshakes_refused", counters.handshakes_refused},
-            {"messages_dropped", counters.messages_dropped},
-            {"bytes_by_purpose", std::move(by_purpose)}}},
-          {"platform", sync->Dump()},
-          {"rings", std::move(rings)},
-          {"log", {{"dropped", log.dropped()}}},
-          {"admin",
-           {{"requests", admin.requests()},
-            {"connections_refused", admin.connections_refused()}}}};
-}
-
-std::string Node::State::Metrics() {
-  const ConfigSnapshotPtr& snapshot = controller->replicator().snapshot();
-  return NodeMetricsText({.ready = ready && !draining,
-                          .config_version =
-                              snapshot == nullptr ? 0 : snapshot->head.version,
-                          .hosts = controller->replicator().hosts(),
-                          .platform_reachable = sync->reachable(),
-                          .rings = decisions.ring_loads(),
-                          .mesh = mesh.counters(),
-                          .admin_requests = admin.requests(),
-                          .log_dropped = log.dropped()}) +
-         proxy.MetricsText() + claims.MetricsText();
+NodeReport Node::State::Report() {
+  return NodeReport(
+      {.settings = settings,
+       .incarnation = incarnation,
+       .uptime = std::chrono::duration_cast<Seconds>(Now() - started),
+       .ready = ready,
+       .draining = draining,
+       .controller = *controller,
+       .sync = *sync,
+       .proxy = proxy,
+       .mesh = mesh,
+       .platform = platform,
+       .claims = claims,
+       .decisions = decisions,
+       .admin = admin,
+       .log = log});
 }
 
 bool Node::State::Fail(std::string_view part, const std::string& reason) {
--- /dev/null
+++ b/unit_tests/node/metrics/tick_recorder_test.cc
@@ -0,0 +1,23 @@
+#include "node/metrics/tick_recorder.h"
+
+#include <gtest/gtest.h>
+
+namespace camphor {
+namespace {
+
+TEST(TickRecorderTimes, NothingAdded_AllZero) {
+  EXPECT_EQ(TickRecorder().times(), TickTimes());
+}
+
+TEST(TickRecorderTimes, SomeAdded_MeanAndLongest) {
+  TickRecorder recorder;
+  for (const int duration : {100, 200, 600}) {
+    recorder.Add(Microseconds(duration));
+  }
+  EXPECT_EQ(recorder.times().count, 3U);
+  EXPECT_DOUBLE_EQ(recorder.times().mean_us, 300);
+  EXPECT_DOUBLE_EQ(recorder.times().max_us, 600);
+}
+
+}  // namespace
+}  // namespace camphor
