--- a/core/rollout/route_comparison.cc
+++ b/core/rollout/route_comparison.cc
@@ -4,14 +4,18 @@
 #include <cmath>
 #include <numeric>
 
+#include "core/rollout/hit_evidence.h"
+
 namespace camphor {
 namespace {
 
 constexpr double kLatencyShare = 0.25;  // of the old version's requests
 constexpr double kTailShare = 0.05;
-constexpr double kFewestForBounds = 100;  // successes of the old version
+constexpr double kOverloadedShare = 0.01;  // of the old version's requests
+constexpr double kFewestForBounds = 100;   // successes of the old version
 constexpr double kPriorRequests = 100;
 constexpr double kPriorHits = 0.3;
+constexpr double kHighestUsualRate = 0.95;
 
 std::size_t IndexOf(JudgeSignal signal) {
   return static_cast<std::size_t>(signal);
@@ -22,10 +26,16 @@
 RouteComparison::RouteComparison(const ComparisonOptions& options)
     : options_(&options) {}
 
-void RouteComparison::Compare(const RouteBlock& block, const IsCold& is_cold,
+void RouteComparison::Compare(const RouteBlock& block,
+                              const BlockContext& context,
                               std::array<SignalCounts, kJudgeSignals>& counts,
                               const Sink& sink) {
-  // Failures: a cold target counts as well, with a wider tolerance.
+  // Failures: a cold target counts as well, with a wider tolerance. Refusals
+  // are the load's fault when the old version refuses requests too, or would.
+  const bool overloaded =
+      context.new_busy > options_->most_busy ||
+      static_cast<double>(block.old_version.refused) >
+          kOverloadedShare * static_cast<double>(block.old_version.requests);
   std::vector<Sample> old_samples;
   std::vector<Sample> new_samples;
   const auto add_failures = [&](const VersionCells& version, bool is_new,
@@ -33,28 +43,30 @@
     samples.clear();
     for (const EvidenceCell* cell : version.cells) {
       samples.push_back({.target = &cell->target,
-                         .requests = static_cast<double>(RequestsOf(*cell)),
-                         .hits = static_cast<double>(FailuresOf(*cell)),
-                         .cold = is_cold(cell->target, is_new)});
+                         .requests = static_cast<double>(
+                             overloaded ? cell->requests : RequestsOf(*cell)),
+                         .hits = static_cast<double>(
+                             overloaded ? cell->failures : FailuresOf(*cell)),
+                         .cold = context.is_cold(cell->target, is_new)});
     }
   };
   add_failures(block.old_version, false, old_samples);
   add_failures(block.new_version, true, new_samples);
-  CompareSignal(JudgeSignal::kFailures, old_samples, new_samples,
+  CompareSignal(JudgeSignal::kFailures, old_samples, new_samples, context,
                 counts[IndexOf(JudgeSignal::kFailures)], sink);
 
-  // Latency: a cold target does not count.
+  // Latency: a cold target does not count, nor does one that queues.
   for (const auto& [signal, share] :
        {std::pair(JudgeSignal::kLatency, kLatencyShare),
         std::pair(JudgeSignal::kTail, kTailShare)}) {
     std::optional<std::size_t>& bucket = slow_bucket_[IndexOf(signal)];
     if (!bucket) bucket = SlowBucket(share);
-    if (!bucket) continue;
+    if (!bucket || context.new_busy > options_->most_busy) continue;
     const auto add_slow = [&](const VersionCells& version, bool is_new,
                               std::vector<Sample>& samples) {
       samples.clear();
       for (const EvidenceCell* cell : version.cells) {
-        if (is_cold(cell->target, is_new)) continue;
+        if (context.is_cold(cell->target, is_new)) continue;
         samples.push_back(
             {.target = &cell->target,
              .requests = static_cast<double>(CountFrom(cell->latency, 0)),
@@ -64,8 +76,8 @@
     };
     add_slow(block.old_version, false, old_samples);
     add_slow(block.new_version, true, new_samples);
-    CompareSignal(signal, old_samples, new_samples, counts[IndexOf(signal)],
-                  sink);
+    CompareSignal(signal, old_samples, new_samples, context,
+                  counts[IndexOf(signal)], sink);
   }
   LearnHistogram(block.old_version);
 }
@@ -97,6 +109,7 @@
 void RouteComparison::CompareSignal(JudgeSignal signal,
                                     const std::vector<Sample>& old_samples,
                                     const std::vector<Sample>& new_samples,
+                                    const BlockContext& context,
                                     SignalCounts& counts, const Sink& sink) {
   Baseline& baseline = baselines_[IndexOf(signal)];
   double old_requests = 0;
@@ -119,32 +132,44 @@
   // Compare before learning, so that a block is not its own yardstick.
   if (new_requests > 0 && old_requests > 0) {
     const Tolerance& tolerance = options_->tolerance[IndexOf(signal)];
-    const double usual_rate =
+    const double old_rate =
         (baseline.hits + kPriorHits) / (baseline.requests + kPriorRequests);
+    const double new_rate =
+        baseline.new_hits / (baseline.new_requests + kPriorRequests);
     const double dispersion = DispersionOf(baseline);
+    const double load_ratio =
+        profiles_[IndexOf(signal)].Ratio(context.old_load, context.new_load);
     for (const Sample& sample : new_samples) {
       if (sample.requests <= 0) continue;
       const double excess =
           sample.cold ? options_->cold_failure_excess : tolerance.excess;
-      const double tolerated = tolerance.ratio + excess / usual_rate;
-      // Of the hits on both sides, how many fall to this target? Each target
-      // is set against its part of the old version's.
-      const double part = sample.requests / new_requests;
-      const double hits = sample.hits + old_hits * part;
-      LogRatios ratios{};
-      for (std::size_t size = 0; size < ratios.size(); ++size) {
-        const double effect = kEffectSizes[size];
-        const double scale =
-            (old_requests + tolerated * effect * new_requests) /
-            (old_requests + tolerated * new_requests);
-        const double ratio =
-            sample.hits * std::log(effect) - hits * std::log(scale);
-        ratios[size] = std::min(ratio / dispersion, options_->block_limit);
+      // Were the new version as good, the old one's rate would have to be at
+      // least this now: a tolerated excess weighs less beside a high rate.
+      const double usual_rate =
+          std::max(old_rate, (new_rate - excess) / tolerance.ratio);
+      const double tolerated =
+          load_ratio * (tolerance.ratio + excess / usual_rate);
+      const HitCounts hits{.target_requests = sample.requests,
+                           .target_hits = sample.hits,
+                           .new_requests = new_requests,
+                           .old_requests = old_requests,
+                           .old_hits = old_hits};
+      LogRatios ratios =
+          signal == JudgeSignal::kFailures
+              ? RareHitEvidence(hits, tolerated)
+              : FrequentHitEvidence(hits, tolerated,
+                                    std::min(old_rate, kHighestUsualRate));
+      for (double& ratio : ratios) {
+        ratio = std::min(ratio / dispersion, options_->block_limit);
       }
       sink(signal, *sample.target, ratios);
     }
   }
+  profiles_[IndexOf(signal)].Learn(context.old_load, old_requests, old_hits);
   Learn(baseline, old_samples, options_->baseline_half_life);
+  const double keep = std::exp2(-new_requests / options_->new_half_life);
+  baseline.new_requests = baseline.new_requests * keep + new_requests;
+  baseline.new_hits = baseline.new_hits * keep + new_hits;
 }
 
 void RouteComparison::Learn(Baseline& baseline,
--- a/core/rollout/route_comparison.h
+++ b/core/rollout/route_comparison.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/rollout/evidence_stream.h"
+#include "core/rollout/load_profile.h"
 #include "core/rollout/route_block.h"
 
 namespace camphor {
@@ -26,12 +27,17 @@
   double cold_failure_excess =
       0.08;  ///< more failures than that are no cold start
   Seconds cold_start{
-      60};  ///< a new target's latency does not count for so long
+      90};  ///< a new target's latency does not count for so long
+  double most_busy =
+      0.85;  ///< busy part of the slots above which requests queue whatever
+             ///< the version: latency and refusals do not count
   double block_limit =
       4;  ///< most that one target may add to the evidence in a block
   double baseline_half_life =
       60'000;  ///< requests after which the old version's rates weigh half
-  double most_dispersion = 8;  ///< bound on the measured dispersion
+  double new_half_life =
+      1'000;  ///< requests after which the new version's rate weighs half
+  double most_dispersion = 1.5;  ///< bound on the measured dispersion
 };
 
 /// What was counted on one signal so far.
@@ -42,6 +48,16 @@
   std::uint64_t old_hits = 0;      ///< of these: failed, or slow
 };
 
+/// What holds for all routes of a block.
+struct BlockContext {
+  std::function<bool(const TargetId&, bool is_new)>
+      is_cold{};        ///< says whether a target is in its cold start
+  double old_load = 0;  ///< requests a second of one target; 0 if not known
+  double new_load = 0;  ///< the same of the new version
+  double new_busy = 0;  ///< busy part of the new targets' slots, if they ran
+                        ///< their requests as fast as the old version does
+};
+
 /// Compares both versions on one route, block by block.
 ///
 /// Keeps the old version's usual rates, from which the tolerated ratio and the
@@ -53,14 +69,11 @@
   /// Takes the evidence of one new target on one signal.
   using Sink =
       std::function<void(JudgeSignal, const TargetId&, const LogRatios&)>;
-  /// Says whether a target is in its cold start.
-  using IsCold = std::function<bool(const TargetId&, bool is_new)>;
-
   explicit RouteComparison(const ComparisonOptions& options);
 
   /// Compares a block, adds to the counts and hands the evidence of each new
   /// target to the sink.
-  void Compare(const RouteBlock& block, const IsCold& is_cold,
+  void Compare(const RouteBlock& block, const BlockContext& context,
                std::array<SignalCounts, kJudgeSignals>& counts,
                const Sink& sink);
 
@@ -72,25 +85,29 @@
     double hits;             ///< of these: failed, or slow
     bool cold;               ///< in its cold start
   };
-  /// What is known of the old version on one signal.
+  /// What is known on one signal: of the old version, if not said otherwise.
   struct Baseline {
-    double requests = 0;   ///< decayed count
-    double hits = 0;       ///< decayed count
-    double deviation = 0;  ///< decayed sum of squared deviations
-    double expected = 0;   ///< decayed sum of expected variances
+    double requests = 0;      ///< decayed count
+    double hits = 0;          ///< decayed count
+    double deviation = 0;     ///< decayed sum of squared deviations
+    double expected = 0;      ///< decayed sum of expected variances
+    double new_requests = 0;  ///< decayed count of the new version
+    double new_hits = 0;      ///< decayed count of the new version
   };
 
   void LearnHistogram(const VersionCells& old_version);
   std::optional<std::size_t> SlowBucket(double share) const;
   void CompareSignal(JudgeSignal signal, const std::vector<Sample>& old_samples,
                      const std::vector<Sample>& new_samples,
-                     SignalCounts& counts, const Sink& sink);
+                     const BlockContext& context, SignalCounts& counts,
+                     const Sink& sink);
   static void Learn(Baseline& baseline, const std::vector<Sample>& samples,
                     double half_life);
   double DispersionOf(const Baseline& baseline) const;
 
   const ComparisonOptions* options_;
   std::array<Baseline, kJudgeSignals> baselines_{};
+  std::array<LoadProfile, kJudgeSignals> profiles_{};
   std::array<double, kLatencyBuckets> histogram_{};
   std::array<std::optional<std::size_t>, kJudgeSignals> slow_bucket_{};
 };
--- a/core/rollout/sequential_judge.cc
+++ b/core/rollout/sequential_judge.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+
+#include "core/rollout/latency_histogram.h"
 
 namespace camphor {
 namespace {
@@ -11,28 +14,70 @@
 
 }  // namespace
 
-SequentialJudge::SequentialJudge(Options options)
-    : options_(std::move(options)) {}
+SequentialJudge::SequentialJudge(Options options) : options_(options) {}
 
 void SequentialJudge::AddBlock(const EvidenceBlock& block) {
   if (!started_) started_ = block.end;
-  lone_ = block.new_targets <= 1;
-  for (const RouteBlock& route : SplitByRoute(block))
-    AddRoute(route, block.end);
+  lone_ = block.new_targets <= 1 || !options_.leave_one_out;
+  const std::vector<RouteBlock> routes = SplitByRoute(block);
+  const BlockContext context = ContextOf(block, routes);
+  for (const RouteBlock& route : routes) AddRoute(route, context);
+  last_end_ = block.end;
   EndBlock();
 }
 
-void SequentialJudge::AddRoute(const RouteBlock& route, MonoTime now) {
+BlockContext SequentialJudge::ContextOf(const EvidenceBlock& block,
+                                        const std::vector<RouteBlock>& routes) {
+  BlockContext context;
+  context.is_cold = [this, now = block.end](const TargetId& target,
+                                            bool is_new) {
+    return IsCold(target, is_new, now);
+  };
+  // Without a start of the block, the loads are not known.
+  if (!last_end_ || block.end <= *last_end_) return context;
+  const double seconds =
+      std::chrono::duration<double>(block.end - *last_end_).count();
+  std::set<TargetId> old_targets;
+  std::set<TargetId> new_targets;
+  double busy_seconds = 0;
+  for (const RouteBlock& route : routes) {
+    for (const EvidenceCell* cell : route.old_version.cells) {
+      old_targets.insert(cell->target);
+    }
+    for (const EvidenceCell* cell : route.new_version.cells) {
+      new_targets.insert(cell->target);
+    }
+    context.old_load += static_cast<double>(route.old_version.requests);
+    context.new_load += static_cast<double>(route.new_version.requests);
+    busy_seconds += static_cast<double>(route.new_version.requests) *
+                    service_times_[route.route].Learn(route.old_version);
+  }
+  const double old_count = std::max<double>(1, old_targets.size());
+  const double new_count = std::max<double>(1, new_targets.size());
+  context.old_load /= seconds * old_count;
+  context.new_load /= seconds * new_count;
+  context.new_busy = busy_seconds / (seconds * new_count * block.slots);
+  return context;
+}
+
+double SequentialJudge::ServiceTime::Learn(const VersionCells& old_version) {
+  constexpr double kRecentRequests = 15;
+  const auto requests = static_cast<double>(old_version.successes);
+  const double mean = MeanLatencySeconds(old_version.latency);
+  const double keep = std::exp2(-requests / kRecentRequests);
+  requests_ = requests_ * keep + requests;
+  seconds_ = seconds_ * keep + requests * mean;
+  return requests_ > 0 ? seconds_ / requests_ : 0;
+}
+
+void SequentialJudge::AddRoute(const RouteBlock& route,
+                               const BlockContext& context) {
   RouteComparison& comparison =
       comparisons_.try_emplace(route.route, options_.comparison).first->second;
   Track& track = tracks_[route.route];
   const auto before = track.counts;
   comparison.Compare(
-      route,
-      [&](const TargetId& target, bool is_new) {
-        return IsCold(target, is_new, now);
-      },
-      track.counts,
+      route, context, track.counts,
       [&](JudgeSignal signal, const TargetId& target, const LogRatios& ratios) {
         const auto index = static_cast<std::size_t>(signal);
         track.streams[index].Add(target, ratios);
@@ -54,7 +99,7 @@
   const auto end_track = [&](Track& track) {
     for (EvidenceStream& stream : track.streams) {
       stream.EndBlock();
-      evidence_ = std::max(evidence_, stream.Strength(lone_) / threshold);
+      evidence_ = std::max(evidence_, stream.Strength(Rule()) / threshold);
     }
   };
   for (auto& [route, track] : tracks_) end_track(track);
@@ -92,7 +137,7 @@
           .new_hits = counts.new_hits,
           .old_requests = counts.old_requests,
           .old_hits = counts.old_hits,
-          .evidence = track.streams[signal].Strength(lone_) / Threshold()};
+          .evidence = track.streams[signal].Strength(Rule()) / Threshold()};
 }
 
 bool SequentialJudge::IsCold(const TargetId& target, bool is_new,
@@ -103,6 +148,10 @@
   return now < seen->second + options_.comparison.cold_start;
 }
 
+StrengthRule SequentialJudge::Rule() const {
+  return {.lone = lone_, .target_limit = options_.target_limit * Threshold()};
+}
+
 double SequentialJudge::Threshold() const {
   const auto streams =
       static_cast<double>(kJudgeSignals * (tracks_.size() + 1));
--- a/core/rollout/sequential_judge.h
+++ b/core/rollout/sequential_judge.h
@@ -22,7 +22,11 @@
 class SequentialJudge : public VersionJudge {
  public:
   struct Options {
-    double false_alarm = 1e-5;       ///< bound on a false alarm for one block
+    double false_alarm = 1e-3;  ///< bound on a false alarm for one block
+    bool leave_one_out =
+        true;  ///< the target that adds the most evidence does not count
+    double target_limit =
+        0.6;  ///< most that one target adds, of what is enough
     ComparisonOptions comparison{};  ///< tolerances and discounts
   };
 
@@ -40,7 +44,21 @@
     std::array<SignalCounts, kJudgeSignals> counts{};
   };
 
-  void AddRoute(const RouteBlock& route, MonoTime now);
+  /// Mean latency of the old version's recent requests on a route.
+  class ServiceTime {
+   public:
+    /// Learns from a block; returns the mean in seconds.
+    double Learn(const VersionCells& old_version);
+
+   private:
+    double requests_ = 0;
+    double seconds_ = 0;
+  };
+
+  void AddRoute(const RouteBlock& route, const BlockContext& context);
+  BlockContext ContextOf(const EvidenceBlock& block,
+                         const std::vector<RouteBlock>& routes);
+  StrengthRule Rule() const;
   void EndBlock();
   bool IsCold(const TargetId& target, bool is_new, MonoTime now);
   double Threshold() const;
@@ -50,9 +68,11 @@
   Options options_;
   std::map<RouteName, RouteComparison> comparisons_;
   std::map<RouteName, Track> tracks_;
+  std::map<RouteName, ServiceTime> service_times_;
   Track pooled_;
   std::map<TargetId, MonoTime> first_seen_;
   std::optional<MonoTime> started_;
+  std::optional<MonoTime> last_end_;
   bool lone_ = false;
   double evidence_ = 0;
 };
