Carry route shares and canary targets to the proxies

Cause: the routing gave each route the pool's share and spread it over all new targets, and the mesh dropped the two fields on the way, so the canary neither reached rare routes nor met a normal load.

Change: the mesh schema carries both, BuildRouting sets new_share_ppm by route and narrows the new version's group by ChooseTargets, the balancer takes the share of the route.

--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -107,7 +107,7 @@
   const PoolRouting& pool = routing_->pools[routing_->routes[route].pool];
   if (pool.groups.empty()) return std::nullopt;
   if (pool.groups.size() == 1) return 0;
-  const std::uint32_t share = pool.groups[1].share_ppm;
+  const std::uint32_t share = routing_->routes[route].new_share_ppm;
   if (share == 0) return 0;
   double& credit = new_version_credit_[route];
   credit += share / kWhole;
--- a/core/routing/routing_builder.cc
+++ b/core/routing/routing_builder.cc
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <cassert>
 #include <tuple>
+#include <utility>
+
+#include "core/rollout/rendezvous.h"
 
 namespace camphor {
 namespace {
@@ -12,20 +15,30 @@
 constexpr std::uint32_t kWhole = 1'000'000;
 constexpr std::size_t kDeathsOfPoison = 2;
 
-/// Share of the new version that the replicated state allows.
-std::uint32_t ShareOfNewVersion(const RoutingInputs& inputs,
-                                const PoolSpec& pool) {
+/// The record that gives the new version of a pool a share; null when there is
+/// none, or none that does.
+const RolloutRecord* RecordOf(const RoutingInputs& inputs,
+                              const PoolSpec& pool) {
+  if (!pool.rollout) return nullptr;
   if (inputs.locally_ejected.contains({pool.name, pool.rollout->version})) {
-    return 0;
+    return nullptr;
   }
   const auto found = inputs.rollouts.find(RolloutIdOf(pool));
-  if (found == inputs.rollouts.end()) return 0;
+  if (found == inputs.rollouts.end()) return nullptr;
   const RolloutRecord& record = found->second;
-  if (record.stage == RolloutStage::kPending ||
-      record.stage == RolloutStage::kRolledBack) {
-    return 0;
-  }
-  return std::min(record.share_ppm, kWhole);
+  const bool narrow = record.stage == RolloutStage::kPending ||
+                      record.stage == RolloutStage::kRolledBack;
+  return narrow ? nullptr : &record;
+}
+
+/// Share of the new version on one route, which may differ from the pool's.
+std::uint32_t ShareOnRoute(const RolloutRecord* record,
+                           const RouteName& route) {
+  if (record == nullptr) return 0;
+  const auto own =
+      std::ranges::find(record->route_shares, route, &RouteShare::route);
+  const bool differs = own != record->route_shares.end();
+  return std::min(differs ? own->share_ppm : record->share_ppm, kWhole);
 }
 
 /// Targets of one version on the hosts that `accepts` takes.
@@ -73,17 +86,20 @@
 
 PoolRouting PoolOf(const RoutingInputs& inputs, const PoolSpec& spec) {
   PoolRouting pool{.spec = spec};
-  std::uint32_t share_of_new = 0;
-  if (spec.rollout) {
-    pool.rollout = RolloutIdOf(spec);
-    share_of_new = ShareOfNewVersion(inputs, spec);
-  }
+  const RolloutRecord* record = RecordOf(inputs, spec);
+  const std::uint32_t share_of_new =
+      record == nullptr ? 0 : std::min(record->share_ppm, kWhole);
   pool.groups.push_back(
       GroupOf(inputs, spec.name, spec.version, kWhole - share_of_new));
-  if (spec.rollout) {
-    pool.groups.push_back(
-        GroupOf(inputs, spec.name, spec.rollout->version, share_of_new));
+  if (!spec.rollout) return pool;
+  pool.rollout = RolloutIdOf(spec);
+  VersionGroup group =
+      GroupOf(inputs, spec.name, spec.rollout->version, share_of_new);
+  if (record != nullptr) {
+    group.targets = ChooseTargets(pool.rollout, std::move(group.targets),
+                                  record->canary_targets);
   }
+  pool.groups.push_back(std::move(group));
   return pool;
 }
 
@@ -123,7 +139,9 @@
     if (pool == routing.pools.end() || pool->spec.name != rule.pool) continue;
     routing.routes.push_back(
         {.rule = rule,
-         .pool = static_cast<std::uint32_t>(pool - routing.pools.begin())});
+         .pool = static_cast<std::uint32_t>(pool - routing.pools.begin()),
+         .new_share_ppm =
+             ShareOnRoute(RecordOf(inputs, pool->spec), rule.name)});
   }
   std::ranges::sort(routing.routes,
                     [](const RoutedRule& left, const RoutedRule& right) {
--- a/mesh/mesh.capnp
+++ b/mesh/mesh.capnp
@@ -47,6 +47,13 @@
   newRequests @8 :UInt64;
   oldRequests @9 :UInt64;
   sentence @10 :Text;
+  routeShares @11 :List(RouteShare);
+  canaryTargets @12 :UInt32;
+}
+
+struct RouteShare {
+  route @0 :Text;
+  sharePpm @1 :UInt32;
 }
 
 struct Poison {
--- a/mesh/mesh.capnp.h
+++ b/mesh/mesh.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(9c4ea5332365fc8d);
 CAPNP_DECLARE_SCHEMA(a07c3f06bd76996e);
 CAPNP_DECLARE_SCHEMA(d086f421cb79d331);
+CAPNP_DECLARE_SCHEMA(8dcd0f63d452b53e);
 CAPNP_DECLARE_SCHEMA(d6aeff0fad3ba2bd);
 CAPNP_DECLARE_SCHEMA(91a3b0790a4899cc);
 CAPNP_DECLARE_SCHEMA(87f8ac695d89cb35);
@@ -120,7 +121,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d086f421cb79d331, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d086f421cb79d331, 5, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RouteShare {
+  RouteShare() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8dcd0f63d452b53e, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -936,6 +952,11 @@
   inline bool hasSentence() const;
   inline  ::capnp::Text::Reader getSentence() const;
 
+  inline bool hasRouteShares() const;
+  inline  ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>::Reader getRouteShares() const;
+
+  inline  ::uint32_t getCanaryTargets() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1013,6 +1034,16 @@
   inline void adoptSentence(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSentence();
 
+  inline bool hasRouteShares();
+  inline  ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>::Builder getRouteShares();
+  inline void setRouteShares( ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>::Builder initRouteShares(unsigned int size);
+  inline void adoptRouteShares(::capnp::Orphan< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>> disownRouteShares();
+
+  inline  ::uint32_t getCanaryTargets();
+  inline void setCanaryTargets( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1039,6 +1070,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class RouteShare::Reader {
+public:
+  typedef RouteShare Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
+
+  inline  ::uint32_t getSharePpm() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RouteShare::Builder {
+public:
+  typedef RouteShare Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline  ::uint32_t getSharePpm();
+  inline void setSharePpm( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RouteShare::Pipeline {
+public:
+  typedef RouteShare Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Poison::Reader {
 public:
   typedef Poison Reads;
@@ -3748,6 +3865,102 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool Rollout::Reader::hasRouteShares() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Rollout::Builder::hasRouteShares() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>::Reader Rollout::Reader::getRouteShares() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>::Builder Rollout::Builder::getRouteShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Rollout::Builder::setRouteShares( ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>::Builder Rollout::Builder::initRouteShares(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Rollout::Builder::adoptRouteShares(
+    ::capnp::Orphan< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>> Rollout::Builder::disownRouteShares() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::RouteShare,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Rollout::Reader::getCanaryTargets() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Rollout::Builder::getCanaryTargets() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setCanaryTargets( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RouteShare::Reader::hasRoute() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteShare::Builder::hasRoute() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RouteShare::Reader::getRoute() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RouteShare::Builder::getRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RouteShare::Builder::setRoute( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RouteShare::Builder::initRoute(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RouteShare::Builder::adoptRoute(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RouteShare::Builder::disownRoute() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RouteShare::Reader::getSharePpm() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RouteShare::Builder::getSharePpm() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RouteShare::Builder::setSharePpm( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Poison::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -100,20 +100,34 @@
   out.setNewRequests(record.reason.new_requests);
   out.setOldRequests(record.reason.old_requests);
   out.setSentence(record.reason.sentence);
+  out.setCanaryTargets(record.canary_targets);
+  auto shares = out.initRouteShares(record.route_shares.size());
+  for (unsigned index = 0; index < shares.size(); ++index) {
+    shares[index].setRoute(record.route_shares[index].route.value());
+    shares[index].setSharePpm(record.route_shares[index].share_ppm);
+  }
 }
 
 RolloutRecord Read(wire::Rollout::Reader in) {
-  return {.id = RolloutId(ToString(in.getId())),
-          .stage = ReadEnum(in.getStage(), RolloutStage::kRolledBack),
-          .share_ppm = in.getSharePpm(),
-          .stage_since = WallTime(Milliseconds(in.getStageSinceMs())),
-          .hurry = in.getHurry(),
-          .recorded = in.getRecorded(),
-          .reason = {.signal = ToString(in.getSignal()),
-                     .route = RouteName(ToString(in.getRoute())),
-                     .new_requests = in.getNewRequests(),
-                     .old_requests = in.getOldRequests(),
-                     .sentence = ToString(in.getSentence())}};
+  RolloutRecord record{
+      .id = RolloutId(ToString(in.getId())),
+      .stage = ReadEnum(in.getStage(), RolloutStage::kRolledBack),
+      .share_ppm = in.getSharePpm(),
+      .canary_targets = in.getCanaryTargets(),
+      .stage_since = WallTime(Milliseconds(in.getStageSinceMs())),
+      .hurry = in.getHurry(),
+      .recorded = in.getRecorded(),
+      .reason = {.signal = ToString(in.getSignal()),
+                 .route = RouteName(ToString(in.getRoute())),
+                 .new_requests = in.getNewRequests(),
+                 .old_requests = in.getOldRequests(),
+                 .sentence = ToString(in.getSentence())}};
+  for (auto share : in.getRouteShares()) {
+    record.route_shares.push_back(
+        {.route = RouteName(ToString(share.getRoute())),
+         .share_ppm = share.getSharePpm()});
+  }
+  return record;
 }
 
 void Write(const PoisonRecord& record, wire::Poison::Builder out) {
