Test what rollouts promise; name the route that explains the evidence

Cause: the promises had no tests. The first run of them found that a fault on one route was reported for all routes together, since their sum is at least as strong: the operator was not told which route.

Change: a fake mesh of five hosts with real routing drives RolloutManager through good, bad, later bad, one bad host, two owners, a paused owner, restarts with empty memory, duplicates, abort, hurry, no targets. Parts have their own tests, by properties where they fit. The reason names a route when it alone has 0.7 of the evidence.

--- a/core/rollout/version_judge.cc
+++ b/core/rollout/version_judge.cc
@@ -41,8 +41,12 @@
 
 RolloutReason VersionJudge::Strongest() const {
   const std::vector<EvidenceView> views = View();
-  const auto worst =
-      std::ranges::max_element(views, {}, &EvidenceView::evidence);
+  const auto strength = [](const EvidenceView& view) {
+    // A route that alone explains most of it says more than all routes.
+    constexpr double kRouteWeight = 1.4;
+    return view.evidence * (view.route.empty() ? 1 : kRouteWeight);
+  };
+  const auto worst = std::ranges::max_element(views, {}, strength);
   if (worst == views.end()) return {};
   return {.signal = std::string(NameOf(worst->signal)),
           .route = worst->route,
--- /dev/null
+++ b/unit_tests/core/rollout/ramp_plan_test.cc
@@ -0,0 +1,121 @@
+#include "core/rollout/ramp_plan.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace camphor {
+namespace {
+
+const RampOptions kOptions;
+
+RampState RampOf(std::uint32_t share_ppm) {
+  return {.stage = RolloutStage::kRamp,
+          .share_ppm = share_ppm,
+          .complete_by = WallTime(Seconds(1000)),
+          .since_step = Seconds(500)};
+}
+
+TEST(RouteSharesFor, CanaryShare_AddsUpToNoMoreThanTheBudget) {
+  EXPECT_TRUE(rc::check([] {
+    const auto sizes =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 1000));
+    RC_PRE(sizes.size() >= 2);
+    double all = 0;
+    for (const int size : sizes) all += size;
+    std::vector<RouteWeight> weights;
+    for (std::size_t route = 0; route < sizes.size(); ++route) {
+      weights.push_back({.route = RouteName(std::to_string(route)),
+                         .weight = sizes[route] / all});
+    }
+    const auto shares =
+        RouteSharesFor(kOptions, kOptions.canary_share_ppm, weights);
+    double total = 0;
+    for (std::size_t route = 0; route < shares.size(); ++route) {
+      total += shares[route].share_ppm * weights[route].weight;
+    }
+    RC_ASSERT(total <= kOptions.canary_share_ppm + 1.0);
+  }));
+}
+
+TEST(RouteSharesFor, RareRoute_GetsFarMoreThanTheCommonOne) {
+  const std::vector<RouteWeight> weights = {
+      {.route = RouteName("common"), .weight = 0.99},
+      {.route = RouteName("rare"), .weight = 0.01}};
+  const auto shares =
+      RouteSharesFor(kOptions, kOptions.canary_share_ppm, weights);
+  ASSERT_EQ(shares.size(), 2U);
+  EXPECT_GT(shares[1].share_ppm, 20 * shares[0].share_ppm);
+}
+
+TEST(RouteSharesFor, WideningShare_NeverFallsOnAnyRoute) {
+  const std::vector<RouteWeight> weights = {
+      {.route = RouteName("a"), .weight = 0.7},
+      {.route = RouteName("b"), .weight = 0.29},
+      {.route = RouteName("c"), .weight = 0.01}};
+  std::vector<RouteShare> before =
+      RouteSharesFor(kOptions, kOptions.canary_share_ppm, weights);
+  for (std::uint32_t share = kOptions.canary_share_ppm;
+       share <= kWholeShare - kOptions.control_share_ppm; share += 5'000) {
+    const auto shares = RouteSharesFor(kOptions, share, weights);
+    for (std::size_t route = 0; route < weights.size(); ++route) {
+      EXPECT_GE(shares[route].share_ppm, before[route].share_ppm) << share;
+    }
+    before = shares;
+  }
+}
+
+TEST(NextShare, DoubtWithTimeLeft_HoldsTheShare) {
+  RampState state = RampOf(100'000);
+  EXPECT_TRUE(NextShare(kOptions, state, WallTime(Seconds(600))));
+  state.evidence = kOptions.doubt;
+  EXPECT_FALSE(NextShare(kOptions, state, WallTime(Seconds(600))));
+}
+
+TEST(NextShare, DoubtWithoutTimeLeft_GoesOn) {
+  RampState state = RampOf(100'000);
+  state.evidence = kOptions.doubt;
+  EXPECT_TRUE(NextShare(kOptions, state, WallTime(Seconds(990))));
+}
+
+TEST(NextShare, NoDoubt_ReachesFullShareBeforeTheDeadline) {
+  RampState state = RampOf(kOptions.canary_share_ppm);
+  state.since_step = Milliseconds(0);
+  int second = 600;
+  while (state.share_ppm < kWholeShare - kOptions.control_share_ppm) {
+    ASSERT_LT(second, 1000);
+    const auto share = NextShare(kOptions, state, WallTime(Seconds(second)));
+    ++second;
+    state.since_step += Seconds(1);
+    if (!share) continue;
+    EXPECT_GT(*share, state.share_ppm);
+    state.share_ppm = *share;
+    state.since_step = Milliseconds(0);
+  }
+  EXPECT_GT(second, 800);
+}
+
+TEST(CanaryPassed, OperatorHurries_PassesEarlier) {
+  RampState state{.stage = RolloutStage::kCanary,
+                  .share_ppm = kOptions.canary_share_ppm,
+                  .complete_by = WallTime(Seconds(1000))};
+  const WallTime now{Seconds(200)};
+  EXPECT_FALSE(CanaryPassed(kOptions, state, now));
+  state.hurry = true;
+  EXPECT_TRUE(CanaryPassed(kOptions, state, now));
+}
+
+TEST(CanaryTargetsFor, AnyShare_LoadsNewTargetsNoMoreThanOldOnes) {
+  EXPECT_TRUE(rc::check([] {
+    const auto share = *rc::gen::inRange<std::uint32_t>(1, kWholeShare);
+    const auto old_targets = *rc::gen::inRange<std::size_t>(1, 50);
+    const auto new_targets = *rc::gen::inRange<std::size_t>(1, 50);
+    const std::uint32_t count =
+        CanaryTargetsFor(kOptions, share, old_targets, new_targets);
+    if (count == 0) return;  // all of them: no more can be had
+    const double part = static_cast<double>(share) / kWholeShare;
+    RC_ASSERT(part / count <= (1 - part) / old_targets + 1e-9);
+  }));
+}
+
+}  // namespace
+}  // namespace camphor
--- /dev/null
+++ b/unit_tests/core/rollout/rollout_fixture.h
@@ -0,0 +1,237 @@
+#ifndef CAMPHORHILL_UNIT_TESTS_CORE_ROLLOUT_ROLLOUT_FIXTURE_H_
+#define CAMPHORHILL_UNIT_TESTS_CORE_ROLLOUT_ROLLOUT_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/rollout/evidence_tree.h"
+#include "core/rollout/rollout_manager.h"
+#include "core/routing/routing_builder.h"
+
+namespace camphor {
+
+/// Several hosts, each with a RolloutManager and one target of each version,
+/// that share one rollout. Records and evidence travel at once, unless a test
+/// cuts a host off; requests follow the routing that each host derives.
+class RolloutFixture : public testing::Test {
+ protected:
+  static constexpr int kHosts = 5;
+  static constexpr int kRequests = 200;  // of a host, route and tick
+  static constexpr Seconds kTimeAllowed{600};
+  static constexpr Seconds kBake{60};
+
+  /// Says whether a request to this target fails.
+  using Fails = std::function<bool(bool is_new, const std::string& host)>;
+
+  /// One host of the fixture.
+  struct Host {
+    std::unique_ptr<RolloutManager> manager;
+    std::map<RolloutId, RolloutRecord> records;
+    bool cut_off = false;  ///< neither sends nor receives
+    bool paused = false;   ///< does not run
+    int routing_changes = 0;
+    EffectiveRoutingPtr routing;
+    std::map<std::string, double> credit;
+  };
+
+  void SetUp() override {
+    auto snapshot = std::make_shared<ConfigSnapshot>();
+    for (const char* route : {"get", "put"}) {
+      RouteRule& rule = snapshot->routes.emplace_back();
+      rule.name = RouteName(route);
+      rule.pool = PoolName("pool");
+    }
+    PoolSpec& pool = snapshot->pools.emplace_back();
+    pool.name = PoolName("pool");
+    pool.version = TargetVersion("v1");
+    pool.rollout = RolloutSpec{.version = TargetVersion("v2"),
+                               .complete_by = wall_ + kTimeAllowed,
+                               .bake = kBake};
+    pool.slots_per_target = 1000;
+    id_ = RolloutIdOf(pool);
+    snapshot_ = snapshot;
+    for (int host = 0; host < kHosts; ++host) {
+      Start("h" + std::to_string(host));
+    }
+  }
+
+  /// Starts a host with empty memory, or restarts it.
+  void Start(const std::string& name) {
+    Host& host = hosts_[name];
+    host = Host();
+    host.manager = std::make_unique<RolloutManager>(RolloutManager::Options{
+        .host = HostId(name),
+        .incarnation = ++incarnation_,
+        .publish =
+            [this, name](const RolloutRecord& record) { Spread(name, record); },
+        .send_evidence =
+            [this, name](const HostId& to, const EvidenceReport& report) {
+              Host& receiver = hosts_.at(to.value());
+              if (hosts_.at(name).cut_off || receiver.cut_off) return;
+              receiver.manager->OnEvidence(report, now_);
+              // The mesh may deliver twice.
+              receiver.manager->OnEvidence(report, now_);
+            },
+        .routing_changed = [&host] { ++host.routing_changes; }});
+    host.manager->SetConfig(snapshot_);
+    host.manager->SetHosts(Records());
+  }
+
+  std::map<HostId, HostRecord> Records() const {
+    std::map<HostId, HostRecord> records;
+    for (int host = 0; host < kHosts; ++host) {
+      const std::string name = "h" + std::to_string(host);
+      HostRecord& record = records[HostId(name)];
+      record.host = HostId(name);
+      for (const char* version : {"v1", "v2"}) {
+        if (version == std::string("v2") && without_new_targets_) continue;
+        TargetInfo& target = record.targets.emplace_back();
+        target.id = TargetId(name + "-" + version);
+        target.pool = PoolName("pool");
+        target.version = TargetVersion(version);
+      }
+    }
+    return records;
+  }
+
+  void Spread(const std::string& from, const RolloutRecord& record) {
+    if (hosts_.at(from).cut_off) return Take(from, record);
+    for (auto& [name, host] : hosts_) {
+      if (!host.cut_off) Take(name, record);
+    }
+  }
+
+  void Take(const std::string& name, const RolloutRecord& record) {
+    Host& host = hosts_.at(name);
+    const auto [known, added] = host.records.try_emplace(record.id, record);
+    if (!added) known->second = RolloutRecord::Merge(known->second, record);
+    if (stages_.empty() || stages_.back() != known->second.stage) {
+      stages_.push_back(known->second.stage);
+    }
+    if (host.manager) host.manager->OnRecord(known->second);
+  }
+
+  /// Joins a host that was cut off again: records are exchanged.
+  void Reconnect(const std::string& name) {
+    hosts_.at(name).cut_off = false;
+    std::vector<RolloutRecord> records;
+    for (const auto& [other, host] : hosts_) {
+      const auto known = host.records.find(id_);
+      if (known != host.records.end()) records.push_back(known->second);
+    }
+    for (const RolloutRecord& record : records) Spread(name, record);
+  }
+
+  /// Runs all hosts for some seconds.
+  void Run(int seconds, const Fails& fails) {
+    for (int second = 0; second < seconds; ++second) {
+      now_ += Seconds(1);
+      wall_ += Seconds(1);
+      for (auto& [name, host] : hosts_) {
+        if (host.paused) continue;
+        Route(name, host);
+        SendRequests(host, fails);
+        host.manager->Tick(now_, wall_);
+      }
+    }
+  }
+
+  void Route(const std::string& name, Host& host) const {
+    auto routing = std::make_shared<EffectiveRouting>(
+        BuildRouting({.self = HostId(name),
+                      .snapshot = snapshot_,
+                      .hosts = Records(),
+                      .rollouts = host.records,
+                      .locally_ejected = host.manager->locally_ejected()}));
+    if (!host.routing || *host.routing != *routing) host.routing = routing;
+  }
+
+  void SendRequests(Host& host, const Fails& fails) {
+    for (std::uint32_t route = 0; route < host.routing->routes.size();
+         ++route) {
+      const RoutedRule& rule = host.routing->routes[route];
+      double& credit = host.credit[rule.rule.name.value()];
+      for (int request = 0; request < kRequests; ++request) {
+        credit += rule.new_share_ppm / 1e6;
+        const std::uint32_t group = credit >= 1 ? 1 : 0;
+        credit -= group;
+        Send(host, route, group, fails);
+      }
+    }
+  }
+
+  void Send(Host& host, std::uint32_t route, std::uint32_t group,
+            const Fails& fails) {
+    const auto& targets = host.routing->pools[0].groups[group].targets;
+    if (targets.empty()) return;
+    const auto target = static_cast<std::uint32_t>(++sent_ % targets.size());
+    const bool failed = fails(group == 1, targets[target].host.value());
+    ++(group == 1 ? new_requests_ : old_requests_);
+    host.manager->OnSample(
+        {.routing = host.routing,
+         .route = route,
+         .group = group,
+         .target = target,
+         .outcome = failed ? RequestOutcome::kError : RequestOutcome::kSuccess,
+         .latency = Milliseconds(10)},
+        now_);
+  }
+
+  std::string Owner() const {
+    std::vector<HostId> hosts;
+    for (const auto& [name, host] : hosts_) hosts.emplace_back(name);
+    return EvidenceTree(id_, hosts).owner()->value();
+  }
+
+  RolloutRecord RecordOf(const std::string& name) const {
+    const auto& records = hosts_.at(name).records;
+    const auto known = records.find(id_);
+    return known == records.end() ? RolloutRecord{.id = id_} : known->second;
+  }
+
+  /// The stage that all hosts agree on; fails when they do not.
+  RolloutStage Stage() const {
+    const RolloutStage stage = RecordOf("h0").stage;
+    for (const auto& [name, host] : hosts_) {
+      EXPECT_EQ(RecordOf(name).stage, stage) << name;
+    }
+    return stage;
+  }
+
+  /// How often some host went into a final stage from another one.
+  std::ptrdiff_t Ends() const {
+    return std::ranges::count_if(stages_, [](RolloutStage stage) {
+      return stage >= RolloutStage::kDone;
+    });
+  }
+
+  static bool Good(bool /*is_new*/, const std::string& /*host*/) {
+    return false;
+  }
+  static bool Bad(bool is_new, const std::string& /*host*/) { return is_new; }
+
+  MonoTime now_{Seconds(100)};
+  WallTime wall_{Seconds(1'800'000'000)};
+  ConfigSnapshotPtr snapshot_;
+  RolloutId id_;
+  std::map<std::string, Host> hosts_;
+  std::vector<RolloutStage> stages_;
+  std::uint64_t incarnation_ = 0;
+  std::uint64_t sent_ = 0;
+  std::uint64_t new_requests_ = 0;
+  std::uint64_t old_requests_ = 0;
+  bool without_new_targets_ = false;
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_UNIT_TESTS_CORE_ROLLOUT_ROLLOUT_FIXTURE_H_
--- a/unit_tests/core/routing/routing_builder_test.cc
+++ b/unit_tests/core/routing/routing_builder_test.cc
@@ -79,6 +79,26 @@
   EXPECT_EQ(routing.pools.front().groups.at(1).share_ppm, 300'000U);
 }
 
+TEST_F(RoutingBuilder, RouteShare_OverridesThePoolsShareOnThatRoute) {
+  SetRollout(RolloutStage::kCanary, 7'000);
+  rollouts_.begin()->second.route_shares = {
+      {.route = RouteName("orders"), .share_ppm = 90'000}};
+  for (const RoutedRule& route : Build().routes) {
+    const bool rare = route.rule.name == RouteName("orders");
+    EXPECT_EQ(route.new_share_ppm, rare ? 90'000U : 7'000U);
+  }
+}
+
+TEST_F(RoutingBuilder, CanaryTargets_NarrowTheNewVersionOnly) {
+  hosts_[HostId("h2")] = {.host = HostId("h2"),
+                          .targets = {Target("t3", "v1"), Target("t4", "v2")}};
+  SetRollout(RolloutStage::kCanary, 7'000);
+  rollouts_.begin()->second.canary_targets = 1;
+  const EffectiveRouting routing = Build();
+  EXPECT_EQ(routing.pools.front().groups.at(0).targets.size(), 2U);
+  EXPECT_EQ(routing.pools.front().groups.at(1).targets.size(), 1U);
+}
+
 TEST_F(RoutingBuilder, LocallyEjected_OldVersionAlone) {
   SetRollout(RolloutStage::kRamp, 300'000);
   ejected_.insert({PoolName("p"), TargetVersion("v2")});
