--- a/core/rollout/ramp_plan.h
+++ b/core/rollout/ramp_plan.h
@@ -37,6 +37,7 @@
   Milliseconds longest_ramp{3'600'000};    ///< bound for long deadlines
   Milliseconds shortest_canary{10'000};    ///< also when the time is almost up
   Milliseconds shortest_step{2'000};       ///< also when the time is almost up
+  double fewest_steps = 4;  ///< of a ramp, also when the time is almost up
   double doubt = 0.45;  ///< evidence against the version that holds the share
 };
 
--- a/unit_tests/core/rollout/ramp_plan_test.cc
+++ b/unit_tests/core/rollout/ramp_plan_test.cc
@@ -94,6 +94,16 @@
   EXPECT_GT(second, 800);
 }
 
+TEST(NextShare, HardlyAnyTime_TakesLargerSteps) {
+  RampState state = RampOf(kOptions.canary_share_ppm);
+  const auto usual = NextShare(kOptions, state, WallTime(Seconds(600)));
+  const auto late = NextShare(kOptions, state, WallTime(Seconds(2000)));
+  ASSERT_TRUE(usual && late);
+  EXPECT_GT(*late, *usual);
+  // Even then the share does not jump.
+  EXPECT_LT(*late, 50'000U);
+}
+
 TEST(CanaryPassed, OperatorHurries_PassesEarlier) {
   RampState state{.stage = RolloutStage::kCanary,
                   .share_ppm = kOptions.canary_share_ppm,
