--- a/node/node.cc
+++ b/node/node.cc
@@ -15,6 +15,7 @@
 #include "node/decisions/published.h"
 #include "node/metrics/node_metrics.h"
 #include "node/platform_sync/platform_sync.h"
+#include "platform/claim_store.h"
 #include "platform/http_platform_client.h"
 #include "proxy/proxy_server.h"
 
@@ -55,7 +56,8 @@
         decisions(DecisionOptions()),
         proxy(ProxyOptions()),
         mesh(MeshOptions()),
-        platform({.platform = settings.platform}) {}
+        platform({.platform = settings.platform}),
+        claims(ClaimOptions()) {}
 
   Options options;
   const Settings& settings;
@@ -75,6 +77,7 @@
   ProxyServer proxy;
   MeshTransport mesh;
   HttpPlatformClient platform;
+  ClaimStore claims;
   std::unique_ptr<HostController> controller;
   std::unique_ptr<PlatformSync> sync;
   std::unique_ptr<AdminApi> api;
@@ -83,6 +86,7 @@
   DecisionThread::Options DecisionOptions();
   ProxyServer::Options ProxyOptions();
   MeshTransport::Options MeshOptions();
+  ClaimStore::Options ClaimOptions();
   HostController::Options ControllerOptions();
   PlatformSync::Options SyncOptions();
   AdminApi::Options ApiOptions();
@@ -137,8 +141,15 @@
               controller->OnTargetDeath(fingerprint, target, Now(), WallNow());
             });
           },
-      .claim = [](const std::string&, std::uint64_t,
-                  const ClaimCallback& done) { done(ClaimStatus::kNotMade); },
+      .claim =
+          [this](std::string key, std::uint64_t fingerprint,
+                 ClaimCallback done) {
+            claims.Claim(std::move(key), fingerprint, std::move(done));
+          },
+      .release_claim =
+          [this](std::string key, std::function<void(bool)> done) {
+            claims.Release(std::move(key), std::move(done));
+          },
       .debug_headers = settings.proxy.debug_headers};
   if (settings.log.history) {
     proxy_options.history = [this](const std::string& text) {
@@ -168,6 +179,15 @@
               }};
 }
 
+ClaimStore::Options Node::State::ClaimOptions() {
+  return {.client = &platform,
+          .schedule =
+              [this](Milliseconds delay, DecisionThread::Task task) {
+                decisions.RunAfter(delay, std::move(task));
+              },
+          .owner = settings.host.value() + "/" + std::to_string(incarnation)};
+}
+
 HostController::Options Node::State::ControllerOptions() {
   return {.settings = settings,
           .incarnation = incarnation,
@@ -198,10 +218,8 @@
                 decisions.Post(Source::kPlatform, std::move(task));
               },
           .schedule =
-              [this](Milliseconds delay, const DecisionThread::Task& task) {
-                decisions.Post(Source::kPlatform, [this, delay, task] {
-                  decisions.RunAfter(delay, task);
-                });
+              [this](Milliseconds delay, DecisionThread::Task task) {
+                decisions.RunAfter(delay, std::move(task));
               }};
 }
 
@@ -303,7 +321,7 @@
                           .mesh = mesh.counters(),
                           .admin_requests = admin.requests(),
                           .log_dropped = log.dropped()}) +
-         proxy.MetricsText();
+         proxy.MetricsText() + claims.MetricsText();
 }
 
 bool Node::State::Fail(std::string_view part, const std::string& reason) {
