--- a/harness/fleet.cc
+++ b/harness/fleet.cc
@@ -356,11 +356,17 @@
 
 // The host whose process holds a connection from the port; empty for others.
 std::string Fleet::ConnectorOf(std::uint16_t port) {
-  const std::lock_guard lock(pids_mutex_);
-  for (const auto& [host, pid] : host_pids_) {
-    if (HoldsSocket(pid, port)) return host;
+  std::map<pid_t, std::string> hosts;
+  std::vector<pid_t> processes;
+  {
+    const std::lock_guard lock(pids_mutex_);
+    for (const auto& [host, pid] : host_pids_) {
+      hosts[pid] = host;
+      processes.push_back(pid);
+    }
   }
-  return "";
+  const pid_t holder = FindSocketHolder(processes, port);
+  return holder == 0 ? "" : hosts[holder];
 }
 
 std::string Fleet::SettingsOf(const std::string& host) const {
--- a/harness/socket_owner.cc
+++ b/harness/socket_owner.cc
@@ -12,13 +12,15 @@
 namespace {
 
 // Inodes of the sockets with that port, from the kernel's table of sockets.
-std::set<std::string> InodesOfPort(pid_t pid, std::uint16_t port) {
+std::set<std::string> InodesOfPort(std::uint16_t port) {
   const std::string suffix = fmt::format(":{:04X}", port);
   std::set<std::string> inodes;
-  std::ifstream table(fmt::format("/proc/{}/net/tcp", pid));
+  std::ifstream table("/proc/self/net/tcp");
   std::string line;
   std::getline(table, line);  // the heading
   while (std::getline(table, line)) {
+    // Most lines are of others: the table has all sockets of the machine.
+    if (line.find(suffix) == std::string::npos) continue;
     // Columns: number, own address, other address, state, queues, timer,
     // retransmissions, user, timeout, inode.
     std::istringstream columns(line);
@@ -34,12 +36,9 @@
   return inodes;
 }
 
-}  // namespace
-
-bool HoldsSocket(pid_t pid, std::uint16_t port) {
-  const std::set<std::string> inodes = InodesOfPort(pid, port);
+bool HoldsAny(pid_t process, const std::set<std::string>& inodes) {
   std::error_code error;
-  std::filesystem::directory_iterator files(fmt::format("/proc/{}/fd", pid),
+  std::filesystem::directory_iterator files(fmt::format("/proc/{}/fd", process),
                                             error);
   if (error) return false;
   for (const auto& file : files) {
@@ -55,4 +54,15 @@
   return false;
 }
 
+}  // namespace
+
+pid_t FindSocketHolder(const std::vector<pid_t>& processes,
+                       std::uint16_t port) {
+  const std::set<std::string> inodes = InodesOfPort(port);
+  for (const pid_t process : processes) {
+    if (HoldsAny(process, inodes)) return process;
+  }
+  return 0;
+}
+
 }  // namespace camphor
--- a/harness/socket_owner.h
+++ b/harness/socket_owner.h
@@ -4,13 +4,14 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <vector>
 
 namespace camphor {
 
-/// True when the process holds a TCP socket (IP version 4) whose own port is
-/// the given one. @pre the process was started by this one. Thread safety: any
-/// thread.
-bool HoldsSocket(pid_t pid, std::uint16_t port);
+/// The process among the given ones that holds a TCP socket (IP version 4)
+/// whose own port is the given one; 0 when none does. @pre the processes were
+/// started by this one. Thread safety: any thread.
+pid_t FindSocketHolder(const std::vector<pid_t>& processes, std::uint16_t port);
 
 }  // namespace camphor
 
--- a/mesh/mesh_transport.cc
+++ b/mesh/mesh_transport.cc
@@ -56,6 +56,7 @@
   std::atomic<bool> stopping{false};
   std::string last_reason{};
   Endpoint listening{};
+  Endpoint name{};  // towards peers
   TransportCounters counters{};
   std::map<Endpoint, kj::Own<OutgoingPeer>> peers{};
   kj::TimePoint next_idle_check = kj::origin<kj::TimePoint>();
@@ -74,6 +75,7 @@
                       address->listen(), io.provider->getTimer(), counters);
     listening = {.address = options.listen.address,
                  .port = static_cast<std::uint16_t>(gate.port())};
+    name = options.advertise.port == 0 ? listening : options.advertise;
     told = true;
     started.set_value({});
     Serve(io);
@@ -106,9 +108,9 @@
   kj::Own<OutgoingPeer>& peer = peers[endpoint];
   if (peer.get() == nullptr) {
     const auto seed = static_cast<std::uint32_t>(
-        std::hash<std::string>()(listening.ToString() + endpoint.ToString()));
+        std::hash<std::string>()(name.ToString() + endpoint.ToString()));
     peer = kj::heap<OutgoingPeer>(
-        OutgoingPeer::Options{.self = listening,
+        OutgoingPeer::Options{.self = name,
                               .peer = endpoint,
                               .key = options.key,
                               .random_seed = seed,
--- a/mesh/mesh_transport.h
+++ b/mesh/mesh_transport.h
@@ -23,8 +23,10 @@
  public:
   struct Options {
     Endpoint
-        listen{};     ///< where to listen; also this host's name towards peers
-    std::string key;  ///< shared secret that keeps strangers out
+        listen{};  ///< where to listen; also this host's name towards peers
+    Endpoint advertise{};  ///< name towards peers in place of `listen`, when
+                           ///< they reach it by another address; port 0: none
+    std::string key;       ///< shared secret that keeps strangers out
     std::size_t ring_capacity =
         8192;  ///< messages that wait for the mesh thread at most
     std::function<void(const Endpoint&, MeshMessage)>
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -34,7 +34,7 @@
       .self = {.host = settings.host,
                .incarnation = options_.incarnation,
                .domain = settings.failure_domain,
-               .mesh = settings.mesh_listen,
+               .mesh = settings.mesh_advertise,
                .forward = options_.forward},
       .seeds = settings.mesh_seeds,
       .random_seed = options_.incarnation,
--- a/node/node.cc
+++ b/node/node.cc
@@ -161,6 +161,7 @@
 
 MeshTransport::Options Node::State::MeshOptions() {
   return {.listen = settings.mesh_listen,
+          .advertise = settings.mesh_advertise,
           .key = settings.mesh_key,
           .on_message =
               [this](const Endpoint& from, MeshMessage message) {
@@ -191,7 +192,9 @@
 HostController::Options Node::State::ControllerOptions() {
   return {.settings = settings,
           .incarnation = incarnation,
-          .forward = proxy.forward_endpoint(),
+          .forward = settings.forward_advertise.port == 0
+                         ? proxy.forward_endpoint()
+                         : settings.forward_advertise,
           .log = &log,
           .routing = &routing,
           .addresses = &addresses,
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -42,6 +42,22 @@
   }
 }
 
+/// An address that stands for one that is listened on. Port 0 when the key is
+/// not there.
+Endpoint ReadAdvertised(JsonFields& fields, std::string_view key) {
+  const std::string text = fields.String(key, "");
+  if (text.empty()) return {};
+  const std::optional<Endpoint> endpoint = Endpoint::Parse(text);
+  if (!endpoint.has_value() || endpoint->port == 0) {
+    fields.Report(key,
+                  "must be an IP number with a port from 1 to 65535, like "
+                  "10.0.0.1:7001");
+    return {};
+  }
+  CheckReachable(fields, key, *endpoint);
+  return *endpoint;
+}
+
 LogLevel ReadLevel(JsonFields& fields, std::string_view key,
                    LogLevel fallback) {
   const std::string text =
@@ -75,6 +91,10 @@
   CheckReachable(fields, "forward_listen", settings.forward_listen);
   settings.mesh_listen = ReadEndpoint(fields, "mesh_listen", PortRule::kFixed);
   CheckReachable(fields, "mesh_listen", settings.mesh_listen);
+  settings.forward_advertise = ReadAdvertised(fields, "forward_advertise");
+  settings.mesh_advertise = ReadAdvertised(fields, "mesh_advertise");
+  if (settings.mesh_advertise.port == 0)
+    settings.mesh_advertise = settings.mesh_listen;
   settings.admin_listen = ReadEndpoint(fields, "admin_listen", PortRule::kAny);
   settings.platform = ReadEndpoint(fields, "platform", PortRule::kFixed);
   ReadMeshSeeds(fields, settings);
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -71,9 +71,12 @@
   Endpoint caller_listen{};      ///< where callers connect; port 0 takes any
   Endpoint forward_listen{};  ///< where other proxies connect; port 0 takes any
   Endpoint mesh_listen{};     ///< where other hosts' meshes connect
-  Endpoint admin_listen{};    ///< where operators and targets connect; port 0
-                              ///< takes any
-  std::string mesh_key;       ///< shared secret of the mesh
+  Endpoint forward_advertise{};  ///< where other proxies reach this one, if
+                                 ///< not where it listens; port 0 if so
+  Endpoint mesh_advertise{};     ///< where other hosts' meshes reach this one
+  Endpoint admin_listen{};  ///< where operators and targets connect; port 0
+                            ///< takes any
+  std::string mesh_key;     ///< shared secret of the mesh
   std::vector<Endpoint> mesh_seeds{};  ///< hosts to join through
   Endpoint platform{};         ///< platform's table service and object store
   std::string operator_token;  ///< what an operator must show to edit
--- a/unit_tests/harness/relay_test.cc
+++ b/unit_tests/harness/relay_test.cc
@@ -67,11 +67,11 @@
   EXPECT_TRUE(Answers(other));
 }
 
-TEST(HoldsSocket, OwnPort_IsFound) {
+TEST(FindSocketHolder, OwnPort_IsFound) {
   TargetStandIn target({.id = "t1"});
   ASSERT_TRUE(target.Start()) << target.last_reason();
-  EXPECT_TRUE(HoldsSocket(getpid(), target.endpoint().port));
-  EXPECT_FALSE(HoldsSocket(getpid(), 1));
+  EXPECT_EQ(FindSocketHolder({getpid()}, target.endpoint().port), getpid());
+  EXPECT_EQ(FindSocketHolder({getpid()}, 1), 0);
 }
 
 }  // namespace
--- a/unit_tests/node/settings/settings_test.cc
+++ b/unit_tests/node/settings/settings_test.cc
@@ -73,5 +73,23 @@
   EXPECT_NE(reader.errors()[0].message.find("line 2"), std::string::npos);
 }
 
+TEST(SettingsReaderRead, AdvertisedAddresses_StandForTheListeners) {
+  SettingsReader reader;
+  const auto plain = reader.Read(kLeast);
+  EXPECT_EQ(plain->mesh_advertise, plain->mesh_listen);
+  EXPECT_EQ(plain->forward_advertise.port, 0);
+  const auto translated =
+      reader.Read(With("\"mesh_key\"",
+                       "\"mesh_advertise\": \"10.0.0.1:7\", "
+                       "\"forward_advertise\": \"10.0.0.1:8\", "
+                       "\"mesh_key\""));
+  ASSERT_TRUE(translated.has_value());
+  EXPECT_EQ(translated->mesh_advertise.ToString(), "10.0.0.1:7");
+  EXPECT_EQ(translated->forward_advertise.ToString(), "10.0.0.1:8");
+  EXPECT_FALSE(reader.Read(With(
+      "\"mesh_key\"", "\"mesh_advertise\": \"10.0.0.1:0\", \"mesh_key\"")));
+  EXPECT_TRUE(HasFault(reader, "mesh_advertise"));
+}
+
 }  // namespace
 }  // namespace camphor
