Let a target count as seen only when the proxies' routing has it

The logs of a failed run show hosts whose published routing followed the target's record by up to 50 ms (published at most each 20 ms, or with the tick), while /v1/targets, which the check reads, had the record at once; the load began in between. Ruled out: the platform's outage and the leaving target (no refusal after the first 50 ms). Change: /v1/targets says whether the published routing still lacks a known change, and the fleet waits for that too. No bound changed. Left: a proxy refuses at once, as not run, while a pool has no target.

--- a/harness/fleet.cc
+++ b/harness/fleet.cc
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 #include <charconv>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -39,10 +40,13 @@
 
 // True when the node's list of targets has this one, and it is not leaving and
 // its host is not lost.
-bool TakesWork(const std::string& targets, const std::string& id) {
+std::optional<bool> TakesWork(const std::string& targets,
+                              const std::string& id) {
   boost::json::error_code error;
   const boost::json::value document = boost::json::parse(targets, error);
-  if (error) return false;
+  if (error) return std::nullopt;
+  // Callers are served by the published routing, which follows what is known.
+  if (document.at("routing_pending").as_bool()) return std::nullopt;
   for (const boost::json::value& row : document.at("targets").as_array()) {
     if (row.at("id").as_string() != id) continue;
     const auto& host_status = row.at("host_status").as_string();
--- a/node/admin/admin_api.cc
+++ b/node/admin/admin_api.cc
@@ -153,7 +153,8 @@
     return object{{"hosts", HostsView(controller.replicator())}};
   });
   add("/v1/targets", [](HostController& controller) {
-    return object{{"targets", TargetsView(controller.replicator())}};
+    return object{{"targets", TargetsView(controller.replicator())},
+                  {"routing_pending", controller.routing_pending()}};
   });
   add("/v1/rollouts", [](HostController& controller) {
     return object{{"rollouts", RolloutsView(controller.replicator())},
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -70,6 +70,10 @@
   /// Publishes the routing if anything that it depends on has changed.
   void PublishRouting(MonoTime now);
 
+  /// True while the published routing lacks a change that is known here; it
+  /// follows within milliseconds.
+  bool routing_pending() const { return routing_changed_ || urgent_; }
+
   /// True once callers may be served.
   bool ready() const;
 
