Blame the right request for a target's death, and tell other hosts first

Found one after the other: the Host header was part of the fingerprint, so that the same request through another host was another one; a caller could send again before other hosts knew of a death; a process that ends may close its connections before its listener, so that the poison request counted as merely broken off and the innocents beside it were blamed. Ruled out: the spread of poison records, which arrived within milliseconds. Change: Host is left out; an answer that tells of a death waits 250 ms at most; a broken connection is looked at four times over 50 ms.

--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -86,9 +87,21 @@
     if (!TraitsOf(error).not_run) unknown_ = error;
     context_.metrics.Count(Counter::kRetries);
   }
+  if (deaths_ > 0) co_await AwaitDeathNotice();
   co_return Refuse(error);
 }
 
+asio::awaitable<void> CallerRequest::AwaitDeathNotice() {
+  asio::steady_timer timer(*context_.io);
+  timer.expires_after(std::min<Microseconds>(
+      context_.options.limits.death_notice, options_.control->TimeLeft()));
+  const RequestControl::Scope scope(*options_.control,
+                                    [&timer] { timer.cancel(); });
+  if (options_.control->stopped() == RequestControl::Stop::kNone) {
+    co_await timer.async_wait(kAsTuple);
+  }
+}
+
 bool CallerRequest::Place() {
   EffectiveRoutingPtr routing = context_.Routing();
   if (routing != routing_) {
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -51,6 +51,7 @@
   bool Place();
   asio::awaitable<std::optional<ProxyError>> Attempt();
   asio::awaitable<Exchange::Relayed> Relay(Exchange& exchange);
+  asio::awaitable<void> AwaitDeathNotice();
   std::unique_ptr<RequestRun> MakeRun();
   bool MayRetry(ProxyError error);
   bool MayAbandon();
--- a/proxy/header_rules.cc
+++ b/proxy/header_rules.cc
@@ -28,10 +28,11 @@
     http::field::expect,
 };
 
-/// Headers that differ each time that a caller sends the same request.
-constexpr std::array<std::string_view, 8> kVolatile = {
-    "Idempotency-Key", "X-Request-Id",      "Traceparent", "Tracestate", "Date",
-    "Content-Length",  "Transfer-Encoding", "Connection",
+/// Headers that differ each time that a caller sends the same request, be it
+/// through another host.
+constexpr std::array<std::string_view, 9> kVolatile = {
+    "Host", "Idempotency-Key", "X-Request-Id",      "Traceparent", "Tracestate",
+    "Date", "Content-Length",  "Transfer-Encoding", "Connection",
 };
 
 std::string_view View(beast::string_view text) {
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <string_view>
@@ -12,6 +13,10 @@
 
 using Counter = ProxyMetrics::Counter;
 
+/// Pauses before the looks at whether a target died.
+constexpr std::array<Milliseconds, 4> kDeathProbes = {
+    Milliseconds(0), Milliseconds(5), Milliseconds(15), Milliseconds(30)};
+
 /// Waits on the proxy thread for an answer that may come on any thread.
 template <typename Value>
 struct Pending {
@@ -194,11 +199,17 @@
 }
 
 asio::awaitable<ProxyError> LocalRun::FindDeath() {
-  // A broken connection alone does not say that the target died.
-  const ConnectionPool::Failure probe = co_await target_->pool()->Probe();
-  if (probe != ConnectionPool::Failure::kRefused) {
-    co_return ProxyError::kTargetBroke;
-  }
+  // A broken connection alone does not say that the target died; but a process
+  // that ends may close its connections before its listener.
+  bool dead = false;
+  for (const Milliseconds pause : kDeathProbes) {
+    asio::steady_timer timer(*context_.io, pause);
+    co_await timer.async_wait(kAsTuple);
+    const ConnectionPool::Failure probe = co_await target_->pool()->Probe();
+    dead = probe == ConnectionPool::Failure::kRefused;
+    if (dead) break;
+  }
+  if (!dead) co_return ProxyError::kTargetBroke;
   const std::vector<std::uint64_t> blamed =
       context_.deaths.OnDeath(request_.target);
   if (!blamed.empty()) context_.metrics.Count(Counter::kTargetDeaths);
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -29,6 +29,9 @@
   Milliseconds connect_timeout{500};        ///< longest time to connect
   Milliseconds heartbeat{500};  ///< pause between interim answers of a host
   Milliseconds silence{1600};  ///< a host silent for longer lost the connection
+  Milliseconds death_notice{
+      250};  ///< an answer that tells of a target's death waits this long, so
+             ///< that other hosts know before the request is sent again
   Milliseconds probe_idle{2000};  ///< idle connections are probed this often
 };
 
--- a/unit_tests/proxy/proxy_faults_test.cc
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -360,7 +360,10 @@
   StartHosts();
   std::optional<HttpResponse> answer;
   for (int call = 0; call < 8; ++call) {
-    answer = Call({.method = "POST", .target = "/poison"});
+    // Each time through another name of this host.
+    answer = Call({.method = "POST",
+                   .target = "/poison",
+                   .fields = {{"host", "name" + std::to_string(call)}}});
     ASSERT_TRUE(answer);
   }
   EXPECT_EQ(answer->status, 422);
