Kill the target of the cut-answer test only after it has answered

Cause: the test killed its target once a slot was taken, which may be before the target wrote the beginning of its answer; the caller then rightly got a 502. Seen once in a busy run of all tests. Change: it waits for the answer's beginning. As strict as before. Ruled out: a proxy that passes a cut answer as whole.

--- a/unit_tests/proxy/proxy_faults_test.cc
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -71,6 +71,7 @@
 
   const Endpoint& endpoint() const { return endpoint_; }
   bool dead() const { return dead_; }
+  int answered() const { return answered_; }
 
  private:
   struct Session {
@@ -108,6 +109,7 @@
           boost::system::error_code ignored;
           boost::asio::write(session->socket, boost::asio::buffer(answer_),
                              ignored);
+          ++answered_;
           Read(session);
         });
   }
@@ -124,6 +126,7 @@
   std::vector<std::shared_ptr<Session>> sessions_;
   Endpoint endpoint_;
   std::atomic<bool> dead_ = false;
+  std::atomic<int> answered_ = 0;
   std::thread thread_;
 };
 
@@ -333,7 +336,7 @@
   AddTargetAt("h2", "t1", target.endpoint());
   StartHosts();
   auto cut = StartCall({.method = "POST", .target = "/a"});
-  AwaitDump("h2", R"("running":1)");
+  while (target.answered() == 0) std::this_thread::yield();
   target.Kill();
   EXPECT_FALSE(cut.get());
   EXPECT_EQ(Metric("h1", "cut_answers"), 1U);
