--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -15,6 +15,8 @@
 // A host judges alone on far less than all requests: it must be surer.
 constexpr double kLocalFalseAlarm = 1e-9;
 
+constexpr Seconds kShortestColdStart{3};
+
 bool IsWidening(RolloutStage stage) {
   return stage > RolloutStage::kPending && stage < RolloutStage::kDone;
 }
@@ -24,18 +26,6 @@
 RolloutTracker::RolloutTracker(Options options)
     : options_(std::move(options)), record_{.id = options_.id} {
   assert(options_.pool.rollout);
-  RolloutOptions& settings = options_.settings;
-  if (!settings.make_judge) {
-    settings.make_judge = [] {
-      return std::make_unique<SequentialJudge>(SequentialJudge::Options{});
-    };
-  }
-  if (!settings.make_local_judge) {
-    settings.make_local_judge = [] {
-      return std::make_unique<SequentialJudge>(
-          SequentialJudge::Options{.false_alarm = kLocalFalseAlarm});
-    };
-  }
 }
 
 void RolloutTracker::SetTree(EvidenceTree tree) {
@@ -83,7 +73,7 @@
   }
   if (now < block_end_) return false;
   block_end_ = now + options_.settings.block;
-  const bool changed = JudgeOwn(now);
+  const bool changed = JudgeOwn(now, wall_now);
   if (IsOwner()) {
     JudgeSum(now, wall_now);
   } else {
@@ -102,8 +92,11 @@
   no_targets_since_.reset();
 }
 
-bool RolloutTracker::JudgeOwn(MonoTime now) {
-  if (!local_judge_) local_judge_ = options_.settings.make_local_judge();
+bool RolloutTracker::JudgeOwn(MonoTime now, WallTime wall_now) {
+  if (!local_judge_) {
+    const auto& make = options_.settings.make_local_judge;
+    local_judge_ = make ? make() : MakeJudge(kLocalFalseAlarm, wall_now);
+  }
   local_judge_->AddBlock(BlockOf(collector_.TakeOwn(), now));
   if (ejected_until_) {
     if (now < *ejected_until_) return false;
@@ -117,9 +110,25 @@
   return true;
 }
 
+std::unique_ptr<VersionJudge> RolloutTracker::MakeJudge(
+    double false_alarm, WallTime wall_now) const {
+  SequentialJudge::Options options{.false_alarm = false_alarm};
+  // A cold start must not take up the time that there is to judge.
+  const WallTime start =
+      record_.stage == RolloutStage::kPending ? wall_now : record_.stage_since;
+  const auto allowed = options_.pool.rollout->complete_by - start;
+  const auto part = std::chrono::duration_cast<Seconds>(
+      allowed * options_.settings.cold_start_part);
+  options.comparison.cold_start =
+      std::clamp(part, kShortestColdStart, options.comparison.cold_start);
+  return std::make_unique<SequentialJudge>(options);
+}
+
 void RolloutTracker::JudgeSum(MonoTime now, WallTime wall_now) {
   if (!judge_) {
-    judge_ = options_.settings.make_judge();
+    const auto& make = options_.settings.make_judge;
+    judge_ = make ? make()
+                  : MakeJudge(SequentialJudge::Options().false_alarm, wall_now);
     owned_since_ = now;
   }
   std::uint32_t hosts = 0;
--- a/core/rollout/rollout_tracker.h
+++ b/core/rollout/rollout_tracker.h
@@ -35,6 +35,8 @@
   double last_doubt = 0.5;  ///< evidence that rolls the version back when there
                             ///< is no more time to wait for more: at the latest
                             ///< start of the ramp, and at the end of the bake
+  double cold_start_part =
+      0.15;  ///< part of the time allowed that a cold start takes at most
   std::function<std::unique_ptr<VersionJudge>()>
       make_judge{};  ///< judge of the owner; empty for the sequential one
   std::function<std::unique_ptr<VersionJudge>()>
@@ -109,7 +111,9 @@
   bool IsOwner() const { return tree_.owner() == options_.host; }
   bool HasEnded() const { return record_.stage >= RolloutStage::kDone; }
   void Restart(MonoTime now);
-  bool JudgeOwn(MonoTime now);
+  bool JudgeOwn(MonoTime now, WallTime wall_now);
+  std::unique_ptr<VersionJudge> MakeJudge(double false_alarm,
+                                          WallTime wall_now) const;
   void JudgeSum(MonoTime now, WallTime wall_now);
   void SendSum();
   EvidenceBlock BlockOf(std::vector<EvidenceCell> cells, MonoTime now) const;
