--- a/harness/fleet.cc
+++ b/harness/fleet.cc
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 #include <charconv>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -39,10 +40,13 @@
 
 // True when the node's list of targets has this one, and it is not leaving and
 // its host is not lost.
-bool TakesWork(const std::string& targets, const std::string& id) {
+std::optional<bool> TakesWork(const std::string& targets,
+                              const std::string& id) {
   boost::json::error_code error;
   const boost::json::value document = boost::json::parse(targets, error);
-  if (error) return false;
+  if (error) return std::nullopt;
+  // Callers are served by the published routing, which follows what is known.
+  if (document.at("routing_pending").as_bool()) return std::nullopt;
   for (const boost::json::value& row : document.at("targets").as_array()) {
     if (row.at("id").as_string() != id) continue;
     const auto& host_status = row.at("host_status").as_string();
@@ -356,11 +360,17 @@
 
 // The host whose process holds a connection from the port; empty for others.
 std::string Fleet::ConnectorOf(std::uint16_t port) {
-  const std::lock_guard lock(pids_mutex_);
-  for (const auto& [host, pid] : host_pids_) {
-    if (HoldsSocket(pid, port)) return host;
+  std::map<pid_t, std::string> hosts;
+  std::vector<pid_t> processes;
+  {
+    const std::lock_guard lock(pids_mutex_);
+    for (const auto& [host, pid] : host_pids_) {
+      hosts[pid] = host;
+      processes.push_back(pid);
+    }
   }
-  return "";
+  const pid_t holder = FindSocketHolder(processes, port);
+  return holder == 0 ? "" : hosts[holder];
 }
 
 std::string Fleet::SettingsOf(const std::string& host) const {
