Freeze hosts in the storm of the convergence measurement

Cause: with killed hosts alone push without repair left no host stale either (120 hosts, herd, stale_hosts=0), since a restarted host reads the platform; what repair is for are hosts that live but miss changes. Change: a sixth of the hosts is frozen until the last change of a storm; its time counts from the thaw.

--- a/performance_test/convergence/convergence_report.h
+++ b/performance_test/convergence/convergence_report.h
@@ -10,7 +10,7 @@
 
 namespace camphor {
 
-/// Times at which each host was started again, by name.
+/// Times at which each host was started or thawed again, by name.
 using RestartTimes = std::map<std::string, std::vector<EventTime>>;
 
 /// What the history of a run says of its changes. Immutable value type.
--- a/performance_test/convergence/convergence_run.cc
+++ b/performance_test/convergence/convergence_run.cc
@@ -42,6 +42,7 @@
     Edit();
     Pause(options_.interval);
   }
+  Thaw();
   fleet_.AwaitVersion(version_, options_.limit);
   const FleetUsage end = FleetUsage::Read(fleet_);
   ReadHistoryLines(fleet_.History(), history_);
@@ -91,14 +92,18 @@
       KillAndRestart(1, Milliseconds(0));
       return;
     case Fault::kStorm:
+      if (change == 0) Freeze(options_.hosts / 6);
       KillAndRestart(options_.hosts / 3, Milliseconds(0));
       return;
   }
 }
 
 void ConvergenceRun::KillAndRestart(unsigned count, Milliseconds pause) {
+  std::vector<std::string> able;
+  for (const std::string& host : hosts_)
+    if (!frozen_.contains(host)) able.push_back(host);
   std::vector<std::string> chosen;
-  std::ranges::sample(hosts_, std::back_inserter(chosen), count, random_);
+  std::ranges::sample(able, std::back_inserter(chosen), count, random_);
   for (const std::string& host : chosen) fleet_.process(host)->Kill();
   Pause(pause);
   for (const std::string& host : chosen) {
@@ -107,6 +112,22 @@
   }
 }
 
+void ConvergenceRun::Freeze(unsigned count) {
+  std::vector<std::string> chosen;
+  std::ranges::sample(hosts_, std::back_inserter(chosen), count, random_);
+  for (const std::string& host : chosen) fleet_.process(host)->Freeze();
+  frozen_.insert(chosen.begin(), chosen.end());
+}
+
+void ConvergenceRun::Thaw() {
+  // What a frozen host could not hear counts from when it runs again.
+  for (const std::string& host : frozen_) {
+    restarts_[host].push_back(Now());
+    fleet_.process(host)->Thaw();
+  }
+  frozen_.clear();
+}
+
 void ConvergenceRun::Pause(Milliseconds time) {
   std::this_thread::sleep_for(time);
 }
@@ -134,7 +155,8 @@
   // A host that was restarted just now may not accept edits yet.
   std::vector<std::string> candidates;
   for (const std::string& host : fleet_.running_hosts())
-    if (fleet_.Admin(host).Ready()) candidates.push_back(host);
+    if (!frozen_.contains(host) && fleet_.Admin(host).Ready())
+      candidates.push_back(host);
   if (candidates.empty()) return hosts_.front();
   std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
   return candidates[draw(random_)];
--- a/performance_test/convergence/convergence_run.h
+++ b/performance_test/convergence/convergence_run.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,8 @@
     kHerd,    ///< a third of the hosts is killed at once and comes back at once
     kOutage,  ///< the platform is out but for the moment of each edit, while
               ///< hosts are restarted one at a time
-    kStorm,   ///< a third of the hosts dies and comes back before each change
+    kStorm,   ///< before each change a third of the hosts dies and comes back
+              ///< at once, while a sixth is frozen until the last change
   };
 
   struct Options {
@@ -49,6 +51,8 @@
   bool Edit();
   void Disturb(unsigned change);
   void KillAndRestart(unsigned count, Milliseconds pause);
+  void Freeze(unsigned count);
+  void Thaw();
   void Pause(Milliseconds time);
   std::string Tables() const;
   std::string AnyRunningHost();
@@ -62,6 +66,7 @@
   std::vector<std::string> hosts_;
   History history_;
   RestartTimes restarts_;
+  std::set<std::string> frozen_;
   std::uint64_t version_ = 0;
 };
 
