Bound the connections of the mesh and close idle ones sooner

Cause: resident memory grew by 26 KB a host from 24 to 200 hosts (15.1 to 19.7 MB), which would pass 32 MB at 1,800. Ruled out: the records, a trial with 1,800 of them took 2.4 MB. It was the maximum over hosts, that of a seed, which kept a connection each way to every host that had joined through it, for minutes. Change: at most 256 connections each way, idle ones closed after 15 s (outgoing) and 30 s (incoming); the random contact that joins parted meshes comes each 40 s, since it now opens a connection each time (at 20 s it cost about 170 bytes a second, 1,448 against 1,274 idle at 120 hosts).

--- a/core/replication/replicator.cc
+++ b/core/replication/replicator.cc
@@ -28,6 +28,10 @@
 
 constexpr Milliseconds kRefutationPeriod{500};
 
+// Endpoints whose heartbeats differed, at most; more come only from hosts that
+// were replaced, and starting to count anew does no harm.
+constexpr std::size_t kMostMismatches = 256;
+
 // A host that may not serve yet asks some hosts outside of its neighbours, too:
 // all of these may stand in its own failure domain.
 constexpr std::size_t kColdStartHostsAsked = 2;
@@ -236,6 +240,7 @@
   if (membership.IsNeighbour(from))
     limit = options.self.mesh < from ? kMismatchesBeforeRepair
                                      : kMismatchesBeforeRepairByOther;
+  if (mismatches.size() > kMostMismatches) mismatches.clear();
   if (++mismatches[from] < limit || now < next_repair) return;
   mismatches.erase(from);
   next_repair = now + options.settings.repair_period;
@@ -356,6 +361,7 @@
     applied_mismatches.erase(from);
     return;
   }
+  if (applied_mismatches.size() > kMostMismatches) applied_mismatches.clear();
   if (++applied_mismatches[from] < kMismatchesBeforeAppliedRepair) return;
   applied_mismatches.erase(from);
   for (const AppliedVersions& message : store.CollectApplied())
--- a/core/replication/replicator_settings.h
+++ b/core/replication/replicator_settings.h
@@ -45,7 +45,7 @@
   Milliseconds join_first_delay{200};      ///< bound of the first delay between
                                            ///< attempts to join
   Milliseconds join_longest_delay{5000};   ///< bound of every such delay
-  Milliseconds rejoin_period{20'000};  ///< a seed or a lost host is tried again
+  Milliseconds rejoin_period{40'000};  ///< a seed or a lost host is tried again
   Milliseconds fetch_timeout{1000};    ///< for a snapshot from a peer
   std::uint32_t fetch_attempts = 3;    ///< peers asked before the platform
   std::size_t largest_pushed_delta = 4096;  ///< bytes of a delta that is pushed
--- a/mesh/incoming_gate.h
+++ b/mesh/incoming_gate.h
@@ -23,7 +23,7 @@
     std::string key{};                   ///< mesh key
     std::size_t most_connections = 512;  ///< more are closed at once
     kj::Duration handshake_timeout = 5 * kj::SECONDS;  ///< until admitted
-    kj::Duration idle_timeout = 300 * kj::SECONDS;     ///< without a delivery
+    kj::Duration idle_timeout = 30 * kj::SECONDS;      ///< without a delivery
     std::function<void(const Endpoint&, MeshMessage)>
         on_message{};  ///< an admitted peer delivered a message
   };
--- a/mesh/mesh_transport.cc
+++ b/mesh/mesh_transport.cc
@@ -18,8 +18,10 @@
 namespace camphor {
 namespace {
 
-constexpr kj::Duration kIdlePeer = 120 * kj::SECONDS;
-constexpr kj::Duration kIdleCheckPeriod = 30 * kj::SECONDS;
+// Neighbours hear from each other every few seconds; what is idle longer was
+// opened to join or to ask once.
+constexpr kj::Duration kIdlePeer = 15 * kj::SECONDS;
+constexpr kj::Duration kIdleCheckPeriod = 5 * kj::SECONDS;
 
 struct Outgoing {
   Endpoint to{};
@@ -70,7 +72,9 @@
         io.provider->getNetwork()
             .parseAddress(options.listen.address.c_str(), options.listen.port)
             .wait(io.waitScope);
-    IncomingGate gate({.key = options.key, .on_message = options.on_message},
+    IncomingGate gate({.key = options.key,
+                       .most_connections = options.most_connections,
+                       .on_message = options.on_message},
                       address->listen(), io.provider->getTimer(), counters);
     listening = {.address = options.listen.address,
                  .port = static_cast<std::uint16_t>(gate.port())};
@@ -96,8 +100,14 @@
 }
 
 void MeshTransport::State::Drain(kj::AsyncIoContext& io) {
-  while (std::optional<OutgoingPtr> next = ring.Pop())
-    PeerOf((*next)->to, io).Send((*next)->message);
+  while (std::optional<OutgoingPtr> next = ring.Pop()) {
+    const Endpoint& to = (*next)->to;
+    if (!peers.contains(to) && peers.size() >= options.most_connections) {
+      counters.dropped.fetch_add(1, std::memory_order_relaxed);
+      continue;
+    }
+    PeerOf(to, io).Send((*next)->message);
+  }
   CloseIdle(io.provider->getTimer());
 }
 
--- a/mesh/mesh_transport.h
+++ b/mesh/mesh_transport.h
@@ -27,6 +27,9 @@
     std::string key;  ///< shared secret that keeps strangers out
     std::size_t ring_capacity =
         8192;  ///< messages that wait for the mesh thread at most
+    std::size_t most_connections =
+        256;  ///< connections each way at most; neighbours need a dozen, the
+              ///< rest is for hosts that join
     std::function<void(const Endpoint&, MeshMessage)>
         on_message{};  ///< a peer sent a message
     std::function<void(const Endpoint&, bool)>
--- a/performance_test/convergence/convergence_run.cc
+++ b/performance_test/convergence/convergence_run.cc
@@ -187,9 +187,9 @@
 
   fmt::print(
       "idle: bytes_per_host_per_s={:.0f} cpu_percent_per_host={:.3f} "
-      "platform_reads_per_s={:.2f}\n",
+      "platform_reads_per_s={:.2f} rss_mb_median={:.1f}\n",
       idle.mesh_bytes_per_host_per_s, idle.cpu_percent_per_host,
-      idle.platform_reads_per_s);
+      idle.platform_reads_per_s, all.rss_mb_median);
   fmt::print("change: bytes_per_host={:.0f} cpu_ms_per_host={:.2f}\n",
              bytes_per_change, 1000 * cpu_s_per_change);
   for (const auto& [purpose, total] : end.bytes_by_purpose) {
--- a/performance_test/convergence/fleet_usage.cc
+++ b/performance_test/convergence/fleet_usage.cc
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <fstream>
 #include <sstream>
+#include <vector>
 
 #include "stand_ins/http/http_connection.h"
 
@@ -88,9 +89,9 @@
   UsageRates rates{
       .seconds = std::chrono::duration<double>(after.at - before.at).count()};
   double hosts = 0;
+  std::vector<double> resident_mb;
   for (const auto& [name, now] : after.hosts) {
-    rates.rss_mb_max = std::max(
-        rates.rss_mb_max, static_cast<double>(now.rss_bytes) / kBytesPerMb);
+    resident_mb.push_back(static_cast<double>(now.rss_bytes) / kBytesPerMb);
     const auto then = before.hosts.find(name);
     if (then == before.hosts.end() || then->second.pid != now.pid) continue;
     ++hosts;
@@ -98,6 +99,11 @@
     rates.mesh_bytes_per_host_per_s +=
         static_cast<double>(now.mesh_bytes - then->second.mesh_bytes);
   }
+  std::ranges::sort(resident_mb);
+  if (!resident_mb.empty()) {
+    rates.rss_mb_median = resident_mb[resident_mb.size() / 2];
+    rates.rss_mb_max = resident_mb.back();
+  }
   const double host_seconds = std::max(1.0, hosts) * rates.seconds;
   rates.cpu_percent_per_host /= host_seconds;
   rates.mesh_bytes_per_host_per_s /= host_seconds;
--- a/performance_test/convergence/fleet_usage.h
+++ b/performance_test/convergence/fleet_usage.h
@@ -41,6 +41,7 @@
   double cpu_percent_per_host = 0;       ///< of one core
   double mesh_bytes_per_host_per_s = 0;  ///< both ways
   double rss_mb_max = 0;                 ///< of any host, at the second reading
+  double rss_mb_median = 0;              ///< of the hosts, likewise
   double platform_reads_per_s = 0;       ///< of the whole fleet
   double platform_writes_per_s = 0;      ///< of the whole fleet
 
--- a/unit_tests/mesh/mesh_transport_test.cc
+++ b/unit_tests/mesh/mesh_transport_test.cc
@@ -18,9 +18,11 @@
 // One transport with what it received and which peers it reached.
 class MeshEnd {
  public:
-  explicit MeshEnd(const std::string& key, std::uint16_t port = 0)
+  explicit MeshEnd(const std::string& key, std::uint16_t port = 0,
+                   std::size_t most_connections = 256)
       : transport_({.listen = {.address = "127.0.0.1", .port = port},
                     .key = key,
+                    .most_connections = most_connections,
                     .on_message =
                         [this](const Endpoint& from, MeshMessage message) {
                           const std::lock_guard<std::mutex> lock(mutex_);
@@ -122,6 +124,19 @@
   EXPECT_TRUE(right->WaitReceived(1));
 }
 
+TEST(MeshTransportSend, MoreConnectionsThanAdmitted_AreClosedAndCounted) {
+  MeshEnd host("key", 0, 1);
+  MeshEnd first("key");
+  first.transport().Send(host.endpoint(), kHeartbeat);
+  ASSERT_TRUE(host.WaitReceived(1));
+  MeshEnd second("key");
+  second.transport().Send(host.endpoint(), kHeartbeat);
+  ASSERT_TRUE(second.WaitLost(1));
+  EXPECT_EQ(host.transport().counters().handshakes_refused, 1U);
+  first.transport().Send(host.endpoint(), kHeartbeat);
+  EXPECT_TRUE(host.WaitReceived(2));
+}
+
 TEST(MeshTransportStart, PortInUse_GivesReason) {
   MeshEnd left("key");
   MeshEnd right("key", left.endpoint().port);
--- /dev/null
+++ b/unit_tests/mesh/message_codec_test.cc
@@ -0,0 +1,104 @@
+#include "mesh/message_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+namespace camphor {
+namespace {
+
+HostRecord FullHost() {
+  return {.host = HostId("h1"),
+          .incarnation = 17,
+          .sequence = 4,
+          .status = HostStatus::kLeaving,
+          .domain = FailureDomain("d2"),
+          .mesh = {.address = "127.0.0.1", .port = 7001},
+          .forward = {.address = "127.0.0.1", .port = 7002},
+          .config_version = 9,
+          .targets = {{.id = TargetId("t1"),
+                       .pool = PoolName("billing"),
+                       .version = TargetVersion("v2"),
+                       .slots = 15,
+                       .status = TargetStatus::kWarming}}};
+}
+
+std::vector<MeshMessage> OneOfEachKind() {
+  const ConfigHead head{.version = 3, .digest = Digest::Of("tables")};
+  EvidenceCell cell{.route = RouteName("get"),
+                    .version = TargetVersion("v2"),
+                    .target = TargetId("t1"),
+                    .requests = 12,
+                    .failures = 3,
+                    .refused = 1};
+  cell.latency[4] = 9;
+  return {
+      RecordsMessage{.head = head,
+                     .hosts = {FullHost()},
+                     .rollouts = {{.id = RolloutId("billing/v1/v2/1"),
+                                   .stage = RolloutStage::kRolledBack,
+                                   .share_ppm = 10'000,
+                                   .stage_since = WallTime(Milliseconds(77)),
+                                   .hurry = true,
+                                   .recorded = true,
+                                   .reason = {.signal = "failures",
+                                              .route = RouteName("get"),
+                                              .new_requests = 5,
+                                              .old_requests = 6,
+                                              .sentence = "it fails"}}},
+                     .poison = {{.fingerprint = 8,
+                                 .deaths = {TargetId("t1"), TargetId("t2")},
+                                 .expires = WallTime(Milliseconds(99))}}},
+      SnapshotRequest{.head = head, .base = {.version = 2}},
+      SnapshotReply{.head = head, .bytes = std::string("a\0b", 3)},
+      EvidenceReport{.rollout = RolloutId("r"),
+                     .reporter = HostId("h1"),
+                     .incarnation = 1,
+                     .period = 2,
+                     .hosts = 3,
+                     .cells = {cell}},
+      Heartbeat{.version = 3,
+                .fingerprint = 4,
+                .applied_fingerprint = 5,
+                .ready = true,
+                .reply_wanted = true},
+      SyncDigest{.buckets = std::vector<std::uint64_t>(kSyncBuckets, 6)},
+      SyncEntries{.buckets = 5, .entries = {{.key = 1, .fingerprint = 2}}},
+      SyncWanted{.keys = {1, 2}},
+      SyncBusy{.retry_after_ms = 100,
+               .alternatives = {{.address = "127.0.0.2", .port = 1}}},
+      SuspicionReport{.host = HostId("h2"),
+                      .incarnation = 3,
+                      .sequence = 4,
+                      .reached = true},
+      AppliedVersions{.version = 7, .hosts = {1, 2, 3}}};
+}
+
+TEST(DecodeMeshMessage, EachKindEncoded_ComesBackEqual) {
+  const std::vector<MeshMessage> messages = OneOfEachKind();
+  ASSERT_EQ(messages.size(), std::variant_size_v<MeshMessage>);
+  for (const MeshMessage& message : messages) {
+    std::string reason;
+    EXPECT_EQ(DecodeMeshMessage(EncodeMeshMessage(message), reason), message)
+        << PurposeOf(message) << " " << reason;
+  }
+}
+
+TEST(DecodeMeshMessage, DamagedBytes_GiveAMessageOrAReason) {
+  const std::vector<MeshMessage> messages = OneOfEachKind();
+  EXPECT_TRUE(rc::check([&messages] {
+    std::string bytes = EncodeMeshMessage(*rc::gen::elementOf(messages));
+    const auto damages = *rc::gen::inRange(1, 5);
+    for (int damage = 0; damage < damages; ++damage)
+      bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+          static_cast<char>(*rc::gen::inRange(0, 256));
+    bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+    std::string reason;
+    RC_ASSERT(DecodeMeshMessage(bytes, reason).has_value() || !reason.empty());
+  }));
+}
+
+}  // namespace
+}  // namespace camphor
