--- a/core/rollout/ramp_plan.cc
+++ b/core/rollout/ramp_plan.cc
@@ -28,6 +28,18 @@
   return std::max(FloatMs(0), allowed * options.margin_part);
 }
 
+/// Factor of the next step: larger than usual when the time left does not
+/// suffice for all steps.
+double StepFactor(const RampOptions& options, const RampState& state,
+                  WallTime now) {
+  const FloatMs left = state.complete_by - now - MarginOf(options, state);
+  const double possible = std::max(
+      std::floor(left / FloatMs(options.shortest_step)), options.fewest_steps);
+  const double from = std::max(state.share_ppm, options.canary_share_ppm);
+  return std::max(options.step,
+                  std::pow(FullShareOf(options) / from, 1 / possible));
+}
+
 /// Share of one route of a budget that is spread in part by requests and in
 /// part alike over the routes.
 double EvenShare(double budget, double even_part, double weight,
@@ -74,7 +86,8 @@
                                       : std::min(planned, longest);
     if (FloatMs(state.since_step) < dwell) return std::nullopt;
   }
-  const double wider = std::ceil(state.share_ppm * options.step);
+  const double wider =
+      std::ceil(state.share_ppm * StepFactor(options, state, now));
   return static_cast<std::uint32_t>(
       std::min<double>(wider, FullShareOf(options)));
 }
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -70,6 +70,10 @@
   /// Publishes the routing if anything that it depends on has changed.
   void PublishRouting(MonoTime now);
 
+  /// True while the published routing lacks a change that is known here; it
+  /// follows within milliseconds.
+  bool routing_pending() const { return routing_changed_ || urgent_; }
+
   /// True once callers may be served.
   bool ready() const;
 
@@ -90,7 +94,7 @@
   std::unique_ptr<Replicator> replicator_;
   bool hosts_changed_ = false;   ///< the rollout manager must hear of it
   bool routing_changed_ = true;  ///< the routing must be built again
-  bool config_changed_ = false;  ///< the same, at once
+  bool urgent_ = false;          ///< the same, at once
   MonoTime last_built_{};        ///< when the routing was built last
   MonoTime now_{};               ///< time of the call that runs
 };
--- a/node/node.cc
+++ b/node/node.cc
@@ -141,8 +141,15 @@
               controller->OnTargetDeath(fingerprint, target, Now(), WallNow());
             });
           },
-      .claim = [](const std::string&, std::uint64_t,
-                  const ClaimCallback& done) { done(ClaimStatus::kNotMade); },
+      .claim =
+          [this](std::string key, std::uint64_t fingerprint,
+                 ClaimCallback done) {
+            claims.Claim(std::move(key), fingerprint, std::move(done));
+          },
+      .release_claim =
+          [this](std::string key, std::function<void(bool)> done) {
+            claims.Release(std::move(key), std::move(done));
+          },
       .debug_headers = settings.proxy.debug_headers};
   if (settings.log.history) {
     proxy_options.history = [this](const std::string& text) {
@@ -154,6 +161,7 @@
 
 MeshTransport::Options Node::State::MeshOptions() {
   return {.listen = settings.mesh_listen,
+          .advertise = settings.mesh_advertise,
           .key = settings.mesh_key,
           .on_message =
               [this](const Endpoint& from, MeshMessage message) {
@@ -184,7 +192,9 @@
 HostController::Options Node::State::ControllerOptions() {
   return {.settings = settings,
           .incarnation = incarnation,
-          .forward = proxy.forward_endpoint(),
+          .forward = settings.forward_advertise.port == 0
+                         ? proxy.forward_endpoint()
+                         : settings.forward_advertise,
           .log = &log,
           .routing = &routing,
           .addresses = &addresses,
