--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -97,6 +97,7 @@
   const std::vector<VersionGroup>& groups = routing_->pools[pool].groups;
   for (std::uint32_t other = 0; other < groups.size(); ++other) {
     if (other == *group || groups[other].share_ppm == 0) continue;
+    if (other == 1 && routing_->routes[route].new_share_ppm == 0) continue;
     return ChooseTarget({.pool = pool, .group = other}, tried, now);
   }
   return std::nullopt;
--- /dev/null
+++ b/unit_tests/core/routing/placement_test.cc
@@ -0,0 +1,195 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+#include "core/routing/death_tracker.h"
+#include "core/routing/power_of_two_balancer.h"
+#include "core/routing/retry_budget.h"
+#include "core/routing/slot_gate.h"
+
+namespace camphor {
+namespace {
+
+constexpr MonoTime kStart{Seconds(1000)};
+
+EffectiveRoutingPtr MakeRouting(std::size_t targets, std::uint32_t share_of_new,
+                                std::size_t own_domain) {
+  EffectiveRouting routing;
+  routing.routes.push_back(
+      {.rule = {.name = RouteName("r")}, .new_share_ppm = share_of_new});
+  PoolRouting pool{.spec = {.name = PoolName("p")}};
+  for (const std::string version : {"v1", "v2"}) {
+    VersionGroup group{.version = TargetVersion(version)};
+    group.share_ppm = version == "v2" ? share_of_new : 1'000'000 - share_of_new;
+    for (std::size_t index = 0; index < targets; ++index) {
+      group.targets.push_back(
+          {.info = {.id = TargetId(version + "-" + std::to_string(index)),
+                    .slots = 10},
+           .domain = FailureDomain(index < own_domain ? "own" : "other")});
+    }
+    pool.groups.push_back(std::move(group));
+  }
+  routing.pools.push_back(std::move(pool));
+  return std::make_shared<const EffectiveRouting>(std::move(routing));
+}
+
+TargetId IdOf(const EffectiveRoutingPtr& routing, const Placement& placement) {
+  return routing->pools[placement.pool]
+      .groups[placement.group]
+      .targets[placement.target]
+      .info.id;
+}
+
+TEST(PowerOfTwoBalancerChoose, AnyShare_IsKeptToOneRequest) {
+  EXPECT_TRUE(rc::check([] {
+    const auto share = *rc::gen::inRange<std::uint32_t>(0, 1'000'001);
+    PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+    balancer.SetRouting(MakeRouting(3, share, 1), kStart);
+    int of_new = 0;
+    constexpr int kRequests = 500;
+    for (int request = 0; request < kRequests; ++request) {
+      of_new += balancer.Choose(0, {}, kStart)->group == 1 ? 1 : 0;
+    }
+    RC_ASSERT(std::abs(of_new - share / 1e6 * kRequests) <= 1.0);
+  }));
+}
+
+TEST(PowerOfTwoBalancerChoose, OwnDomain_GoesFirstWhileItHasRoom) {
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  const EffectiveRoutingPtr routing = MakeRouting(6, 0, 2);
+  balancer.SetRouting(routing, kStart);
+  // Two own targets have 20 slots.
+  for (int request = 0; request < 25; ++request) {
+    const auto placement = balancer.Choose(0, {}, kStart);
+    EXPECT_EQ(placement->target < 2, request < 20);
+    balancer.OnSent(IdOf(routing, *placement));
+  }
+}
+
+TEST(PowerOfTwoBalancerOnEnded, FailingTarget_IsEjectedWithinTheBound) {
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  const EffectiveRoutingPtr routing = MakeRouting(5, 0, 5);
+  balancer.SetRouting(routing, kStart);
+  // All fail: of ten targets in both groups 30 percent may be ejected.
+  for (int request = 0; request < 1000; ++request) {
+    const auto placement = balancer.Choose(0, {}, kStart);
+    ASSERT_TRUE(placement);
+    balancer.OnSent(IdOf(routing, *placement));
+    balancer.OnEnded(IdOf(routing, *placement), PoolName("p"),
+                     RequestOutcome::kError, Microseconds(100), kStart);
+  }
+  std::size_t ejected = 0;
+  for (const auto& [id, stats] : balancer.stats()) {
+    ejected += stats.ejected_until > kStart ? 1 : 0;
+  }
+  EXPECT_EQ(ejected, 3U);
+}
+
+TEST(PowerOfTwoBalancerChoose, EveryTargetTried_GivesNothing) {
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(MakeRouting(2, 0, 1), kStart);
+  const std::vector<Placement> tried = {{.target = 0}, {.target = 1}};
+  EXPECT_FALSE(balancer.Choose(0, tried, kStart));
+}
+
+TEST(RetryBudgetTryTake, AnyTraffic_StaysWithinTheShare) {
+  EXPECT_TRUE(rc::check([](const std::vector<bool>& successes) {
+    RetryBudget budget({.percent = 10, .most_retries = 50});
+    const std::int64_t saved = budget.available();
+    std::int64_t taken = 0;
+    std::int64_t good = 0;
+    for (const bool success : successes) {
+      if (success) {
+        ++good;
+        budget.OnSuccess();
+      } else if (budget.TryTake()) {
+        ++taken;
+      }
+    }
+    RC_ASSERT(taken <= saved + good / 10 + 1);
+  }));
+}
+
+TEST(SlotGateEnter, AnyOrder_NeverRunsMoreThanTheSlots) {
+  EXPECT_TRUE(rc::check([] {
+    SlotGate gate({.slots = 3, .queue = 4});
+    std::set<std::uint64_t> waiting;
+    std::uint32_t running = 0;
+    std::uint64_t next = 1;
+    MonoTime now = kStart;
+    for (const int step :
+         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40))) {
+      now += Milliseconds(1);
+      if (step % 3 == 0 && running > 0) {
+        --running;
+        const auto handover = gate.Leave(Microseconds(500), now);
+        for (const std::uint64_t id : handover.expired) {
+          RC_ASSERT(waiting.erase(id) == 1U);
+        }
+        if (handover.granted) {
+          RC_ASSERT(waiting.erase(*handover.granted) == 1U);
+          ++running;
+        }
+      } else {
+        const auto verdict = gate.Enter(next, now + Milliseconds(step), now);
+        if (verdict == SlotGate::Verdict::kRun) ++running;
+        if (verdict == SlotGate::Verdict::kWait) waiting.insert(next);
+        ++next;
+      }
+      RC_ASSERT(gate.running() == running);
+      RC_ASSERT(running <= 3U);
+      RC_ASSERT(gate.waiting() == waiting.size());
+      RC_ASSERT(waiting.size() <= 4U);
+    }
+  }));
+}
+
+TEST(SlotGateLeave, EarliestDeadline_GoesFirst) {
+  SlotGate gate({.slots = 1, .queue = 4});
+  gate.Enter(1, kStart + Seconds(1), kStart);
+  gate.Enter(2, kStart + Seconds(3), kStart);
+  gate.Enter(3, kStart + Seconds(2), kStart);
+  EXPECT_EQ(gate.Leave(std::nullopt, kStart).granted, 3U);
+  EXPECT_EQ(gate.Leave(std::nullopt, kStart).granted, 2U);
+}
+
+TEST(SlotGateEnter, DeadlineCanNotBeKept_IsRefusedAtOnce) {
+  SlotGate gate({.slots = 1, .queue = 4});
+  gate.Enter(1, kStart + Seconds(1), kStart);
+  gate.Leave(Milliseconds(100), kStart);
+  gate.Enter(2, kStart + Seconds(1), kStart);
+  EXPECT_EQ(gate.Enter(3, kStart + Milliseconds(150), kStart),
+            SlotGate::Verdict::kTooLate);
+  EXPECT_EQ(gate.Enter(4, kStart + Milliseconds(250), kStart),
+            SlotGate::Verdict::kWait);
+}
+
+TEST(DeathTrackerOnDeath, OneRequestAlone_IsBlamed) {
+  DeathTracker tracker;
+  tracker.OnStart(TargetId("a"), 7, false);
+  EXPECT_EQ(tracker.OnDeath(TargetId("a")), std::vector<std::uint64_t>{7});
+}
+
+TEST(DeathTrackerOnDeath, AnsweredLatelyAmongOthers_IsNotBlamed) {
+  DeathTracker tracker;
+  tracker.OnStart(TargetId("b"), 1, false);
+  tracker.OnEnd(TargetId("b"), 1, true);
+  tracker.OnStart(TargetId("a"), 1, false);
+  tracker.OnStart(TargetId("a"), 7, false);
+  EXPECT_EQ(tracker.OnDeath(TargetId("a")), std::vector<std::uint64_t>{7});
+}
+
+TEST(DeathTrackerOnDeath, SuspectAmongOthers_AloneIsBlamed) {
+  DeathTracker tracker;
+  tracker.OnStart(TargetId("a"), 1, false);
+  tracker.OnStart(TargetId("a"), 7, true);
+  EXPECT_FALSE(tracker.MayStartSuspect(TargetId("a"), 8));
+  EXPECT_TRUE(tracker.MayStartSuspect(TargetId("b"), 8));
+  EXPECT_EQ(tracker.OnDeath(TargetId("a")), std::vector<std::uint64_t>{7});
+  EXPECT_TRUE(tracker.OnDeath(TargetId("a")).empty());
+}
+
+}  // namespace
+}  // namespace camphor
