--- a/mesh/mesh_transport.cc
+++ b/mesh/mesh_transport.cc
@@ -18,8 +18,10 @@
 namespace camphor {
 namespace {
 
-constexpr kj::Duration kIdlePeer = 120 * kj::SECONDS;
-constexpr kj::Duration kIdleCheckPeriod = 30 * kj::SECONDS;
+// Neighbours hear from each other every few seconds; what is idle longer was
+// opened to join or to ask once.
+constexpr kj::Duration kIdlePeer = 15 * kj::SECONDS;
+constexpr kj::Duration kIdleCheckPeriod = 5 * kj::SECONDS;
 
 struct Outgoing {
   Endpoint to{};
@@ -56,6 +58,7 @@
   std::atomic<bool> stopping{false};
   std::string last_reason{};
   Endpoint listening{};
+  Endpoint name{};  // towards peers
   TransportCounters counters{};
   std::map<Endpoint, kj::Own<OutgoingPeer>> peers{};
   kj::TimePoint next_idle_check = kj::origin<kj::TimePoint>();
@@ -70,10 +73,13 @@
         io.provider->getNetwork()
             .parseAddress(options.listen.address.c_str(), options.listen.port)
             .wait(io.waitScope);
-    IncomingGate gate({.key = options.key, .on_message = options.on_message},
+    IncomingGate gate({.key = options.key,
+                       .most_connections = options.most_connections,
+                       .on_message = options.on_message},
                       address->listen(), io.provider->getTimer(), counters);
     listening = {.address = options.listen.address,
                  .port = static_cast<std::uint16_t>(gate.port())};
+    name = options.advertise.port == 0 ? listening : options.advertise;
     told = true;
     started.set_value({});
     Serve(io);
@@ -96,8 +102,14 @@
 }
 
 void MeshTransport::State::Drain(kj::AsyncIoContext& io) {
-  while (std::optional<OutgoingPtr> next = ring.Pop())
-    PeerOf((*next)->to, io).Send((*next)->message);
+  while (std::optional<OutgoingPtr> next = ring.Pop()) {
+    const Endpoint& to = (*next)->to;
+    if (!peers.contains(to) && peers.size() >= options.most_connections) {
+      counters.dropped.fetch_add(1, std::memory_order_relaxed);
+      continue;
+    }
+    PeerOf(to, io).Send((*next)->message);
+  }
   CloseIdle(io.provider->getTimer());
 }
 
@@ -106,9 +118,9 @@
   kj::Own<OutgoingPeer>& peer = peers[endpoint];
   if (peer.get() == nullptr) {
     const auto seed = static_cast<std::uint32_t>(
-        std::hash<std::string>()(listening.ToString() + endpoint.ToString()));
+        std::hash<std::string>()(name.ToString() + endpoint.ToString()));
     peer = kj::heap<OutgoingPeer>(
-        OutgoingPeer::Options{.self = listening,
+        OutgoingPeer::Options{.self = name,
                               .peer = endpoint,
                               .key = options.key,
                               .random_seed = seed,
