Mend what the linter and the formatter found in the rollout code

Cause: counts of targets were turned to floating point without a cast, a vector grew in a loop, a constant hindered a move; one file was unformatted.

--- a/core/rollout/sequential_judge.cc
+++ b/core/rollout/sequential_judge.cc
@@ -52,8 +52,10 @@
     busy_seconds += static_cast<double>(route.new_version.requests) *
                     service_times_[route.route].Learn(route.old_version);
   }
-  const double old_count = std::max<double>(1, old_targets.size());
-  const double new_count = std::max<double>(1, new_targets.size());
+  const auto old_count =
+      static_cast<double>(std::max<std::size_t>(1, old_targets.size()));
+  const auto new_count =
+      static_cast<double>(std::max<std::size_t>(1, new_targets.size()));
   context.old_load /= seconds * old_count;
   context.new_load /= seconds * new_count;
   context.new_busy = busy_seconds / (seconds * new_count * block.slots);
--- a/performance_test/rollout/measure_rollout_main.cc
+++ b/performance_test/rollout/measure_rollout_main.cc
@@ -117,6 +117,7 @@
     }
   };
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(arguments.threads));
   for (int thread = 0; thread < arguments.threads; ++thread) {
     threads.emplace_back(work);
   }
--- a/performance_test/rollout/measure_rollout_processes_main.cc
+++ b/performance_test/rollout/measure_rollout_processes_main.cc
@@ -22,8 +22,7 @@
        .faults = R"({"faults": [{"delay_ms": 60}]})"},
       {.name = "gross_fail_one_route",
        .bad = true,
-       .faults =
-           R"({"faults": [{"prefix": "/put", "error_ppm": 300000}]})"},
+       .faults = R"({"faults": [{"prefix": "/put", "error_ppm": 300000}]})"},
   };
 }
 
--- a/performance_test/rollout/rollout_trial.cc
+++ b/performance_test/rollout/rollout_trial.cc
@@ -95,7 +95,7 @@
     hosts.push_back(target.host);
   }
   for (int number = 0;; ++number) {
-    const HostId name("proxy-" + std::to_string(number));
+    HostId name("proxy-" + std::to_string(number));
     std::vector<HostId> all = hosts;
     all.push_back(name);
     if (EvidenceTree(id_, std::move(all)).owner() == name) return name;
