Mend the last lint findings; let a caller leave only once its request is held

ProxyFaultsTest.CallerGoesAway_TargetIsCancelled gave up its call after 50 ms and then waited for the target to hold it; on a slow build the call was over before it reached the target, and the test hung (asan preset, machine at load 30). Change: hooks pass by reference; the test's caller connects, waits until the target holds the request, and then closes. What is expected after that is unchanged. Ruled out: a lost cancellation (the request never reached the target in the failed run).

--- a/node/node.cc
+++ b/node/node.cc
@@ -139,13 +139,14 @@
             });
           },
       .claim =
-          [this](std::string key, std::uint64_t fingerprint,
-                 ClaimCallback done) {
-            claims.Claim(std::move(key), fingerprint, std::move(done));
+          [this](const std::string& key, std::uint64_t fingerprint,
+                 const ClaimCallback& done) {
+            claims.Claim(key, fingerprint, done);
           },
       .release_claim =
-          [this](std::string key, std::function<void(bool)> done) {
-            claims.Release(std::move(key), std::move(done));
+          [this](const std::string& key,
+                 const std::function<void(bool)>& done) {
+            claims.Release(key, done);
           },
       .debug_headers = settings.proxy.debug_headers};
   if (settings.log.history) {
--- a/unit_tests/proxy/proxy_claims_test.cc
+++ b/unit_tests/proxy/proxy_claims_test.cc
@@ -10,8 +10,9 @@
  protected:
   void SetUp() override {
     TwoHosts::SetUp();
-    claim_ = [this](std::string key, std::uint64_t, ClaimCallback done) {
-      claimed_.push_back(std::move(key));
+    claim_ = [this](const std::string& key, std::uint64_t,
+                    const ClaimCallback& done) {
+      claimed_.push_back(key);
       if (claim_status_) done(*claim_status_);
     };
     release_claim_ = [this](const std::string& key,
--- a/unit_tests/proxy/proxy_faults_test.cc
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -211,14 +211,17 @@
 }
 
 TEST_F(ProxyFaultsTest, CallerGoesAway_TargetIsCancelled) {
-  std::atomic<bool> cancelled = false;
   AddHoldingTarget("h2", "t1");
   StartHosts();
-  HttpConnection connection(proxies_["h1"]->caller_endpoint());
-  // The call ends with its own timeout and closes its connection.
-  connection.Call({.method = "POST", .target = "/a", .fields = {{"host", "a"}}},
-                  Milliseconds(50));
+  const Endpoint proxy = proxies_["h1"]->caller_endpoint();
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket caller(io);
+  caller.connect({boost::asio::ip::make_address(proxy.address), proxy.port});
+  const std::string request =
+      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
   holding_.AwaitHeld(1);
+  caller.close();
   AwaitDump("h2", R"("running":0)");
   AwaitDump("h1", R"("in_flight":0)");
 }
