Bound how often a mesh message's bytes may be read

Cause: fuzz.mesh_message found 536 bytes that decode into records which encode to 129,638,736 bytes. Lists of structs may say that their elements take no room, and pointers may overlap; the reader allowed 8,388,608 words whatever the size of the message. Ruled out: bounding each list's length, since lists nest and may share their bytes; the size of the wire message, since elements without room have none. Change: the decoder may read 8 words for each word of the message and 128 more. The test ListsOfElementsWithoutRoom_AreRefused failed before and passes after. Left: between hosts that hold the mesh key the bound is the 8 MB of one call.

--- a/mesh/message_codec.cc
+++ b/mesh/message_codec.cc
@@ -4,11 +4,27 @@
 #include <kj/exception.h>
 
 #include <array>
+#include <cstdint>
 #include <cstring>
 
 #include "mesh/wire_message.h"
 
 namespace camphor {
+namespace {
+
+// Pointers may overlap and elements may take no room, so that a few bytes could
+// stand for any number of rows. A sound message is read less often than this.
+constexpr std::uint64_t kMostReadsOfAWord = 8;
+constexpr std::uint64_t kLeastReadLimitWords = 128;
+
+capnp::ReaderOptions BoundedBy(std::size_t words) {
+  capnp::ReaderOptions options;
+  options.traversalLimitInWords =
+      kLeastReadLimitWords + kMostReadsOfAWord * words;
+  return options;
+}
+
+}  // namespace
 
 std::string EncodeMeshMessage(const MeshMessage& message) {
   capnp::MallocMessageBuilder builder;
@@ -28,7 +44,7 @@
 
   std::optional<MeshMessage> message;
   const kj::Maybe<kj::Exception> failure = kj::runCatchingExceptions([&] {
-    capnp::FlatArrayMessageReader reader(words);
+    capnp::FlatArrayMessageReader reader(words, BoundedBy(count));
     message = ReadWireMessage(reader.getRoot<wire::Message>());
   });
   KJ_IF_MAYBE (exception, failure) {
--- a/unit_tests/mesh/message_codec_test.cc
+++ b/unit_tests/mesh/message_codec_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <cstdint>
+#include <cstring>
 #include <string>
 #include <vector>
 
@@ -100,5 +102,37 @@
   }));
 }
 
+// Makes every list of structs in the message one of a million elements that
+// take no room.
+std::string WithListsOfNothing(std::string bytes) {
+  constexpr std::uint64_t kPointerKindMask = 3;
+  constexpr std::uint64_t kListPointer = 1;
+  constexpr std::uint64_t kElementSizeMask = 7ULL << 32;
+  constexpr std::uint64_t kCompositeElements = 7ULL << 32;
+  constexpr std::uint64_t kOffsetMask = 0xFFFFFFFF;
+  constexpr std::uint64_t kMillionElements = (1ULL << 20) << 35;
+  for (std::size_t at = 8; at + 8 <= bytes.size(); at += 8) {
+    std::uint64_t word = 0;
+    std::memcpy(&word, bytes.data() + at, sizeof(word));
+    const bool list_of_structs =
+        (word & kPointerKindMask) == kListPointer &&
+        (word & kElementSizeMask) == kCompositeElements;
+    if (!list_of_structs) continue;
+    word = (word & kOffsetMask) | kMillionElements;
+    std::memcpy(bytes.data() + at, &word, sizeof(word));
+  }
+  return bytes;
+}
+
+TEST(DecodeMeshMessage, ListsOfElementsWithoutRoom_AreRefused) {
+  const std::string sound = EncodeMeshMessage(
+      SyncEntries{.buckets = 1, .entries = {SyncEntry{}, SyncEntry{}}});
+  const std::string bytes = WithListsOfNothing(sound);
+  ASSERT_NE(bytes, sound);
+  std::string reason;
+  EXPECT_FALSE(DecodeMeshMessage(bytes, reason));
+  EXPECT_FALSE(reason.empty());
+}
+
 }  // namespace
 }  // namespace camphor
