--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "core/rollout/rollout_view.h"
 #include "core/routing/routing_builder.h"
 #include "node/json/record_json.h"
 
@@ -195,7 +196,7 @@
   routing_changed_ = true;
   const std::initializer_list<LogField> fields = {
       {"id", record.id.value()},
-      {"stage", std::string(StageName(record.stage))},
+      {"stage", std::string(NameOf(record.stage))},
       {"share_ppm", record.share_ppm},
       {"signal", record.reason.signal}};
   options_.log->Log(LogLevel::kInfo, "rollout", "a rollout changed", fields);
--- a/node/json/record_json.cc
+++ b/node/json/record_json.cc
@@ -9,12 +9,14 @@
 
 #include "core/base/json_fields.h"
 #include "core/base/wall_time_text.h"
+#include "core/rollout/rollout_view.h"
 
 namespace camphor {
 namespace {
 
-constexpr std::array<std::string_view, 6> kStageNames = {
-    "pending", "canary", "ramp", "bake", "done", "rolled_back"};
+constexpr std::array<RolloutStage, 6> kStages = {
+    RolloutStage::kPending, RolloutStage::kCanary, RolloutStage::kRamp,
+    RolloutStage::kBake,    RolloutStage::kDone,   RolloutStage::kRolledBack};
 constexpr std::array<std::string_view, 4> kHostStatusNames = {
     "alive", "suspect", "leaving", "dead"};
 constexpr std::array<std::string_view, 3> kTargetStatusNames = {
@@ -27,8 +29,8 @@
 }
 
 std::optional<RolloutStage> ParseStage(std::string_view name) {
-  for (std::size_t index = 0; index < kStageNames.size(); ++index) {
-    if (kStageNames.at(index) == name) return static_cast<RolloutStage>(index);
+  for (const RolloutStage stage : kStages) {
+    if (NameOf(stage) == name) return stage;
   }
   return std::nullopt;
 }
@@ -62,10 +64,6 @@
 
 }  // namespace
 
-std::string_view StageName(RolloutStage stage) {
-  return kStageNames.at(static_cast<std::size_t>(stage));
-}
-
 std::string_view HostStatusName(HostStatus status) {
   return kHostStatusNames.at(static_cast<std::size_t>(status));
 }
@@ -99,7 +97,7 @@
 
 boost::json::object ToJson(const RolloutRecord& rollout) {
   return {{"id", rollout.id.value()},
-          {"stage", Text(StageName(rollout.stage))},
+          {"stage", Text(NameOf(rollout.stage))},
           {"share_ppm", rollout.share_ppm},
           {"stage_since", FormatWallTime(rollout.stage_since)},
           {"hurry", rollout.hurry},
--- a/node/json/record_json.h
+++ b/node/json/record_json.h
@@ -11,7 +11,6 @@
 namespace camphor {
 
 /// Names as the admin API writes them. Thread safety: any thread.
-std::string_view StageName(RolloutStage stage);
 std::string_view HostStatusName(HostStatus status);
 std::string_view TargetStatusName(TargetStatus status);
 
