--- a/node/node.cc
+++ b/node/node.cc
@@ -148,7 +148,8 @@
                  const std::function<void(bool)>& done) {
             claims.Release(key, done);
           },
-      .debug_headers = settings.proxy.debug_headers};
+      .debug_headers = settings.proxy.debug_headers,
+      .limits = {.retry_budget = settings.proxy.retry_budget}};
   if (settings.log.history) {
     proxy_options.history = [this](const std::string& text) {
       log.History(text);
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -159,6 +159,8 @@
   fields.Object("proxy", [&](JsonFields& part) {
     settings.proxy.debug_headers =
         part.Boolean("debug_headers", settings.proxy.debug_headers);
+    settings.proxy.retry_budget =
+        part.Boolean("retry_budget", settings.proxy.retry_budget);
   });
   fields.Object("rollout", [&](JsonFields& part) {
     RolloutSettings& rollout = settings.rollout;
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -58,9 +58,10 @@
   Milliseconds shortest_step{2000};     ///< between two rises of the share
 };
 
-/// What answers to callers tell.
+/// What answers to callers tell, and how their requests are tried again.
 struct ProxySettings {
   bool debug_headers = false;  ///< answers name the target and its version
+  bool retry_budget = true;    ///< false lifts the budget, for comparison only
 };
 
 /// Everything that a camphord process is told, from one JSON document with
--- a/unit_tests/node/settings/settings_test.cc
+++ b/unit_tests/node/settings/settings_test.cc
@@ -73,6 +73,15 @@
   EXPECT_NE(reader.errors()[0].message.find("line 2"), std::string::npos);
 }
 
+TEST(SettingsReaderRead, RetryBudget_IsKeptUnlessLifted) {
+  SettingsReader reader;
+  EXPECT_TRUE(reader.Read(kLeast)->proxy.retry_budget);
+  const auto lifted = reader.Read(With(
+      "\"mesh_key\"", "\"proxy\": {\"retry_budget\": false}, \"mesh_key\""));
+  ASSERT_TRUE(lifted.has_value());
+  EXPECT_FALSE(lifted->proxy.retry_budget);
+}
+
 TEST(SettingsReaderRead, AdvertisedAddresses_StandForTheListeners) {
   SettingsReader reader;
   const auto plain = reader.Read(kLeast);
