Open the listeners of the stand-ins and of the relay in one place

Cause: Relay::Start and HttpServer::Start had the same fifteen lines that open, bind and listen. Ruled out: one for the product's own servers too, which report errors in their own types and must not link the stand-ins. Change: OpenListener in stand_ins/http; behaviour and error texts are the same.

--- a/stand_ins/http/http_server.cc
+++ b/stand_ins/http/http_server.cc
@@ -13,6 +13,8 @@
 #include <thread>
 #include <utility>
 
+#include "stand_ins/http/listener.h"
+
 namespace camphor {
 namespace {
 
@@ -186,23 +188,9 @@
 HttpServer::~HttpServer() { Stop(); }
 
 bool HttpServer::Start() {
-  error_code error;
-  const auto address =
-      asio::ip::make_address(state_->options.listen.address, error);
-  const tcp::endpoint endpoint(address, state_->options.listen.port);
-  if (!error) state_->acceptor.open(endpoint.protocol(), error);
-  if (!error) state_->acceptor.set_option(tcp::acceptor::reuse_address(true));
-  if (!error) state_->acceptor.bind(endpoint, error);
-  if (!error)
-    state_->acceptor.listen(tcp::acceptor::max_listen_connections, error);
-  if (error) {
-    state_->last_reason = "cannot listen on " +
-                          state_->options.listen.ToString() + ": " +
-                          error.message();
-    return false;
-  }
-  state_->endpoint = {.address = state_->options.listen.address,
-                      .port = state_->acceptor.local_endpoint().port()};
+  state_->endpoint = OpenListener(state_->acceptor, state_->options.listen,
+                                  state_->last_reason);
+  if (state_->endpoint.port == 0) return false;
   state_->Accept();
   state_->thread = std::thread([this] { state_->context.run(); });
   return true;
