--- a/core/base/json_fields.cc
+++ b/core/base/json_fields.cc
@@ -44,8 +44,11 @@
 }  // namespace
 
 JsonFields::JsonFields(const boost::json::object& object, std::string path,
-                       std::vector<FieldError>& errors)
-    : object_(object), path_(std::move(path)), errors_(errors) {}
+                       std::vector<FieldError>& errors, Unknown unknown)
+    : object_(object),
+      path_(std::move(path)),
+      errors_(errors),
+      unknown_(unknown) {}
 
 std::string JsonFields::String(std::string_view key,
                                const std::optional<std::string>& fallback,
@@ -129,7 +132,7 @@
     Report(key, "must be an object");
     return;
   }
-  JsonFields fields(value->get_object(), PathOf(key), errors_);
+  JsonFields fields(value->get_object(), PathOf(key), errors_, unknown_);
   read(fields);
   fields.Finish();
 }
@@ -150,7 +153,7 @@
       errors_.push_back({.field = path, .message = "must be an object"});
       continue;
     }
-    JsonFields fields(*item, path, errors_);
+    JsonFields fields(*item, path, errors_, unknown_);
     read(fields);
     fields.Finish();
   }
@@ -161,6 +164,7 @@
 }
 
 void JsonFields::Finish() {
+  if (unknown_ == Unknown::kPassOver) return;
   for (const auto& member : object_) {
     const std::string_view key(member.key().data(), member.key().size());
     if (!known_.contains(key)) Report(key, "is not a known key");
--- a/core/base/json_fields.h
+++ b/core/base/json_fields.h
@@ -31,12 +31,16 @@
 ///
 /// Each reader takes a default that stands when the key is not there; without
 /// one the key is required. Call Finish last: it reports the keys that nothing
-/// asked for.
+/// asked for, unless they are to be passed over.
 class JsonFields {
  public:
+  /// What becomes of keys that nothing asked for, here and in inner objects.
+  enum class Unknown : std::uint8_t { kReport, kPassOver };
+
   /// @pre `object` and `errors` outlive this.
   JsonFields(const boost::json::object& object, std::string path,
-             std::vector<FieldError>& errors);
+             std::vector<FieldError>& errors,
+             Unknown unknown = Unknown::kReport);
 
   /// A string of 1 to `longest` characters, none of them a control character.
   /// Thread safety: one thread.
@@ -85,6 +89,7 @@
   const boost::json::object& object_;
   std::string path_;
   std::vector<FieldError>& errors_;
+  Unknown unknown_;
   std::set<std::string, std::less<>> known_;
 };
 
--- a/core/config/config_codec.cc
+++ b/core/config/config_codec.cc
@@ -27,14 +27,18 @@
 
 void CheckJoins(const ConfigSnapshot& snapshot,
                 std::vector<ConfigError>& errors) {
-  for (const RouteRule& rule : snapshot.routes) {
-    if (snapshot.FindPool(rule.pool) != nullptr) continue;
+  const auto check = [&](const RouteRule& rule, const PoolName& pool) {
+    if (snapshot.FindPool(pool) != nullptr) return;
     errors.push_back(
         {.kind = ConfigError::Kind::kMissingPool,
          .field = "routes",
          .message = fmt::format("the route {} names the pool {}, which is not "
                                 "in the table of pools",
-                                rule.name.value(), rule.pool.value())});
+                                rule.name.value(), pool.value())});
+  };
+  for (const RouteRule& rule : snapshot.routes) {
+    if (rule.split.empty()) check(rule, rule.pool);
+    for (const PoolShare& share : rule.split) check(rule, share.pool);
   }
 }
 
@@ -65,6 +69,9 @@
   fields.Objects("pools", [&](JsonFields& row) {
     snapshot.pools.push_back(ReadPool(row));
   });
+  fields.Object("limits", [&](JsonFields& row) {
+    snapshot.limits = CallerLimits::Read(row);
+  });
   fields.Finish();
   for (FieldError& error : field_errors) {
     errors_.push_back({.kind = ConfigError::Kind::kField,
@@ -103,8 +110,11 @@
     routes.push_back(WriteRoute(rule));
   boost::json::array pools;
   for (const PoolSpec& pool : snapshot.pools) pools.push_back(WritePool(pool));
-  return boost::json::serialize(boost::json::object{
-      {"routes", std::move(routes)}, {"pools", std::move(pools)}});
+  boost::json::object document{{"routes", std::move(routes)},
+                               {"pools", std::move(pools)}};
+  if (snapshot.limits != CallerLimits{})
+    document["limits"] = snapshot.limits.Write();
+  return boost::json::serialize(document);
 }
 
 std::optional<ConfigSnapshot> ConfigCodec::Fail() {
--- a/core/config/config_codec.h
+++ b/core/config/config_codec.h
@@ -13,7 +13,8 @@
 
 /// Reads and writes the two tables as JSON, and checks them whole.
 ///
-/// A document is {"routes": [...], "pools": [...]} and may hold comments. The
+/// A document is {"routes": [...], "pools": [...], "limits": {...}}, the last
+/// of which may be left out, and may hold comments. The
 /// encoding is canonical: equal tables give equal bytes, and so equal digests.
 /// Each call that returns nothing leaves the reason in last_reason(); errors()
 /// then has every fault found, so that an operator can mend all of them at
--- a/core/config/config_delta.cc
+++ b/core/config/config_delta.cc
@@ -57,7 +57,7 @@
 
 ConfigDelta ConfigDelta::Between(const ConfigSnapshot& from,
                                  const ConfigSnapshot& to) {
-  ConfigDelta delta{.base = from.head, .head = to.head};
+  ConfigDelta delta{.base = from.head, .head = to.head, .limits = to.limits};
   Compare(from.routes, to.routes, delta.routes, delta.removed_routes);
   Compare(from.pools, to.pools, delta.pools, delta.removed_pools);
   return delta;
@@ -73,7 +73,8 @@
   const ConfigSnapshot result{
       .head = head,
       .routes = Replace(from.routes, routes, removed_routes),
-      .pools = Replace(from.pools, pools, removed_pools)};
+      .pools = Replace(from.pools, pools, removed_pools),
+      .limits = limits};
 
   // The codec checks the whole result as if it had come whole.
   ConfigCodec codec;
@@ -88,11 +89,12 @@
   for (const RouteRule& rule : routes) route_rows.push_back(WriteRoute(rule));
   boost::json::array pool_rows;
   for (const PoolSpec& pool : pools) pool_rows.push_back(WritePool(pool));
-  return boost::json::serialize(
-      boost::json::object{{"removed_routes", WriteNames(removed_routes)},
-                          {"removed_pools", WriteNames(removed_pools)},
-                          {"routes", std::move(route_rows)},
-                          {"pools", std::move(pool_rows)}});
+  boost::json::object document{{"removed_routes", WriteNames(removed_routes)},
+                               {"removed_pools", WriteNames(removed_pools)},
+                               {"routes", std::move(route_rows)},
+                               {"pools", std::move(pool_rows)}};
+  if (limits != CallerLimits{}) document["limits"] = limits.Write();
+  return boost::json::serialize(document);
 }
 
 std::optional<ConfigDelta> ConfigDelta::Decode(std::string_view text,
@@ -117,6 +119,9 @@
   });
   fields.Objects(
       "pools", [&](JsonFields& row) { delta.pools.push_back(ReadPool(row)); });
+  fields.Object("limits", [&](JsonFields& row) {
+    delta.limits = CallerLimits::Read(row);
+  });
   fields.Finish();
   if (!errors.empty()) {
     reason = {.kind = ConfigError::Kind::kField,
--- a/core/config/config_delta.h
+++ b/core/config/config_delta.h
@@ -22,6 +22,7 @@
   std::vector<RouteName> removed_routes{};  ///< sorted
   std::vector<PoolName> removed_pools{};    ///< sorted
   std::vector<RouteRule> routes{};          ///< new or changed, sorted by name
+  CallerLimits limits{};                    ///< limits of the result
   std::vector<PoolSpec> pools{};            ///< new or changed, sorted by name
 
   /// The delta from one snapshot to another. Thread safety: any thread.
--- a/core/config/config_snapshot.h
+++ b/core/config/config_snapshot.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <vector>
 
+#include "core/config/caller_limits.h"
 #include "core/config/config_head.h"
 #include "core/config/pool_spec.h"
 #include "core/config/route_rule.h"
@@ -19,6 +20,7 @@
   ConfigHead head{};                ///< version and digest
   std::vector<RouteRule> routes{};  ///< sorted by name
   std::vector<PoolSpec> pools{};    ///< sorted by name
+  CallerLimits limits{};            ///< what callers may send
 
   /// The pool of the given name, or null. Thread safety: value type.
   const PoolSpec* FindPool(const PoolName& name) const;
--- a/core/config/pool_spec.h
+++ b/core/config/pool_spec.h
@@ -28,7 +28,9 @@
 /// of them is kept here.
 struct PoolSpec {
   PoolName name;          ///< unique within the table
-  TargetVersion version;  ///< the target version that serves
+  TargetVersion version;  ///< the target version that serves; empty: every
+                          ///< version but the withheld one
+  TargetVersion withheld;  ///< a version that gets no requests; empty: none
   std::optional<RolloutSpec>
       rollout{};  ///< the rollout that is under way, if any
   std::uint32_t slots_per_target =
--- a/core/config/route_rule.h
+++ b/core/config/route_rule.h
@@ -2,6 +2,7 @@
 #define CAMPHORHILL_CORE_CONFIG_ROUTE_RULE_H_
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,15 @@
 
 namespace camphor {
 
+/// One part of a route's requests and the pool that serves it. Immutable value
+/// type.
+struct PoolShare {
+  PoolName pool;             ///< must stand in the table of pools
+  std::uint32_t weight = 0;  ///< its part, in proportion to the other weights
+
+  auto operator<=>(const PoolShare&) const = default;
+};
+
 /// One row of the table of routes: which requests it takes and which pool they
 /// go to. Immutable value type.
 ///
@@ -21,12 +31,19 @@
   std::string path_prefix = "/";     ///< beginning of the path that it takes
   std::vector<std::string> methods;  ///< methods that it takes; empty takes any
   PoolName pool;  ///< pool that serves it; must stand in the table of pools
+  std::vector<PoolShare> split{};  ///< not empty: the requests are divided among
+                                   ///< these pools, of which `pool` is the first
   Milliseconds timeout{2000};  ///< longest time from arrival to the last byte,
                                ///< unless the caller sets less
   bool repeatable =
       false;  ///< true when a request may be run again after an unknown outcome
   bool at_most_once = false;  ///< true when a request needs an idempotency key
                               ///< and is claimed before it is run
+  std::uint32_t attempts = 0;  ///< targets that one request is sent to at most;
+                               ///< 0 leaves it to the proxy
+  Milliseconds target_latency{0};  ///< an answer within it has its full value;
+                                   ///< 0: no such objective
+  std::uint32_t priority = 0;      ///< rank under overload, 0 is the highest
 
   auto operator<=>(const RouteRule&) const = default;
 };
--- a/core/config/table_rows.cc
+++ b/core/config/table_rows.cc
@@ -14,6 +14,8 @@
 constexpr std::int64_t kLongestBakeSeconds = 7 * 24 * 3600;
 constexpr std::int64_t kMostSlots = 10'000;
 constexpr std::int64_t kMostAttempts = 1'000'000;
+constexpr std::int64_t kMostWeight = 1'000'000;
+constexpr std::int64_t kLowestPriority = 1'000;
 
 RolloutSpec ReadRollout(JsonFields& fields) {
   const RolloutSpec defaults;
@@ -49,11 +51,21 @@
     fields.Report("path_prefix", "must begin with /");
   rule.methods = fields.Strings("methods");
   std::ranges::sort(rule.methods);
-  rule.pool = PoolName(fields.String("pool"));
+  fields.Objects("split", [&](JsonFields& inner) {
+    PoolShare share{.pool = PoolName(inner.String("pool"))};
+    share.weight = ReadCount(inner, "weight", 0, kMostWeight, 0);
+    rule.split.push_back(std::move(share));
+  });
+  rule.pool = rule.split.empty() ? PoolName(fields.String("pool"))
+                                 : rule.split.front().pool;
   rule.timeout = Milliseconds(fields.Integer("timeout_ms", 1, kLongestTimeoutMs,
                                              defaults.timeout.count()));
   rule.repeatable = fields.Boolean("repeatable", defaults.repeatable);
   rule.at_most_once = fields.Boolean("at_most_once", defaults.at_most_once);
+  rule.attempts = ReadCount(fields, "attempts", 0, kMostAttempts, 0);
+  rule.target_latency = Milliseconds(
+      fields.Integer("target_latency_ms", 0, kLongestTimeoutMs, 0));
+  rule.priority = ReadCount(fields, "priority", 0, kLowestPriority, 0);
   if (rule.repeatable && rule.at_most_once)
     fields.Report("at_most_once", "must not stand beside repeatable");
   return rule;
@@ -63,7 +75,8 @@
   const PoolSpec defaults;
   PoolSpec pool;
   pool.name = PoolName(fields.String("name"));
-  pool.version = TargetVersion(fields.String("version"));
+  pool.version = TargetVersion(fields.String("version", ""));
+  pool.withheld = TargetVersion(fields.String("withheld", ""));
   fields.Object("rollout",
                 [&](JsonFields& inner) { pool.rollout = ReadRollout(inner); });
   if (pool.rollout && pool.rollout->version == pool.version) {
@@ -88,17 +101,31 @@
   out["path_prefix"] = rule.path_prefix;
   if (!rule.methods.empty())
     out["methods"] = boost::json::value_from(rule.methods);
-  out["pool"] = rule.pool.value();
+  if (rule.split.empty()) {
+    out["pool"] = rule.pool.value();
+  } else {
+    boost::json::array split;
+    for (const PoolShare& share : rule.split) {
+      split.push_back(boost::json::object{{"pool", share.pool.value()},
+                                          {"weight", share.weight}});
+    }
+    out["split"] = std::move(split);
+  }
   out["timeout_ms"] = rule.timeout.count();
   out["repeatable"] = rule.repeatable;
   out["at_most_once"] = rule.at_most_once;
+  if (rule.attempts > 0) out["attempts"] = rule.attempts;
+  if (rule.target_latency.count() > 0)
+    out["target_latency_ms"] = rule.target_latency.count();
+  if (rule.priority > 0) out["priority"] = rule.priority;
   return out;
 }
 
 boost::json::object WritePool(const PoolSpec& pool) {
   boost::json::object out;
   out["name"] = pool.name.value();
-  out["version"] = pool.version.value();
+  if (!pool.version.empty()) out["version"] = pool.version.value();
+  if (!pool.withheld.empty()) out["withheld"] = pool.withheld.value();
   if (pool.rollout) {
     out["rollout"] = {
         {"version", pool.rollout->version.value()},
--- a/core/membership/membership.cc
+++ b/core/membership/membership.cc
@@ -1,9 +1,15 @@
 #include "core/membership/membership.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace camphor {
+namespace {
+
+constexpr std::ptrdiff_t kMostSeeds = 64;
+
+}  // namespace
 
 Membership::Membership(Options options, const RecordStore& store,
                        const ReplicatorSettings& settings)
@@ -100,6 +106,19 @@
   return chosen;
 }
 
+void Membership::AddSeeds(const std::vector<Endpoint>& seeds, MonoTime now) {
+  for (const Endpoint& seed : seeds) {
+    if (seed == options_.mesh) continue;
+    std::erase(options_.seeds, seed);
+    options_.seeds.push_back(seed);
+  }
+  if (std::ssize(options_.seeds) > kMostSeeds) {
+    options_.seeds.erase(options_.seeds.begin(),
+                         options_.seeds.end() - kMostSeeds);
+  }
+  next_contact_ = now;
+}
+
 bool Membership::is_poller() const {
   const HostRecord* self = store_.FindHost(options_.self);
   if (self == nullptr) return true;
--- a/core/membership/membership.h
+++ b/core/membership/membership.h
@@ -48,6 +48,10 @@
   /// Some host record changed: the overlay is worked out anew at the next tick.
   void HostsChanged() { stale_ = true; }
 
+  /// Takes further hosts to join through, and tries them at once. The oldest
+  /// are forgotten beyond a bounded number.
+  void AddSeeds(const std::vector<Endpoint>& seeds, MonoTime now);
+
   /// Any message of a peer came.
   void Heard(const Endpoint& from, MonoTime now);
 
--- a/core/replication/replicator.cc
+++ b/core/replication/replicator.cc
@@ -98,6 +98,16 @@
   state_->Settle();
 }
 
+void Replicator::AddSeeds(const std::vector<Endpoint>& seeds, MonoTime now) {
+  state_->now = now;
+  state_->membership.AddSeeds(seeds, now);
+  state_->Settle();
+}
+
+bool Replicator::alone() const {
+  return state_->membership.neighbours().empty();
+}
+
 bool Replicator::ready() const { return state_->cold_start.ready(); }
 
 bool Replicator::is_platform_poller() const {
--- a/core/replication/replicator.h
+++ b/core/replication/replicator.h
@@ -61,6 +61,12 @@
   /// Replaces this host's own targets and spreads the change.
   void SetTargets(std::vector<TargetInfo> targets, MonoTime now);
 
+  /// Takes further mesh endpoints of hosts to join through.
+  void AddSeeds(const std::vector<Endpoint>& seeds, MonoTime now);
+
+  /// True while no other host is known to be alive.
+  bool alone() const;
+
   /// Marks this host as leaving and spreads it.
   void Leave(MonoTime now);
 
--- a/core/routing/effective_routing.h
+++ b/core/routing/effective_routing.h
@@ -9,6 +9,7 @@
 
 #include "core/base/endpoint.h"
 #include "core/base/identifier.h"
+#include "core/config/caller_limits.h"
 #include "core/config/config_head.h"
 #include "core/config/pool_spec.h"
 #include "core/config/route_rule.h"
@@ -49,6 +50,15 @@
   auto operator<=>(const PoolRouting&) const = default;
 };
 
+/// One pool of a route whose requests are divided. Immutable value type.
+struct RoutedShare {
+  std::uint32_t pool = 0;           ///< index into EffectiveRouting::pools
+  std::uint32_t weight = 0;         ///< its part of the route's requests
+  std::uint32_t new_share_ppm = 0;  ///< as RoutedRule::new_share_ppm
+
+  auto operator<=>(const RoutedShare&) const = default;
+};
+
 /// One route and the pool that it is joined to. Immutable value type.
 struct RoutedRule {
   RouteRule rule;          ///< the row of the table
@@ -56,6 +66,8 @@
   std::uint32_t new_share_ppm =
       0;  ///< share of this route's requests for the pool's second group, in
           ///< millionths: the rollout's share for the route
+  std::vector<RoutedShare> split{};  ///< not empty: the pools that its requests
+                                     ///< are divided among
 
   auto operator<=>(const RoutedRule&) const = default;
 };
@@ -70,6 +82,7 @@
   std::vector<RoutedRule>
       routes{};  ///< in match order: the first that matches wins
   std::vector<PoolRouting> pools{};    ///< sorted by name
+  CallerLimits limits{};               ///< what callers may send
   std::set<std::uint64_t> poison{};    ///< fingerprints that are refused
   std::set<std::uint64_t> suspects{};  ///< fingerprints that one target died
                                        ///< under: run apart from each other
--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -82,11 +82,33 @@
   }
 }
 
+RoutedShare PowerOfTwoBalancer::ShareOf(std::uint32_t route,
+                                        std::uint32_t share) const {
+  const RoutedRule& rule = routing_->routes[route];
+  if (share < rule.split.size()) return rule.split[share];
+  return {.pool = rule.pool, .new_share_ppm = rule.new_share_ppm};
+}
+
+std::uint32_t PowerOfTwoBalancer::ChooseShare(std::uint32_t route) {
+  const std::vector<RoutedShare>& split = routing_->routes[route].split;
+  std::uint64_t total = 0;
+  for (const RoutedShare& share : split) total += share.weight;
+  if (total == 0) return 0;
+  std::uint64_t drawn = random_() % total;
+  for (std::uint32_t index = 0; index < split.size(); ++index) {
+    if (drawn < split[index].weight) return index;
+    drawn -= split[index].weight;
+  }
+  return 0;
+}
+
 std::optional<Placement> PowerOfTwoBalancer::Choose(
-    std::uint32_t route, std::span<const Placement> tried, MonoTime now) {
+    std::uint32_t route, std::uint32_t share, std::span<const Placement> tried,
+    MonoTime now) {
   assert(routing_ && route < routing_->routes.size());
-  const std::uint32_t pool = routing_->routes[route].pool;
-  const std::optional<std::uint32_t> group = ChooseGroup(route);
+  const RoutedShare part = ShareOf(route, share);
+  const std::uint32_t pool = part.pool;
+  const std::optional<std::uint32_t> group = ChooseGroup(route, part);
   if (!group) return std::nullopt;
   const std::optional<Placement> chosen =
       ChooseTarget({.pool = pool, .group = *group}, tried, now);
@@ -97,18 +119,18 @@
   const std::vector<VersionGroup>& groups = routing_->pools[pool].groups;
   for (std::uint32_t other = 0; other < groups.size(); ++other) {
     if (other == *group || groups[other].share_ppm == 0) continue;
-    if (other == 1 && routing_->routes[route].new_share_ppm == 0) continue;
+    if (other == 1 && part.new_share_ppm == 0) continue;
     return ChooseTarget({.pool = pool, .group = other}, tried, now);
   }
   return std::nullopt;
 }
 
 std::optional<std::uint32_t> PowerOfTwoBalancer::ChooseGroup(
-    std::uint32_t route) {
-  const PoolRouting& pool = routing_->pools[routing_->routes[route].pool];
+    std::uint32_t route, const RoutedShare& part) {
+  const PoolRouting& pool = routing_->pools[part.pool];
   if (pool.groups.empty()) return std::nullopt;
   if (pool.groups.size() == 1) return 0;
-  const std::uint32_t share = routing_->routes[route].new_share_ppm;
+  const std::uint32_t share = part.new_share_ppm;
   if (share == 0) return 0;
   double& credit = new_version_credit_[route];
   credit += share / kWhole;
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -52,9 +52,21 @@
   /// that this request does not want again. Returns nothing when no target is
   /// left. @pre SetRouting was called with a routing that has the route.
   std::optional<Placement> Choose(std::uint32_t route,
+                                  std::span<const Placement> tried,
+                                  MonoTime now) {
+    return Choose(route, 0, tried, now);
+  }
+
+  /// The same within one part of a route whose requests are divided. @pre
+  /// `share` came from ChooseShare for that route.
+  std::optional<Placement> Choose(std::uint32_t route, std::uint32_t share,
                                   std::span<const Placement> tried,
                                   MonoTime now);
 
+  /// Draws the part of the route that a request belongs to, by the weights: an
+  /// index into RoutedRule::split; 0 when the route is not divided.
+  std::uint32_t ChooseShare(std::uint32_t route);
+
   /// Counts a request as under way at the target.
   void OnSent(const TargetId& target);
 
@@ -79,7 +91,9 @@
     std::size_t targets = 0;
   };
 
-  std::optional<std::uint32_t> ChooseGroup(std::uint32_t route);
+  RoutedShare ShareOf(std::uint32_t route, std::uint32_t share) const;
+  std::optional<std::uint32_t> ChooseGroup(std::uint32_t route,
+                                           const RoutedShare& part);
   std::optional<Placement> ChooseTarget(const Placement& group,
                                         std::span<const Placement> tried,
                                         MonoTime now);
--- a/core/routing/routing_builder.cc
+++ b/core/routing/routing_builder.cc
@@ -41,17 +41,26 @@
   return std::min(differs ? own->share_ppm : record->share_ppm, kWhole);
 }
 
+/// True when a target of the version `runs` belongs to the group of `version`.
+/// A pool that names no version takes every one that is not singled out.
+bool Serves(const PoolSpec& pool, const TargetVersion& version,
+            const TargetVersion& runs) {
+  if (!version.empty()) return runs == version;
+  if (runs.empty() || runs == pool.withheld) return false;
+  return !pool.rollout || runs != pool.rollout->version;
+}
+
 /// Targets of one version on the hosts that `accepts` takes.
 template <typename Accepts>
 std::vector<RoutedTarget> TargetsOf(const RoutingInputs& inputs,
-                                    const PoolName& pool,
+                                    const PoolSpec& pool,
                                     const TargetVersion& version,
                                     const Accepts& accepts) {
   std::vector<RoutedTarget> targets;
   for (const auto& [id, host] : inputs.hosts) {
     if (!accepts(host.status)) continue;
     for (const TargetInfo& info : host.targets) {
-      if (info.pool != pool || info.version != version ||
+      if (info.pool != pool.name || !Serves(pool, version, info.version) ||
           info.status == TargetStatus::kLeaving) {
         continue;
       }
@@ -68,7 +77,7 @@
   return targets;
 }
 
-VersionGroup GroupOf(const RoutingInputs& inputs, const PoolName& pool,
+VersionGroup GroupOf(const RoutingInputs& inputs, const PoolSpec& pool,
                      const TargetVersion& version, std::uint32_t share_ppm) {
   std::vector<RoutedTarget> alive =
       TargetsOf(inputs, pool, version,
@@ -90,11 +99,11 @@
   const std::uint32_t share_of_new =
       record == nullptr ? 0 : std::min(record->share_ppm, kWhole);
   pool.groups.push_back(
-      GroupOf(inputs, spec.name, spec.version, kWhole - share_of_new));
+      GroupOf(inputs, spec, spec.version, kWhole - share_of_new));
   if (!spec.rollout) return pool;
   pool.rollout = RolloutIdOf(spec);
   VersionGroup group =
-      GroupOf(inputs, spec.name, spec.rollout->version, share_of_new);
+      GroupOf(inputs, spec, spec.rollout->version, share_of_new);
   if (record != nullptr) {
     group.targets = ChooseTargets(pool.rollout, std::move(group.targets),
                                   record->canary_targets);
@@ -113,6 +122,21 @@
   return left.name < right.name;
 }
 
+/// Joins a route to one pool; nothing when that pool is not there.
+std::optional<RoutedShare> Join(const RoutingInputs& inputs,
+                                const EffectiveRouting& routing,
+                                const RouteRule& rule, const PoolShare& share) {
+  const auto pool = std::ranges::lower_bound(
+      routing.pools, share.pool, {},
+      [](const PoolRouting& candidate) { return candidate.spec.name; });
+  if (pool == routing.pools.end() || pool->spec.name != share.pool)
+    return std::nullopt;
+  return RoutedShare{
+      .pool = static_cast<std::uint32_t>(pool - routing.pools.begin()),
+      .weight = share.weight,
+      .new_share_ppm = ShareOnRoute(RecordOf(inputs, pool->spec), rule.name)};
+}
+
 }  // namespace
 
 EffectiveRouting BuildRouting(const RoutingInputs& inputs) {
@@ -132,16 +156,19 @@
                     [](const PoolRouting& pool) { return pool.spec.name; });
 
   // A route is joined to its pool by index, so that it can not lack it.
+  routing.limits = inputs.snapshot->limits;
   for (const RouteRule& rule : inputs.snapshot->routes) {
-    const auto pool = std::ranges::lower_bound(
-        routing.pools, rule.pool, {},
-        [](const PoolRouting& candidate) { return candidate.spec.name; });
-    if (pool == routing.pools.end() || pool->spec.name != rule.pool) continue;
-    routing.routes.push_back(
-        {.rule = rule,
-         .pool = static_cast<std::uint32_t>(pool - routing.pools.begin()),
-         .new_share_ppm =
-             ShareOnRoute(RecordOf(inputs, pool->spec), rule.name)});
+    const std::optional<RoutedShare> main =
+        Join(inputs, routing, rule, {.pool = rule.pool});
+    if (!main) continue;
+    RoutedRule routed{.rule = rule,
+                      .pool = main->pool,
+                      .new_share_ppm = main->new_share_ppm};
+    for (const PoolShare& share : rule.split) {
+      const auto joined = Join(inputs, routing, rule, share);
+      if (joined) routed.split.push_back(*joined);
+    }
+    routing.routes.push_back(std::move(routed));
   }
   std::ranges::sort(routing.routes,
                     [](const RoutedRule& left, const RoutedRule& right) {
--- a/fuzz/announcement_fuzz.cc
+++ b/fuzz/announcement_fuzz.cc
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <vector>
 
-#include "node/targets/target_announcement.h"
+#include "core/membership/target_announcement.h"
 
 // Announcements of any bytes are read, or refused with at least one reason.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
--- a/node/admin/admin_api.cc
+++ b/node/admin/admin_api.cc
@@ -181,6 +181,18 @@
   router_.Add("POST", "/v1/targets", AdminAccess::kLoopback,
               [this](const AdminRouter::Call& call,
                      const AdminRespond& respond) { Announce(call, respond); });
+  router_.Add("POST", "/v1/targets/{}/report", AdminAccess::kLoopback,
+              [this](const AdminRouter::Call& call,
+                     const AdminRespond& respond) { Report(call, respond); });
+  // A target that ends is told so even when this host does not know it.
+  router_.Add(
+      "POST", "/v1/targets/{}/leave", AdminAccess::kLoopback,
+      [this](const AdminRouter::Call& call, const AdminRespond& respond) {
+        OnDecisions(respond, [this, respond, id = TargetId(call.captures[0])] {
+          options_.controller->Leave(id, Now());
+          respond(Json(object{}));
+        });
+      });
   const auto change = [this](bool (HostController::*method)(const TargetId&,
                                                             MonoTime)) {
     return [this, method](const AdminRouter::Call& call,
@@ -323,6 +335,27 @@
   });
 }
 
+void AdminApi::Report(const AdminRouter::Call& call,
+                      const AdminRespond& respond) {
+  std::vector<FieldError> errors;
+  const std::optional<TargetAnnouncement> report =
+      TargetAnnouncement::ParseReport(TargetId(call.captures[0]),
+                                      call.request.body, errors);
+  if (!report.has_value()) {
+    options_.log->Log(
+        LogLevel::kWarning, "targets", "a target's report is malformed",
+        {{"target", call.captures[0]}, {"reason", Summary(errors)}});
+    return respond(Invalid(errors));
+  }
+  OnDecisions(respond, [this, respond, report = *report] {
+    if (!options_.controller->Report(report, Now())) {
+      return respond(AdminError(503, "too_many_targets",
+                                "this host holds no more targets"));
+    }
+    respond(Json(object{}));
+  });
+}
+
 void AdminApi::PutLogLevel(const AdminRouter::Call& call,
                            const AdminRespond& respond) {
   std::string reason;
--- a/node/admin/admin_api.h
+++ b/node/admin/admin_api.h
@@ -10,7 +10,7 @@
 #include "node/decisions/host_controller.h"
 #include "node/log/log_sink.h"
 #include "node/settings/settings.h"
-#include "platform/config_repository.h"
+#include "store/config_repository.h"
 
 namespace camphor {
 
@@ -63,6 +63,7 @@
                    DecisionThread::Task task) const;
 
   void PutConfig(const AdminRouter::Call& call, const AdminRespond& respond);
+  void Report(const AdminRouter::Call& call, const AdminRespond& respond);
   void Announce(const AdminRouter::Call& call, const AdminRespond& respond);
   void PutLogLevel(const AdminRouter::Call& call, const AdminRespond& respond);
 
--- a/node/admin/admin_server.cc
+++ b/node/admin/admin_server.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/url.hpp>
+#include <deque>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -53,7 +54,7 @@
 
 struct AdminServer::State {
   explicit State(Options given)
-      : options(std::move(given)), acceptor(context) {}
+      : options(std::move(given)) {}
 
   // Connections that the context still holds count themselves off at its end.
   std::atomic<std::uint32_t> open{0};
@@ -61,12 +62,13 @@
   std::atomic<std::uint64_t> refused{0};
   Options options;
   asio::io_context context{1};
-  Tcp::acceptor acceptor;
+  std::deque<Tcp::acceptor> acceptors;
   std::thread thread;
   Endpoint endpoint;
   std::string last_reason;
 
-  void Accept();
+  void Accept(Tcp::acceptor& acceptor);
+  bool Listen(const Endpoint& on);
 };
 
 /// One connection; keeps itself alive through its handlers.
@@ -122,7 +124,7 @@
         .authorization = std::string(message[http::field::authorization]),
         .if_match = std::string(message[http::field::if_match]),
         .operation_id = std::string(message["Operation-Id"]),
-        .from_loopback = !error && peer.address().is_loopback()};
+        .from_loopback = !error && IsOwnHost(peer.address())};
     // The answer may come from another thread.
     state_.options.handle(
         request, [self = shared_from_this()](AdminResponse response) {
@@ -133,6 +135,13 @@
         });
   }
 
+  /// True for a peer on this machine.
+  bool IsOwnHost(const asio::ip::address& peer) {
+    beast::error_code error;
+    const auto own = stream_.socket().local_endpoint(error);
+    return peer.is_loopback() || (!error && own.address() == peer);
+  }
+
   void Write(AdminResponse response) {
     ++state_.requests;
     response_ = {};
@@ -172,9 +181,9 @@
   State& state_;
 };
 
-void AdminServer::State::Accept() {
+void AdminServer::State::Accept(Tcp::acceptor& acceptor) {
   acceptor.async_accept(
-      [this](const beast::error_code& error, Tcp::socket socket) {
+      [this, &acceptor](const beast::error_code& error, Tcp::socket socket) {
         if (!acceptor.is_open()) return;
         if (!error) {
           if (open >= options.connections) {
@@ -183,10 +192,25 @@
             std::make_shared<Session>(std::move(socket), *this)->Read();
           }
         }
-        Accept();
+        Accept(acceptor);
       });
 }
 
+bool AdminServer::State::Listen(const Endpoint& on) {
+  Tcp::acceptor& acceptor = acceptors.emplace_back(context);
+  beast::error_code error;
+  const Tcp::endpoint listen(asio::ip::make_address(on.address, error),
+                             on.port);
+  if (!error) acceptor.open(listen.protocol(), error);
+  if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(listen, error);
+  if (!error)
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) return true;
+  last_reason = "can not listen on " + on.ToString() + ": " + error.message();
+  return false;
+}
+
 AdminServer::AdminServer(Options options)
     : state_(std::make_unique<State>(std::move(options))) {}
 
@@ -194,26 +218,13 @@
 
 bool AdminServer::Start() {
   State& state = *state_;
-  beast::error_code error;
-  const auto address =
-      asio::ip::make_address(state.options.listen.address, error);
-  const Tcp::endpoint listen(address, state.options.listen.port);
-  if (!error) state.acceptor.open(listen.protocol(), error);
-  if (!error) {
-    state.acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) state.acceptor.bind(listen, error);
-  if (!error)
-    state.acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    state.last_reason = "can not listen on " + state.options.listen.ToString() +
-                        ": " + error.message();
-    return false;
-  }
-  const auto bound = state.acceptor.local_endpoint();
+  if (!state.Listen(state.options.listen)) return false;
+  for (const Endpoint& endpoint : state.options.also_listen)
+    if (!state.Listen(endpoint)) return false;
+  const auto bound = state.acceptors.front().local_endpoint();
   state.endpoint = {.address = bound.address().to_string(),
                     .port = bound.port()};
-  state.Accept();
+  for (Tcp::acceptor& acceptor : state.acceptors) state.Accept(acceptor);
   state.thread = std::thread([&state] { state.context.run(); });
   return true;
 }
@@ -223,7 +234,7 @@
   if (!state.thread.joinable()) return;
   asio::post(state.context, [&state] {
     beast::error_code ignored;
-    state.acceptor.close(ignored);
+    for (Tcp::acceptor& acceptor : state.acceptors) acceptor.close(ignored);
     state.context.stop();
   });
   state.thread.join();
--- a/node/admin/admin_server.h
+++ b/node/admin/admin_server.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/base/endpoint.h"
 #include "core/base/time.h"
@@ -20,6 +21,7 @@
  public:
   struct Options {
     Endpoint listen{};                           ///< port 0 takes any
+    std::vector<Endpoint> also_listen{};         ///< serve the same
     std::uint32_t connections = 128;             ///< open at a time at most
     std::uint32_t header_bytes = 16 * 1024;      ///< of one request at most
     std::uint32_t body_bytes = 4 * 1024 * 1024;  ///< of one request at most
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -127,6 +127,29 @@
   return true;
 }
 
+bool HostController::Report(const TargetAnnouncement& report, MonoTime now) {
+  now_ = now;
+  const TargetRegistry::Taken taken = registry_.Report(report, now);
+  if (taken == TargetRegistry::Taken::kRenewed) return true;
+  if (taken == TargetRegistry::Taken::kChanged) TargetsChanged(now);
+  options_.log->Log(
+      LogLevel::kInfo, "targets",
+      taken == TargetRegistry::Taken::kChanged
+          ? "a target's report changed what is known of it"
+          : "a target's report was not taken",
+      {{"target", report.id.value()},
+       {"pool", report.pool.value()},
+       {"version", report.version.value()},
+       {"address", report.address.ToString()},
+       {"state", report.leaving ? "leaving" : (report.warm ? "ready" : "cold")},
+       {"sequence", report.sequence},
+       {"started_ms", report.started_ms},
+       {"outcome", taken == TargetRegistry::Taken::kTooMany ? "too_many"
+                   : taken == TargetRegistry::Taken::kStale ? "stale"
+                                                            : "taken"}});
+  return taken != TargetRegistry::Taken::kTooMany;
+}
+
 bool HostController::Renew(const TargetId& id, MonoTime now) {
   return registry_.Renew(id, now);
 }
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -58,6 +58,7 @@
 
   /// Targets of this host announce themselves; see TargetRegistry.
   bool Announce(const TargetAnnouncement& announcement, MonoTime now);
+  bool Report(const TargetAnnouncement& report, MonoTime now);
   bool Renew(const TargetId& id, MonoTime now);
   bool Leave(const TargetId& id, MonoTime now);
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -1,5 +1,6 @@
 #include "node/node.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
@@ -14,8 +15,10 @@
 #include "node/decisions/published.h"
 #include "node/node_report.h"
 #include "node/platform_sync/platform_sync.h"
-#include "platform/claim_store.h"
+#include "store/claim_store.h"
 #include "platform/http_platform_client.h"
+#include "platform/operator_tables.h"
+#include "platform/platform_headers.h"
 #include "proxy/proxy_server.h"
 
 namespace camphor {
@@ -27,6 +30,9 @@
 constexpr Seconds kLongestTickGap{5};
 constexpr Milliseconds kDrainPoll{10};
 
+/// Callers there live for some hundred milliseconds, and come back within them.
+constexpr Milliseconds kPlatformRetryAfter{50};
+
 MonoTime Now() { return std::chrono::steady_clock::now(); }
 
 WallTime WallNow() {
@@ -42,6 +48,14 @@
           .count());
 }
 
+/// Time for the requests in flight: whatever is left of the grace, less a part
+/// for the end of the process.
+Milliseconds DrainLimit(const DrainSettings& drain) {
+  if (drain.grace.count() == 0) return drain.limit;
+  const Milliseconds left = drain.grace * 15 / 16 - drain.notice;
+  return std::clamp(left, Milliseconds(0), drain.limit);
+}
+
 }  // namespace
 
 struct Node::State {
@@ -98,6 +112,7 @@
 
 AdminServer::Options Node::State::AdminOptions() {
   return {.listen = settings.admin_listen,
+          .also_listen = settings.admin_also,
           .connections = settings.admin.connections,
           .body_bytes = settings.admin.body_bytes,
           .handle = [this](const AdminRequest& request,
@@ -148,8 +163,13 @@
                  const std::function<void(bool)>& done) {
             claims.Release(key, done);
           },
+      .caller_pool = settings.caller_pool,
       .debug_headers = settings.proxy.debug_headers,
       .limits = {.retry_budget = settings.proxy.retry_budget}};
+  if (settings.interface == InterfaceKind::kPlatform) {
+    proxy_options.vocabulary = PlatformHeaders();
+    proxy_options.limits.retry_after = kPlatformRetryAfter;
+  }
   if (settings.log.history) {
     proxy_options.history = [this](const std::string& text) {
       log.History(text);
@@ -210,7 +230,14 @@
 }
 
 PlatformSync::Options Node::State::SyncOptions() {
+  std::optional<OperatorTables> tables;
+  if (settings.interface == InterfaceKind::kPlatform) {
+    tables = {.table = kOperatorTable, .decode = DecodeOperatorTables};
+  }
   return {.settings = settings.polling,
+          .operator_tables = std::move(tables),
+          .host = settings.host,
+          .mesh = settings.mesh_advertise,
           .random_seed = incarnation,
           .platform = &platform,
           .log = &log,
@@ -329,7 +356,7 @@
   // Serves on until the other hosts have heard of it.
   std::this_thread::sleep_for(state.settings.drain.notice);
   state.proxy.BeginDrain();
-  const MonoTime deadline = Now() + state.settings.drain.limit;
+  const MonoTime deadline = Now() + DrainLimit(state.settings.drain);
   while (state.proxy.in_flight() > 0 && Now() < deadline) {
     std::this_thread::sleep_for(kDrainPoll);
   }
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -23,12 +23,52 @@
                 .post = options_.post,
                 .publish = [this](const RolloutRecord& record) {
                   options_.controller->replicator().Publish(record, Now());
-                }}) {}
+                }}) {
+  if (!options_.operator_tables) return;
+  feed_.emplace(FeedOptions());
+  directory_.emplace(DirectoryOptions());
+}
+
+OperatorFeed::Options PlatformSync::FeedOptions() {
+  return {.table = options_.operator_tables->table,
+          .platform = options_.platform,
+          .log = options_.log,
+          .random_seed = options_.random_seed,
+          .decode = options_.operator_tables->decode,
+          .take =
+              [this](const ConfigSnapshot& snapshot) {
+                TakeOperatorTables(snapshot);
+              },
+          .post = options_.post};
+}
+
+HostDirectory::Options PlatformSync::DirectoryOptions() {
+  return {.host = options_.host,
+          .mesh = options_.mesh,
+          .platform = options_.platform,
+          .log = options_.log,
+          .random_seed = options_.random_seed,
+          .found =
+              [this](const std::vector<Endpoint>& meshes) {
+                options_.controller->replicator().AddSeeds(meshes, Now());
+              },
+          .post = options_.post};
+}
+
+void PlatformSync::TakeOperatorTables(const ConfigSnapshot& snapshot) {
+  // The snapshot first: a head that is held already is not fetched.
+  Replicator& replicator = options_.controller->replicator();
+  replicator.OnPlatformSnapshot(snapshot, Now());
+  replicator.OnPlatformHead(snapshot.head, Now());
+}
 
 void PlatformSync::Tick(MonoTime now) {
   const Replicator& replicator = options_.controller->replicator();
   const bool poller = replicator.is_platform_poller();
-  if (schedule_.Due(now, {.ready = replicator.ready(), .poller = poller})) {
+  if (feed_) {
+    feed_->Tick(poller, now);
+    directory_->Tick(replicator.alone(), now);
+  } else if (schedule_.Due(now, {.ready = replicator.ready(), .poller = poller})) {
     ReadHead();
   }
   archive_.Tick(replicator.rollouts(), poller, now);
@@ -65,6 +105,7 @@
 }
 
 void PlatformSync::FetchSnapshot(const ConfigHead& head) {
+  if (feed_) return feed_->ReadAgain();
   if (fetching_ == head) return;
   fetching_ = head;
   repository_.FetchSnapshot(head, [this, head](const SnapshotResult& result) {
@@ -87,6 +128,10 @@
 
 void PlatformSync::Accept(ConfigEdit edit,
                           std::function<void(const AcceptResult&)> done) {
+  if (feed_) {
+    return done({.status = AcceptStatus::kUnavailable,
+                 .reason = "the tables are written by the platform's operator"});
+  }
   const ConfigSnapshot tables = edit.tables;
   repository_.Accept(std::move(edit), [this, tables, done = std::move(done)](
                                           const AcceptResult& result) {
@@ -109,6 +154,7 @@
 }
 
 boost::json::object PlatformSync::Dump() const {
+  if (feed_) return feed_->Dump();
   return {{"reachable", reachable()},
           {"failures", schedule_.failures()},
           {"last_reason", last_reason_},
--- a/node/platform_sync/rollout_archive.h
+++ b/node/platform_sync/rollout_archive.h
@@ -8,7 +8,7 @@
 #include "core/base/time.h"
 #include "core/config/config_snapshot.h"
 #include "core/replication/rollout_record.h"
-#include "platform/platform_client.h"
+#include "store/platform_client.h"
 
 namespace camphor {
 
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -96,10 +96,27 @@
   if (settings.mesh_advertise.port == 0)
     settings.mesh_advertise = settings.mesh_listen;
   settings.admin_listen = ReadEndpoint(fields, "admin_listen", PortRule::kAny);
+  for (const std::string& text : fields.Strings("admin_also")) {
+    const std::optional<Endpoint> endpoint = Endpoint::Parse(text);
+    if (endpoint.has_value()) {
+      settings.admin_also.push_back(*endpoint);
+    } else {
+      fields.Report("admin_also",
+                    text + " is not an IP number with a port, like "
+                           "10.0.0.1:7001");
+    }
+  }
   settings.platform = ReadEndpoint(fields, "platform", PortRule::kFixed);
   ReadMeshSeeds(fields, settings);
 }
 
+InterfaceKind ReadInterface(JsonFields& fields) {
+  const std::string text = fields.String("interface", "own");
+  if (text == "platform") return InterfaceKind::kPlatform;
+  if (text != "own") fields.Report("interface", "must be own or platform");
+  return InterfaceKind::kOwn;
+}
+
 DisseminationMode ReadMode(JsonFields& fields, std::string_view key) {
   const std::string text = fields.String(key, "full");
   if (text == "poll_only") return DisseminationMode::kPollOnly;
@@ -133,6 +150,7 @@
     DrainSettings& drain = settings.drain;
     drain.notice = ReadMilliseconds(part, "notice_ms", 0, drain.notice);
     drain.limit = ReadMilliseconds(part, "limit_ms", 0, drain.limit);
+    drain.grace = Seconds(part.Integer("grace_s", 0, kDayMs / 1000, 0));
   });
   fields.Object("targets", [&](JsonFields& part) {
     TargetSettings& targets = settings.targets;
@@ -202,6 +220,8 @@
   settings.host = HostId(fields.String("host"));
   settings.failure_domain = FailureDomain(fields.String("failure_domain"));
   ReadAddresses(fields, settings);
+  settings.interface = ReadInterface(fields);
+  settings.caller_pool = fields.String("caller_pool", "");
   settings.mesh_key = fields.String("mesh_key", {}, kLongestSecret);
   settings.operator_token = fields.String("operator_token", {}, kLongestSecret);
   ReadOptionalParts(fields, settings);
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -17,6 +17,12 @@
 
 namespace camphor {
 
+/// What callers, targets and operators speak.
+enum class InterfaceKind : std::uint8_t {
+  kOwn,       ///< the product's own interface
+  kPlatform,  ///< headers and tables as the platform has them
+};
+
 /// What is logged.
 struct LogSettings {
   LogLevel level = LogLevel::kInfo;         ///< least level that is written
@@ -29,6 +35,8 @@
   Milliseconds notice{
       1000};  ///< callers are still served this long after the mesh was told
   Milliseconds limit{30000};  ///< longest wait for the requests in flight
+  Milliseconds grace{0};  ///< the process is killed this long after it was told
+                          ///< to end; 0: not known
 };
 
 /// How targets of this host are kept.
@@ -77,6 +85,11 @@
   Endpoint mesh_advertise{};     ///< where other hosts' meshes reach this one
   Endpoint admin_listen{};  ///< where operators and targets connect; port 0
                             ///< takes any
+  std::vector<Endpoint> admin_also{};  ///< further addresses that serve the same
+  InterfaceKind interface = InterfaceKind::kOwn;  ///< what callers, targets and
+                                                  ///< operators speak
+  std::string caller_pool;  ///< pool whose targets call from this host; may be
+                            ///< empty
   std::string mesh_key;     ///< shared secret of the mesh
   std::vector<Endpoint> mesh_seeds{};  ///< hosts to join through
   Endpoint platform{};         ///< platform's table service and object store
--- a/node/targets/target_registry.cc
+++ b/node/targets/target_registry.cc
@@ -24,6 +24,43 @@
   return true;
 }
 
+TargetRegistry::Taken TargetRegistry::Report(const TargetAnnouncement& report,
+                                             MonoTime now) {
+  const auto found = entries_.find(report.id);
+  const Entry* known = found == entries_.end() ? nullptr : &found->second;
+  const bool returned =
+      known != nullptr && report.started_ms > known->announcement.started_ms;
+  if (known != nullptr && !returned) {
+    // A late report must not bring back what a newer one has ended.
+    if (report.started_ms < known->announcement.started_ms ||
+        report.sequence <= known->announcement.sequence) {
+      return Taken::kStale;
+    }
+    if (known->status == TargetStatus::kLeaving) {
+      found->second.announcement.sequence = report.sequence;
+      return Taken::kRenewed;
+    }
+  }
+  // Another run at the address of one that is still listed has replaced it.
+  for (auto& [id, entry] : entries_) {
+    if (id == report.id || entry.status == TargetStatus::kLeaving ||
+        entry.announcement.address != report.address) {
+      continue;
+    }
+    if (entry.announcement.started_ms > report.started_ms) return Taken::kStale;
+    entry.status = TargetStatus::kLeaving;
+    entry.left_at = now;
+  }
+  // One that leaves stays listed, so that a late report can not bring it back.
+  const TargetStatus before =
+      known == nullptr ? TargetStatus::kLeaving : known->status;
+  if (returned) entries_.erase(found);
+  if (!Announce(report, now)) return Taken::kTooMany;
+  if (report.leaving) Leave(report.id, now);
+  const bool same = entries_.at(report.id).status == before && !returned;
+  return same ? Taken::kRenewed : Taken::kChanged;
+}
+
 bool TargetRegistry::Renew(const TargetId& id, MonoTime now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return false;
--- a/node/targets/target_registry.h
+++ b/node/targets/target_registry.h
@@ -7,7 +7,7 @@
 #include "core/base/endpoint.h"
 #include "core/base/time.h"
 #include "core/replication/host_record.h"
-#include "node/targets/target_announcement.h"
+#include "core/membership/target_announcement.h"
 
 namespace camphor {
 
@@ -33,6 +33,13 @@
   /// targets. Thread safety: one thread.
   bool Announce(const TargetAnnouncement& announcement, MonoTime now);
 
+  /// Takes a periodic report, which announces, renews or leaves. A report that
+  /// is older than what is known, or of an earlier run of the target, changes
+  /// nothing. `changed` says whether the list of targets did. Thread safety: one
+  /// thread.
+  enum class Taken : std::uint8_t { kRenewed, kChanged, kStale, kTooMany };
+  Taken Report(const TargetAnnouncement& report, MonoTime now);
+
   /// Extends a lease. Returns false when the target is not known or leaves: it
   /// must announce itself again. Thread safety: one thread.
   bool Renew(const TargetId& id, MonoTime now);
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -52,6 +52,7 @@
     case ProxyError::kDraining:
     case ProxyError::kTargetBroke:
     case ProxyError::kTargetDied:
+    case ProxyError::kBadAnswer:
     case ProxyError::kSilent:
     case ProxyError::kDeadline:
       return true;
@@ -78,6 +79,9 @@
   header_ = *options_.header;
   RemoveHopByHopHeaders(header_);
   RemoveInternalHeaders(header_);
+  const HeaderVocabulary& vocabulary = context_.options.vocabulary;
+  if (!vocabulary.caller_pool.empty())
+    header_.set(vocabulary.caller_pool, context_.options.caller_pool);
   ProxyError error = ProxyError::kNoTarget;
   while (Place()) {
     const std::optional<ProxyError> failed = co_await Attempt();
@@ -111,10 +115,11 @@
     if (!route) return false;
     routing_ = std::move(routing);
     route_ = *route;
+    share_ = context_.balancer.ChooseShare(route_);
     tried_.clear();
   }
   const std::optional<Placement> placement = context_.balancer.Choose(
-      route_, tried_, std::chrono::steady_clock::now());
+      route_, share_, tried_, std::chrono::steady_clock::now());
   if (!placement) return false;
   placement_ = *placement;
   tried_.push_back(placement_);
@@ -139,7 +144,7 @@
   if (rule().at_most_once) {
     request.claim_key = HeaderValue(*options_.header, kIdempotencyKeyHeader);
   }
-  if (rule().repeatable && attempt_ < context_.options.limits.attempts) {
+  if (rule().repeatable && attempt_ < MostAttempts()) {
     // A connection may have gone silent: half of the time is kept for another.
     request.abandon_after = std::chrono::duration_cast<Milliseconds>(
         options_.control->TimeLeft() / 2);
@@ -148,12 +153,6 @@
   if (!target().local) {
     return std::make_unique<RemoteRun>(context_, std::move(request), target());
   }
-  request.header.set(kDeadlineHeader,
-                     fmt::format_int(std::chrono::duration_cast<Milliseconds>(
-                                         options_.control->TimeLeft())
-                                         .count())
-                         .str());
-  request.header.set(kAttemptHeader, fmt::format_int(attempt_).str());
   return std::make_unique<LocalRun>(context_, std::move(request));
 }
 
@@ -238,7 +237,9 @@
                             routing_->pools[placement_.pool].spec.name, outcome,
                             latency, now);
   context_.metrics.OnOutcome(outcome);
-  if (!context_.options.on_sample) return;
+  // Evidence of a rollout is counted by the route's own pool.
+  const bool own_pool = placement_.pool == routing_->routes[route_].pool;
+  if (!context_.options.on_sample || !own_pool) return;
   context_.options.on_sample({.routing = routing_,
                               .route = route_,
                               .group = placement_.group,
@@ -251,7 +252,7 @@
   const bool had_token = std::exchange(has_token_, false);
   if (!AnotherTargetMayRun(error) || options_.body->consumed()) return false;
   if (!TraitsOf(error).not_run && !rule().repeatable) return false;
-  if (attempt_ >= context_.options.limits.attempts) return false;
+  if (attempt_ >= MostAttempts()) return false;
   if (deaths_ >= kDeathsOfPoison) return false;
   if (options_.control->stopped() != RequestControl::Stop::kNone ||
       options_.control->TimeLeft() < kLeastTimeForRetry) {
@@ -262,6 +263,11 @@
   return false;
 }
 
+std::uint32_t CallerRequest::MostAttempts() const {
+  return rule().attempts > 0 ? rule().attempts
+                             : context_.options.limits.attempts;
+}
+
 bool CallerRequest::MayAbandon() {
   // A body that streams can not be sent again.
   if (options_.body->consumed()) return false;
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -55,6 +55,7 @@
   std::unique_ptr<RequestRun> MakeRun();
   bool MayRetry(ProxyError error);
   bool MayAbandon();
+  std::uint32_t MostAttempts() const;
   void OnError(ProxyError error);
   void OnRelayed(Exchange::Relayed relayed, unsigned status);
   void Sample(RequestOutcome outcome);
@@ -69,6 +70,7 @@
   std::uint64_t fingerprint_ = 0;
   EffectiveRoutingPtr routing_;
   std::uint32_t route_ = 0;
+  std::uint32_t share_ = 0;  ///< part of a divided route
   Placement placement_{};
   std::vector<Placement> tried_;
   std::uint32_t attempt_ = 0;
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -35,6 +35,13 @@
 
 CallerSession::~CallerSession() { --context_.caller_sessions; }
 
+CallerLimits CallerSession::Limits() {
+  // Operators' limits go first where the tables have any.
+  const EffectiveRoutingPtr& routing = context_.Routing();
+  const bool set = routing && routing->limits != CallerLimits{};
+  return set ? routing->limits : HttpSession::Limits();
+}
+
 asio::awaitable<bool> CallerSession::Serve(RequestParser& parser) {
   const MonoTime arrival = std::chrono::steady_clock::now();
   const http::request_header<>& header = parser.get();
@@ -61,15 +68,18 @@
     co_return more;
   }
   const RouteRule& rule = routing->routes[*route].rule;
-  const std::optional<Milliseconds> limit = ReadDeadline(header, rule.timeout);
+  const HeaderVocabulary& vocabulary = context_.options.vocabulary;
+  const std::optional<Milliseconds> limit =
+      ReadDeadline(header, vocabulary.deadline, rule.timeout);
   const std::string_view key = HeaderValue(header, kIdempotencyKeyHeader);
   if (!limit || (!key.empty() && !IsGoodKey(key)) ||
       header.count(kIdempotencyKeyHeader) > 1) {
     context_.metrics.Count(Counter::kBadRequests);
     const bool more = co_await WriteError(
         ProxyError::kBadRequest, keep_without_body,
-        limit ? "Idempotency-Key must be one of 1 to 255 visible characters"
-              : "X-Camphor-Deadline-Ms must be a number of milliseconds");
+        limit ? std::string("Idempotency-Key must be one of 1 to 255 visible "
+                            "characters")
+              : vocabulary.deadline + " must be a number of milliseconds");
     co_return more;
   }
   if (rule.at_most_once && key.empty()) {
@@ -104,6 +114,7 @@
   }
   if (!fetched) {
     const bool late = control.stopped() == RequestControl::Stop::kDeadline;
+    if (body.too_long()) co_await WriteError(ProxyError::kBodyTooLong, false);
     if (late) co_await WriteError(ProxyError::kTooLate, false);
     if (stalled_) co_await WriteError(ProxyError::kSlowRequest, false);
     co_return false;
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -13,6 +13,7 @@
 
  protected:
   asio::awaitable<bool> Serve(RequestParser& parser) override;
+  CallerLimits Limits() override;
 };
 
 }  // namespace camphor
--- a/proxy/connection_pool.cc
+++ b/proxy/connection_pool.cc
@@ -59,7 +59,7 @@
   while (!idle_.empty()) {
     std::unique_ptr<Connection> connection = std::move(idle_.back());
     idle_.pop_back();
-    if (connection->IsQuiet()) {
+    if (connection->usable_until > last_used_ && connection->IsQuiet()) {
       peak_leased_ = std::max(peak_leased_, open_ - idle_.size());
       Acquired acquired;
       acquired.lease = Lease(shared_from_this(), std::move(connection));
@@ -180,8 +180,9 @@
     idle_.erase(idle_.begin());
     Forget();
   }
-  std::erase_if(idle_, [this](const std::unique_ptr<Connection>& connection) {
-    const bool closed = !connection->IsQuiet();
+  std::erase_if(idle_, [&](const std::unique_ptr<Connection>& connection) {
+    const bool closed =
+        connection->usable_until <= now || !connection->IsQuiet();
     if (closed) Forget();
     return closed;
   });
--- a/proxy/error_answer.cc
+++ b/proxy/error_answer.cc
@@ -1,8 +1,11 @@
 #include "proxy/error_answer.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/json.hpp>
+#include <chrono>
 #include <cstddef>
 
 #include "proxy/header_names.h"
@@ -20,6 +23,7 @@
     {status::bad_request, "bad_request", "the request is malformed", true},
     {status::request_header_fields_too_large, "header_too_long",
      "the header is too long", true},
+    {status::payload_too_large, "body_too_long", "the body is too long", true},
     {status::request_timeout, "slow_request",
      "the request took too long to arrive", true},
     {status::bad_request, "key_missing",
@@ -60,6 +64,15 @@
      false},
 }};
 
+/// Whole seconds, rounded up, unless parts of a second are understood.
+std::string RetryAfterText(const ErrorDetail& detail) {
+  const std::chrono::duration<double> exact = detail.retry_after;
+  if (detail.fractional_retry_after) return fmt::format("{:.3f}", exact.count());
+  return fmt::format_int(
+             std::chrono::ceil<Seconds>(detail.retry_after).count())
+      .str();
+}
+
 }  // namespace
 
 const ProxyErrorTraits& TraitsOf(ProxyError error) {
@@ -74,7 +87,7 @@
 }
 
 http::response<http::string_body> MakeErrorAnswer(ProxyError error,
-                                                  std::string_view detail) {
+                                                  const ErrorDetail& detail) {
   const ProxyErrorTraits& traits = TraitsOf(error);
   http::response<http::string_body> answer(traits.status, 11);
   answer.set(http::field::content_type, "application/json");
@@ -85,9 +98,10 @@
     answer.set(kOutcomeHeader, "unknown");
   }
   if (traits.not_run && traits.status == status::service_unavailable) {
-    answer.set(http::field::retry_after, "1");
+    answer.set(http::field::retry_after, RetryAfterText(detail));
   }
-  const std::string_view message = detail.empty() ? traits.message : detail;
+  const std::string_view message =
+      detail.sentence.empty() ? traits.message : detail.sentence;
   answer.body() =
       boost::json::serialize(boost::json::object{{"error", message},
                                                  {"reason", traits.reason},
--- a/proxy/error_answer.h
+++ b/proxy/error_answer.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/base/time.h"
 #include "proxy/asio_types.h"
 
 namespace camphor {
@@ -14,6 +15,7 @@
 enum class ProxyError : std::uint8_t {
   kBadRequest,     ///< the request is malformed or unsafe to pass on
   kHeaderTooLong,  ///< its header passes the limit
+  kBodyTooLong,    ///< its body passes the limit
   kSlowRequest,    ///< the caller took too long to send it
   kKeyMissing,     ///< the route needs an idempotency key
   kNoRoute,        ///< no route takes it
@@ -50,10 +52,16 @@
 /// The error that a reason names, if it is one. Thread safety: any thread.
 std::optional<ProxyError> ErrorOfReason(std::string_view reason);
 
-/// The answer that tells of an error; `detail` replaces the usual sentence.
-/// Thread safety: any thread.
-http::response<http::string_body> MakeErrorAnswer(ProxyError error,
-                                                  std::string_view detail = {});
+/// What an error answer holds besides the error. Immutable value type.
+struct ErrorDetail {
+  std::string_view sentence{};  ///< replaces the usual one when not empty
+  Milliseconds retry_after{1000};  ///< when a refused request may come again
+  bool fractional_retry_after = false;  ///< may be told in parts of a second
+};
+
+/// The answer that tells of an error. Thread safety: any thread.
+http::response<http::string_body> MakeErrorAnswer(
+    ProxyError error, const ErrorDetail& detail = {});
 
 }  // namespace camphor
 
--- a/proxy/exchange.cc
+++ b/proxy/exchange.cc
@@ -1,5 +1,6 @@
 #include "proxy/exchange.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <cassert>
@@ -31,6 +32,10 @@
     co_return Sent::kNothing;
   }
   head_ = header.method() == http::verb::head;
+  if (options_.vocabulary != nullptr &&
+      !options_.vocabulary->request_id.empty()) {
+    request_id_ = HeaderValue(header, options_.vocabulary->request_id);
+  }
   request_.emplace(std::move(header));
   const bool sent = co_await SendHeader();
   if (!sent)
@@ -112,13 +117,39 @@
       body_held_back_ = false;
       StartPump();
     }
-    if (status >= 200 || status == 101) break;
+    if (status < 200 && status != 101) continue;
+    if (!IsForeign()) break;
+    const bool skipped = co_await SkipForeignAnswer();
+    if (!skipped) co_return Failure(Sent::kBroken);
   }
-  if (FindFaultOfAnswer(*answer_)) co_return Sent::kBadAnswer;
+  if (FindFaultOfAnswer(*answer_, options_.vocabulary))
+    co_return Sent::kBadAnswer;
   answer_whole_ = answer_->is_done();
   co_return Sent::kAnswer;
 }
 
+bool Exchange::IsForeign() const {
+  if (request_id_.empty()) return false;
+  const std::string_view id =
+      HeaderValue(answer_->get(), options_.vocabulary->request_id);
+  return !id.empty() && id != request_id_;
+}
+
+asio::awaitable<bool> Exchange::SkipForeignAnswer() {
+  // The target answered an earlier request once more: the own answer follows.
+  met_foreign_ = true;
+  std::array<char, kDiscardedBytes> piece{};
+  while (!answer_->is_done()) {
+    answer_->get().body().data = piece.data();
+    answer_->get().body().size = piece.size();
+    auto [error, bytes] = co_await http::async_read_some(
+        options_.connection->socket, options_.connection->buffer, *answer_,
+        kAsTuple);
+    if (error && error != http::error::need_buffer) co_return false;
+  }
+  co_return true;
+}
+
 Exchange::Sent Exchange::Failure(Sent otherwise) const {
   if (options_.control->stopped() != RequestControl::Stop::kNone) {
     return Sent::kStopped;
@@ -183,7 +214,7 @@
   const bool bodiless = answer_->is_done();
   if (const auto length = answer_->content_length()) {
     out.content_length(*length);
-  } else if (answer_->chunked() && !bodiless) {
+  } else if ((answer_->chunked() || answer_->need_eof()) && !bodiless) {
     out.chunked(true);
   } else if (!head_ && out.result_int() != 204 && out.result_int() != 304) {
     out.content_length(0);
@@ -248,7 +279,8 @@
 }
 
 bool Exchange::reusable() const {
-  return request_whole_ && answer_whole_ && answer_ && answer_->keep_alive() &&
+  return !met_foreign_ && request_whole_ && answer_whole_ && answer_ &&
+         answer_->keep_alive() &&
          options_.connection->socket.is_open();
 }
 
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -10,6 +10,7 @@
 #include "core/base/time.h"
 #include "proxy/asio_types.h"
 #include "proxy/connection.h"
+#include "proxy/header_vocabulary.h"
 #include "proxy/inbound_body.h"
 #include "proxy/progress_timer.h"
 #include "proxy/request_control.h"
@@ -32,6 +33,8 @@
                                   ///< 0: none
     Milliseconds abandon_after{0};        ///< ask `may_abandon` then; 0: never
     std::function<bool()> may_abandon{};  ///< true: give this attempt up
+    const HeaderVocabulary* vocabulary =
+        nullptr;  ///< set: the other end is a target, whose answers are checked
   };
 
   enum class Sent : std::uint8_t {
@@ -85,11 +88,14 @@
  private:
   asio::awaitable<bool> SendHeader();
   asio::awaitable<Sent> ReadAnswerHeader();
+  asio::awaitable<bool> SkipForeignAnswer();
+  bool IsForeign() const;
   asio::awaitable<void> PumpBody();
   void StartPump();
   Sent Failure(Sent otherwise) const;
 
   Options options_;
+  std::string request_id_;
   std::optional<http::request<http::buffer_body>> request_;
   std::optional<http::request_serializer<http::buffer_body>> serializer_;
   std::optional<AnswerParser> answer_;
@@ -102,6 +108,7 @@
   bool pumping_ = false;
   bool request_whole_ = false;
   bool answer_whole_ = false;
+  bool met_foreign_ = false;  ///< an answer to another request came here
   bool silent_ = false;
   bool abandoned_ = false;
 };
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -20,10 +20,10 @@
 constexpr std::string_view kInterim = "HTTP/1.1 102 Processing\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::uint64_t ParseFingerprint(std::string_view text) {
-  std::uint64_t fingerprint = 0;
-  std::from_chars(text.data(), text.data() + text.size(), fingerprint, 16);
-  return fingerprint;
+template <typename Number>
+Number ParseNumber(std::string_view text, int base, Number fallback) {
+  std::from_chars(text.data(), text.data() + text.size(), fallback, base);
+  return fallback;
 }
 
 }  // namespace
@@ -66,7 +66,7 @@
     co_return more;
   }
   const Milliseconds limit =
-      ReadDeadline(header, kLongestTime).value_or(kLongestTime);
+      ReadDeadline(header, kDeadlineHeader, kLongestTime).value_or(kLongestTime);
   RequestControl& control = StartControl(arrival + limit);
   InboundBody body({.socket = &socket_,
                     .buffer = &buffer_,
@@ -102,19 +102,18 @@
   PlacedRequest request{
       .header = header,
       .target = TargetId(std::string(HeaderValue(header, kTargetIdHeader))),
-      .fingerprint = ParseFingerprint(HeaderValue(header, kFingerprintHeader)),
+      .fingerprint = ParseNumber(HeaderValue(header, kFingerprintHeader), 16,
+                                 std::uint64_t{0}),
       .suspect = !HeaderValue(header, kSuspectHeader).empty()};
   if (!HeaderValue(header, kClaimHeader).empty()) {
     request.claim_key = HeaderValue(header, kIdempotencyKeyHeader);
   }
 
-  // The target sees its deadline and the attempt, nothing of the rest.
-  const std::string deadline(HeaderValue(header, kDeadlineHeader));
-  const std::string attempt(HeaderValue(header, kAttemptHeader));
+  // The target sees none of these headers.
+  request.attempt =
+      ParseNumber(HeaderValue(header, kAttemptHeader), 10, request.attempt);
   RemoveHopByHopHeaders(request.header);
   RemoveInternalHeaders(request.header);
-  request.header.set(kDeadlineHeader, deadline);
-  request.header.set(kAttemptHeader, attempt);
   return request;
 }
 
--- a/proxy/header_rules.cc
+++ b/proxy/header_rules.cc
@@ -91,7 +91,8 @@
   return std::nullopt;
 }
 
-std::optional<std::string> FindFaultOfAnswer(const AnswerParser& parser) {
+std::optional<std::string> FindFaultOfAnswer(
+    const AnswerParser& parser, const HeaderVocabulary* vocabulary) {
   const http::response_header<>& header = parser.get();
   if (header.result() == http::status::switching_protocols) {
     return "the target changed the protocol";
@@ -100,11 +101,47 @@
       (header.count(http::field::transfer_encoding) > 0 && !parser.chunked())) {
     return "the target's answer has a doubtful length";
   }
-  // An answer that ends with its connection can not be told from a cut one.
-  if (parser.need_eof()) return "the target's answer does not say its length";
+  // An answer that ends with its connection can not be told from a cut one,
+  // unless targets break off by a reset alone.
+  const bool unframed = vocabulary != nullptr && vocabulary->unframed_answers;
+  if (parser.need_eof() && !unframed)
+    return "the target's answer does not say its length";
+  if (vocabulary == nullptr) return std::nullopt;
+  const bool success = header.result_int() / 100 == 2;
+  if (success && !vocabulary->receipt.empty() &&
+      HeaderValue(header, vocabulary->receipt).empty()) {
+    return "the target's success has no receipt";
+  }
+  if (vocabulary->plain_bodies &&
+      header.count(http::field::content_encoding) > 0) {
+    return "the target's answer is encoded";
+  }
   return std::nullopt;
 }
 
+bool SaysNotRun(const http::response_header<>& header,
+                const HeaderVocabulary& vocabulary) {
+  if (!vocabulary.not_run.empty() &&
+      !HeaderValue(header, vocabulary.not_run).empty()) {
+    return true;
+  }
+  return !vocabulary.expected_target.empty() &&
+         header.result() == http::status::misdirected_request;
+}
+
+Milliseconds IdleTimeOf(const http::response_header<>& header) {
+  constexpr Milliseconds kNeverTold = std::chrono::hours(24);
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view text = View(header[http::field::keep_alive]);
+  const std::size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos) return kNeverTold;
+  const std::string_view digits = text.substr(at + kTimeout.size());
+  std::int64_t seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  // A fifth is left for a request that is on its way as the time ends.
+  return std::min<Milliseconds>(Seconds(seconds) * 4 / 5, kNeverTold);
+}
+
 void RemoveHopByHopHeaders(http::fields& fields) {
   // The Connection header names further headers of this kind.
   std::vector<std::string> named;
@@ -131,8 +168,9 @@
 }
 
 std::optional<Milliseconds> ReadDeadline(const http::fields& fields,
+                                         std::string_view name,
                                          Milliseconds fallback) {
-  const auto found = fields.find(kDeadlineHeader);
+  const auto found = fields.find(name);
   if (found == fields.end()) return fallback;
   const std::string_view text = View(found->value());
   std::int64_t milliseconds = 0;
--- a/proxy/header_rules.h
+++ b/proxy/header_rules.h
@@ -8,6 +8,7 @@
 
 #include "core/base/time.h"
 #include "proxy/asio_types.h"
+#include "proxy/header_vocabulary.h"
 
 namespace camphor {
 
@@ -22,9 +23,21 @@
 std::optional<std::string> FindFaultOfRequest(
     const http::request_header<>& header);
 
-/// Says why an answer's framing does not tell where it ends. Returns nothing
-/// when it does. Thread safety: any thread.
-std::optional<std::string> FindFaultOfAnswer(const AnswerParser& parser);
+/// Says why an answer can not be passed on: its framing does not tell where it
+/// ends, or by the vocabulary, which is null for another host's answer, it does
+/// not come from the target. Returns nothing when it is sound. Thread safety:
+/// any thread.
+std::optional<std::string> FindFaultOfAnswer(
+    const AnswerParser& parser, const HeaderVocabulary* vocabulary);
+
+/// True when a target's answer says that it did not run the request. Thread
+/// safety: any thread.
+bool SaysNotRun(const http::response_header<>& header,
+                const HeaderVocabulary& vocabulary);
+
+/// How long the sender of an answer keeps its connection open when nothing is
+/// sent, less a margin; a day when it does not say. Thread safety: any thread.
+Milliseconds IdleTimeOf(const http::response_header<>& header);
 
 /// Removes the headers that hold for one connection only. Thread safety: one
 /// thread per message.
@@ -38,6 +51,7 @@
 /// there but is not a number of milliseconds; `fallback` when it is not there.
 /// Thread safety: any thread.
 std::optional<Milliseconds> ReadDeadline(const http::fields& fields,
+                                         std::string_view name,
                                          Milliseconds fallback);
 
 /// Hash that tells a poison request when it is sent again: method, path,
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -60,7 +60,7 @@
 asio::awaitable<bool> HttpSession::AwaitRequest() {
   if (buffer_.size() > 0) co_return true;
   idle_ = true;
-  progress_.Set(context_.options.limits.keep_alive_timeout);
+  progress_.Set(Limits().idle_timeout);
   auto [error, bytes] = co_await socket_.async_read_some(
       buffer_.prepare(kFirstReadBytes), kAsTuple);
   if (error) co_return false;
@@ -71,10 +71,11 @@
 
 asio::awaitable<bool> HttpSession::ReadAndServe() {
   RequestParser parser;
-  parser.header_limit(context_.options.limits.header_bytes);
-  parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  const CallerLimits limits = Limits();
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
   idle_ = false;
-  progress_.Set(context_.options.limits.header_timeout);
+  progress_.Set(limits.header_timeout);
   auto [error, bytes] =
       co_await http::async_read_header(socket_, buffer_, parser, kAsTuple);
   progress_.Clear();
@@ -91,6 +92,9 @@
              error == http::error::buffer_overflow) {
     context_.metrics.Count(ProxyMetrics::Counter::kBadRequests);
     co_await WriteError(ProxyError::kHeaderTooLong, false);
+  } else if (error == http::error::body_limit) {
+    context_.metrics.Count(ProxyMetrics::Counter::kBadRequests);
+    co_await WriteError(ProxyError::kBodyTooLong, false);
   } else if (error.category() ==
                  beast::error_code(http::error::bad_method).category() &&
              error != http::error::end_of_stream &&
@@ -107,9 +111,21 @@
   socket_.close(ignored);
 }
 
+CallerLimits HttpSession::Limits() {
+  const ProxyLimits& limits = context_.options.limits;
+  return {.header_bytes = limits.header_bytes,
+          .body_bytes = std::numeric_limits<std::uint64_t>::max(),
+          .header_timeout = limits.header_timeout,
+          .idle_timeout = limits.keep_alive_timeout};
+}
+
 asio::awaitable<bool> HttpSession::WriteError(ProxyError error, bool keep,
                                               std::string_view detail) {
-  http::response<http::string_body> answer = MakeErrorAnswer(error, detail);
+  http::response<http::string_body> answer = MakeErrorAnswer(
+      error, {.sentence = detail,
+              .retry_after = context_.options.limits.retry_after,
+              .fractional_retry_after =
+                  context_.options.vocabulary.fractional_retry_after});
   const bool keeps = keep && !context_.draining;
   answer.keep_alive(keeps);
   progress_.Set(context_.options.limits.body_timeout);
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string_view>
 
+#include "core/config/caller_limits.h"
 #include "proxy/asio_types.h"
 #include "proxy/error_answer.h"
 #include "proxy/exchange.h"
@@ -34,6 +35,9 @@
   /// can take another one.
   virtual asio::awaitable<bool> Serve(RequestParser& parser) = 0;
 
+  /// What this connection's sender may send.
+  virtual CallerLimits Limits();
+
   /// Writes an error as the answer; `keep` says whether the connection goes on.
   /// Returns true when it does.
   asio::awaitable<bool> WriteError(ProxyError error, bool keep,
--- a/proxy/inbound_body.cc
+++ b/proxy/inbound_body.cc
@@ -41,6 +41,7 @@
     options_.progress->Clear();
     size = piece.size() - parser.get().body().size;
     if (error == http::error::need_buffer) error = {};
+    too_long_ = error == http::error::body_limit;
     if (error) co_return std::nullopt;
   }
   if (size > 0) consumed_ = true;
--- a/proxy/inbound_body.h
+++ b/proxy/inbound_body.h
@@ -49,6 +49,9 @@
   /// again.
   bool consumed() const { return consumed_; }
 
+  /// True when the sender sent more than the parser's limit.
+  bool too_long() const { return too_long_; }
+
   /// Length that the header gives, if it does.
   std::optional<std::uint64_t> length() const;
 
@@ -62,6 +65,7 @@
   std::string prefix_;
   bool whole_ = false;
   bool consumed_ = false;
+  bool too_long_ = false;
 };
 
 }  // namespace camphor
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -1,5 +1,6 @@
 #include "proxy/local_run.h"
 
+
 #include <fmt/format.h>
 
 #include <array>
@@ -8,6 +9,8 @@
 #include <string_view>
 #include <utility>
 
+#include "proxy/header_rules.h"
+
 namespace camphor {
 namespace {
 
@@ -176,16 +179,20 @@
                           request_.suspect);
   tracked_ = true;
   sent_at_ = std::chrono::steady_clock::now();
-  exchange_.emplace(Exchange::Options{.connection = &*lease_,
-                                      .control = request_.control,
-                                      .body = request_.body,
-                                      .abandon_after = request_.abandon_after,
-                                      .may_abandon = request_.may_abandon});
+  SetTargetHeaders();
+  exchange_.emplace(
+      Exchange::Options{.connection = &*lease_,
+                        .control = request_.control,
+                        .body = request_.body,
+                        .abandon_after = request_.abandon_after,
+                        .may_abandon = request_.may_abandon,
+                        .vocabulary = &context_.options.vocabulary});
   const Exchange::Sent sent =
       co_await exchange_->Send(std::move(request_.header));
   if (sent == Exchange::Sent::kAnswer) {
     answered_ = true;
-    co_return std::nullopt;
+    const auto refused = co_await ReadRefusal();
+    co_return refused;
   }
   if (sent == Exchange::Sent::kNothing) {
     const auto stopped = Stopped();
@@ -198,6 +205,27 @@
   co_return ErrorOfSent(sent, *request_.control);
 }
 
+void LocalRun::SetTargetHeaders() {
+  const HeaderVocabulary& vocabulary = context_.options.vocabulary;
+  const auto set = [this](const std::string& name, std::string_view value) {
+    if (!name.empty()) request_.header.set(name, value);
+  };
+  const auto left = std::chrono::duration_cast<Milliseconds>(
+      request_.control->TimeLeft());
+  set(vocabulary.deadline, fmt::format_int(left.count()).str());
+  set(vocabulary.attempt, fmt::format_int(request_.attempt).str());
+  set(vocabulary.expected_target, request_.target.value());
+}
+
+asio::awaitable<std::optional<ProxyError>> LocalRun::ReadRefusal() {
+  const http::response_header<>& answer = exchange_->answer();
+  if (!SaysNotRun(answer, context_.options.vocabulary)) co_return std::nullopt;
+  const bool misdirected = answer.result() == http::status::misdirected_request;
+  refused_ = true;
+  co_await exchange_->Discard();
+  co_return misdirected ? ProxyError::kNoTarget : ProxyError::kFull;
+}
+
 asio::awaitable<ProxyError> LocalRun::FindDeath() {
   // A broken connection alone does not say that the target died; but a process
   // that ends may close its connections before its listener.
@@ -232,7 +260,11 @@
 asio::awaitable<void> LocalRun::End(bool cut) {
   if (exchange_) {
     co_await exchange_->Join();
-    if (exchange_->reusable()) lease_.Reuse();
+    if (exchange_->reusable()) {
+      lease_->usable_until =
+          std::chrono::steady_clock::now() + IdleTimeOf(exchange_->answer());
+      lease_.Reuse();
+    }
   }
   lease_.Drop();
   if (cut) {
@@ -245,7 +277,7 @@
   if (has_slot_) {
     const auto took = std::chrono::duration_cast<Microseconds>(
         std::chrono::steady_clock::now() - sent_at_);
-    target_->Leave(tracked_ ? std::optional(took) : std::nullopt);
+    target_->Leave(tracked_ && !refused_ ? std::optional(took) : std::nullopt);
   }
   has_slot_ = false;
   tracked_ = false;
--- a/proxy/local_run.h
+++ b/proxy/local_run.h
@@ -29,6 +29,8 @@
   asio::awaitable<ProxyError> GiveClaimBack(ProxyError error);
   asio::awaitable<std::optional<ProxyError>> Connect();
   asio::awaitable<std::optional<ProxyError>> Send();
+  void SetTargetHeaders();
+  asio::awaitable<std::optional<ProxyError>> ReadRefusal();
   asio::awaitable<ProxyError> FindDeath();
   std::optional<ProxyError> Stopped() const;
 
@@ -42,6 +44,7 @@
   bool has_claim_ = false;
   bool tracked_ = false;
   bool answered_ = false;
+  bool refused_ = false;  ///< the target said that it did not run it
 };
 
 }  // namespace camphor
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -12,6 +12,7 @@
 #include "core/claims/claim_status.h"
 #include "core/routing/effective_routing.h"
 #include "core/routing/request_sample.h"
+#include "proxy/header_vocabulary.h"
 #include "proxy/proxy_limits.h"
 
 namespace camphor {
@@ -51,6 +52,9 @@
     std::function<void(const std::string&)>
         history{};  ///< takes "event=NAME key=value ..." for the history
                     ///< checker; null when it is off
+    HeaderVocabulary vocabulary{};  ///< headers that callers and targets speak
+    std::string caller_pool;  ///< pool whose targets call from this host; told
+                              ///< to targets when the vocabulary names a header
     bool debug_headers =
         false;  ///< answers carry X-Camphor-Target and X-Camphor-Version
     ProxyLimits limits{};  ///< bounds on callers, connections and retries
--- a/stand_ins/platform/platform_store.h
+++ b/stand_ins/platform/platform_store.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/platform_client.h"
+#include "store/platform_client.h"
 
 namespace camphor {
 
--- a/platform/accept_run.cc
+++ b/store/accept_run.cc
@@ -1,11 +1,11 @@
-#include "platform/accept_run.h"
+#include "store/accept_run.h"
 
 #include <fmt/format.h>
 
 #include <utility>
 
 #include "core/config/config_codec.h"
-#include "platform/config_rows.h"
+#include "store/config_rows.h"
 
 namespace camphor {
 
@@ -118,6 +118,7 @@
       Feed([](AcceptMachine& machine) { machine.OnCommitLost(); });
       return;
     case PlatformStatus::kNotFound:
+    case PlatformStatus::kCompacted:
     case PlatformStatus::kUnavailable:
       FailStep(answer);
       return;
--- a/platform/accept_run.h
+++ b/store/accept_run.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_PLATFORM_ACCEPT_RUN_H_
-#define CAMPHORHILL_PLATFORM_ACCEPT_RUN_H_
+#ifndef CAMPHORHILL_STORE_ACCEPT_RUN_H_
+#define CAMPHORHILL_STORE_ACCEPT_RUN_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,7 +11,7 @@
 
 #include "core/base/backoff.h"
 #include "core/config/accept_machine.h"
-#include "platform/config_repository.h"
+#include "store/config_repository.h"
 
 namespace camphor {
 
@@ -73,4 +73,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_PLATFORM_ACCEPT_RUN_H_
+#endif  // CAMPHORHILL_STORE_ACCEPT_RUN_H_
--- a/platform/claim_store.cc
+++ b/store/claim_store.cc
@@ -1,4 +1,4 @@
-#include "platform/claim_store.h"
+#include "store/claim_store.h"
 
 #include <fmt/format.h>
 
@@ -48,6 +48,7 @@
       }
       return result;
     }
+    case PlatformStatus::kCompacted:
     case PlatformStatus::kUnavailable:
       return {.kind = BatchResult::Kind::kNotApplied};
     case PlatformStatus::kNotFound:
--- a/platform/claim_store.h
+++ b/store/claim_store.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_PLATFORM_CLAIM_STORE_H_
-#define CAMPHORHILL_PLATFORM_CLAIM_STORE_H_
+#ifndef CAMPHORHILL_STORE_CLAIM_STORE_H_
+#define CAMPHORHILL_STORE_CLAIM_STORE_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 #include "core/base/time.h"
 #include "core/claims/claim_batcher.h"
 #include "core/claims/claim_status.h"
-#include "platform/platform_client.h"
+#include "store/platform_client.h"
 
 namespace camphor {
 
@@ -57,4 +57,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_PLATFORM_CLAIM_STORE_H_
+#endif  // CAMPHORHILL_STORE_CLAIM_STORE_H_
--- a/platform/config_repository.cc
+++ b/store/config_repository.cc
@@ -1,12 +1,12 @@
-#include "platform/config_repository.h"
+#include "store/config_repository.h"
 
 #include <mutex>
 #include <random>
 #include <utility>
 
 #include "core/config/config_codec.h"
-#include "platform/accept_run.h"
-#include "platform/config_rows.h"
+#include "store/accept_run.h"
+#include "store/config_rows.h"
 
 namespace camphor {
 
--- a/platform/config_repository.h
+++ b/store/config_repository.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_PLATFORM_CONFIG_REPOSITORY_H_
-#define CAMPHORHILL_PLATFORM_CONFIG_REPOSITORY_H_
+#ifndef CAMPHORHILL_STORE_CONFIG_REPOSITORY_H_
+#define CAMPHORHILL_STORE_CONFIG_REPOSITORY_H_
 
 #include <compare>
 #include <cstdint>
@@ -11,7 +11,7 @@
 #include "core/base/time.h"
 #include "core/config/config_snapshot.h"
 #include "core/config/table_diff.h"
-#include "platform/platform_client.h"
+#include "store/platform_client.h"
 
 namespace camphor {
 
@@ -92,4 +92,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_PLATFORM_CONFIG_REPOSITORY_H_
+#endif  // CAMPHORHILL_STORE_CONFIG_REPOSITORY_H_
--- a/platform/config_rows.cc
+++ b/store/config_rows.cc
@@ -1,4 +1,4 @@
-#include "platform/config_rows.h"
+#include "store/config_rows.h"
 
 #include <fmt/format.h>
 
--- a/platform/config_rows.h
+++ b/store/config_rows.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_PLATFORM_CONFIG_ROWS_H_
-#define CAMPHORHILL_PLATFORM_CONFIG_ROWS_H_
+#ifndef CAMPHORHILL_STORE_CONFIG_ROWS_H_
+#define CAMPHORHILL_STORE_CONFIG_ROWS_H_
 
 #include <optional>
 #include <string>
@@ -30,4 +30,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_PLATFORM_CONFIG_ROWS_H_
+#endif  // CAMPHORHILL_STORE_CONFIG_ROWS_H_
--- a/platform/platform_client.h
+++ b/store/platform_client.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_PLATFORM_PLATFORM_CLIENT_H_
-#define CAMPHORHILL_PLATFORM_PLATFORM_CLIENT_H_
+#ifndef CAMPHORHILL_STORE_PLATFORM_CLIENT_H_
+#define CAMPHORHILL_STORE_PLATFORM_CLIENT_H_
 
 #include <compare>
 #include <cstdint>
@@ -21,6 +21,7 @@
   std::string value;  ///< opaque to the service
   std::uint64_t revision =
       0;  ///< rises with each write of the row; 0 means the row is not there
+  bool removed = false;  ///< in a list of changes: the row is gone
 
   auto operator<=>(const TableRow&) const = default;
 };
@@ -59,6 +60,7 @@
   kNotFound,     ///< no such row or object
   kConflict,     ///< a condition did not hold: nothing was written
   kUnavailable,  ///< refused before it took effect: nothing was written
+  kCompacted,    ///< the changes asked for are no longer kept: read the rows
   kUnknown,      ///< no answer: a write may or may not have taken effect
 };
 
@@ -66,6 +68,8 @@
 struct PlatformAnswer {
   PlatformStatus status = PlatformStatus::kUnknown;  ///< what is known
   std::vector<TableRow> rows{};  ///< rows read, or those that broke a condition
+  bool more = false;             ///< the table has further rows after these
+  std::uint64_t revision = 0;    ///< newest revision of any row of the service
   std::string object{};          ///< the object's bytes
   std::string reason{};          ///< one sentence when the status is not kOk
 
@@ -92,6 +96,17 @@
   virtual void Scan(std::string table, std::string prefix,
                     PlatformCallback done) = 0;
 
+  /// Reads at most `limit` rows of a table whose key is not below `from`, in
+  /// key order. Thread safety: any thread.
+  virtual void Page(std::string table, std::string from, std::size_t limit,
+                    PlatformCallback done) = 0;
+
+  /// Answers with the rows of a table that changed after the given revision, as
+  /// soon as there is one, or with none after `wait`. Errors: kCompacted besides
+  /// those of Read. Thread safety: any thread.
+  virtual void Watch(std::string table, std::uint64_t after, Milliseconds wait,
+                     PlatformCallback done) = 0;
+
   /// Runs a transaction. kUnknown must be settled by reading back. Thread
   /// safety: any thread.
   virtual void Transact(TableTransaction transaction,
@@ -108,4 +123,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_PLATFORM_PLATFORM_CLIENT_H_
+#endif  // CAMPHORHILL_STORE_PLATFORM_CLIENT_H_
--- a/unit_tests/platform/claim_store_test.cc
+++ b/unit_tests/store/claim_store_test.cc
@@ -1,4 +1,4 @@
-#include "platform/claim_store.h"
+#include "store/claim_store.h"
 
 #include <gtest/gtest.h>
 
--- a/unit_tests/platform/config_repository_test.cc
+++ b/unit_tests/store/config_repository_test.cc
@@ -1,4 +1,4 @@
-#include "platform/config_repository.h"
+#include "store/config_repository.h"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -8,8 +8,8 @@
 #include <optional>
 
 #include "core/config/config_codec.h"
-#include "platform/config_rows.h"
-#include "unit_tests/platform/fake_platform.h"
+#include "store/config_rows.h"
+#include "unit_tests/store/fake_platform.h"
 
 namespace camphor {
 namespace {
--- a/unit_tests/platform/fake_platform.h
+++ b/unit_tests/store/fake_platform.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_UNIT_TESTS_PLATFORM_FAKE_PLATFORM_H_
-#define CAMPHORHILL_UNIT_TESTS_PLATFORM_FAKE_PLATFORM_H_
+#ifndef CAMPHORHILL_UNIT_TESTS_STORE_FAKE_PLATFORM_H_
+#define CAMPHORHILL_UNIT_TESTS_STORE_FAKE_PLATFORM_H_
 
 #include <deque>
 #include <functional>
@@ -7,7 +7,7 @@
 #include <string>
 #include <utility>
 
-#include "platform/platform_client.h"
+#include "store/platform_client.h"
 
 namespace camphor {
 
@@ -128,4 +128,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_UNIT_TESTS_PLATFORM_FAKE_PLATFORM_H_
+#endif  // CAMPHORHILL_UNIT_TESTS_STORE_FAKE_PLATFORM_H_
