Abandon a request only when nothing at all was heard of it

Now a host sends an interim answer after 50 ms, and only a connection on which nothing came is abandoned; a local target must take eight times its usual time.

--- a/core/config/caller_limits.cc
+++ b/core/config/caller_limits.cc
@@ -19,9 +19,8 @@
   limits.body_bytes = static_cast<std::uint64_t>(
       fields.Integer("body_bytes", 0, kMostBodyBytes,
                      static_cast<std::int64_t>(defaults.body_bytes)));
-  limits.header_timeout =
-      Milliseconds(fields.Integer("header_timeout_ms", 1, kLongestMs,
-                                  defaults.header_timeout.count()));
+  limits.header_timeout = Milliseconds(fields.Integer(
+      "header_timeout_ms", 1, kLongestMs, defaults.header_timeout.count()));
   limits.idle_timeout = Milliseconds(fields.Integer(
       "idle_timeout_ms", 1, kLongestMs, defaults.idle_timeout.count()));
   return limits;
--- a/core/config/caller_limits.h
+++ b/core/config/caller_limits.h
@@ -13,10 +13,10 @@
 /// What operators allow callers to send, and for how long. Immutable value
 /// type.
 struct CallerLimits {
-  std::uint32_t header_bytes = 16 * 1024;          ///< longest header
-  std::uint64_t body_bytes = 1ULL << 40;           ///< longest body
-  Milliseconds header_timeout{5000};  ///< longest time for a whole header
-  Milliseconds idle_timeout{60'000};  ///< idle time of a kept connection
+  std::uint32_t header_bytes = 16 * 1024;  ///< longest header
+  std::uint64_t body_bytes = 1ULL << 40;   ///< longest body
+  Milliseconds header_timeout{5000};       ///< longest time for a whole header
+  Milliseconds idle_timeout{60'000};       ///< idle time of a kept connection
 
   /// Reads what Write wrote; faults go to the reader's errors. Thread safety:
   /// one thread per reader.
--- a/core/config/pool_spec.h
+++ b/core/config/pool_spec.h
@@ -27,9 +27,9 @@
 /// and its limits. Immutable value type. Targets announce themselves; no list
 /// of them is kept here.
 struct PoolSpec {
-  PoolName name;          ///< unique within the table
-  TargetVersion version;  ///< the target version that serves; empty: every
-                          ///< version but the withheld one
+  PoolName name;           ///< unique within the table
+  TargetVersion version;   ///< the target version that serves; empty: every
+                           ///< version but the withheld one
   TargetVersion withheld;  ///< a version that gets no requests; empty: none
   std::optional<RolloutSpec>
       rollout{};  ///< the rollout that is under way, if any
--- a/core/config/route_rule.h
+++ b/core/config/route_rule.h
@@ -31,14 +31,15 @@
   std::string path_prefix = "/";     ///< beginning of the path that it takes
   std::vector<std::string> methods;  ///< methods that it takes; empty takes any
   PoolName pool;  ///< pool that serves it; must stand in the table of pools
-  std::vector<PoolShare> split{};  ///< not empty: the requests are divided among
-                                   ///< these pools, of which `pool` is the first
+  std::vector<PoolShare>
+      split{};                 ///< not empty: the requests are divided among
+                               ///< these pools, of which `pool` is the first
   Milliseconds timeout{2000};  ///< longest time from arrival to the last byte,
                                ///< unless the caller sets less
   bool repeatable =
       false;  ///< true when a request may be run again after an unknown outcome
-  bool at_most_once = false;  ///< true when a request needs an idempotency key
-                              ///< and is claimed before it is run
+  bool at_most_once = false;   ///< true when a request needs an idempotency key
+                               ///< and is claimed before it is run
   std::uint32_t attempts = 0;  ///< targets that one request is sent to at most;
                                ///< 0 leaves it to the proxy
   Milliseconds target_latency{0};  ///< an answer within it has its full value;
--- a/core/membership/target_announcement.cc
+++ b/core/membership/target_announcement.cc
@@ -18,9 +18,10 @@
   std::optional<boost::json::value> document =
       ParseJsonWithComments(text, reason);
   if (document.has_value() && document->is_object()) return document;
-  errors.push_back(
-      {.field = {},
-       .message = document.has_value() ? "the body must be an object" : reason});
+  errors.push_back({.field = {},
+                    .message = document.has_value()
+                                   ? "the body must be an object"
+                                   : reason});
   return std::nullopt;
 }
 
@@ -64,8 +65,8 @@
   announcement.pool = PoolName(fields.String("pool"));
   announcement.version = TargetVersion(fields.String("version"));
   announcement.address = ReadAddress(fields);
-  announcement.slots = static_cast<std::uint32_t>(
-      fields.Integer("slots", 1, kMostSlots));
+  announcement.slots =
+      static_cast<std::uint32_t>(fields.Integer("slots", 1, kMostSlots));
   announcement.warm =
       fields.Integer("warming_ms", 0, kLongestWarmingMs, 0) == 0;
   const std::string state = fields.String("state");
@@ -74,8 +75,8 @@
     fields.Report("state", "must be ready or draining");
   announcement.started_ms = static_cast<std::uint64_t>(
       fields.Integer("born", 0, kMostMilliseconds, 0));
-  announcement.sequence = static_cast<std::uint64_t>(
-      fields.Integer("sequence", 0, kMostReports));
+  announcement.sequence =
+      static_cast<std::uint64_t>(fields.Integer("sequence", 0, kMostReports));
   if (!errors.empty()) return std::nullopt;
   return announcement;
 }
--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -206,6 +206,12 @@
   return stats.full_until <= now && stats.in_flight < target.info.slots;
 }
 
+Microseconds PowerOfTwoBalancer::LatencyOf(const TargetId& target) const {
+  const auto found = stats_.find(target);
+  if (found == stats_.end()) return Microseconds(0);
+  return Microseconds(static_cast<std::int64_t>(found->second.latency_us));
+}
+
 void PowerOfTwoBalancer::OnSent(const TargetId& target) {
   const auto found = stats_.find(target);
   if (found != stats_.end()) ++found->second.in_flight;
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -74,6 +74,9 @@
   void OnEnded(const TargetId& target, const PoolName& pool,
                RequestOutcome outcome, Microseconds latency, MonoTime now);
 
+  /// Moving average of the target's successes; 0 when there were none.
+  Microseconds LatencyOf(const TargetId& target) const;
+
   /// Evidence of each target, for the dump.
   const std::unordered_map<TargetId, TargetStats>& stats() const {
     return stats_;
--- a/core/routing/routing_builder.cc
+++ b/core/routing/routing_builder.cc
@@ -161,9 +161,8 @@
     const std::optional<RoutedShare> main =
         Join(inputs, routing, rule, {.pool = rule.pool});
     if (!main) continue;
-    RoutedRule routed{.rule = rule,
-                      .pool = main->pool,
-                      .new_share_ppm = main->new_share_ppm};
+    RoutedRule routed{
+        .rule = rule, .pool = main->pool, .new_share_ppm = main->new_share_ppm};
     for (const PoolShare& share : rule.split) {
       const auto joined = Join(inputs, routing, rule, share);
       if (joined) routed.split.push_back(*joined);
--- a/fuzz/platform_codec_fuzz.cc
+++ b/fuzz/platform_codec_fuzz.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <string_view>
 
+#include "platform/base64.h"
+#include "platform/operator_tables.h"
 #include "platform/platform_codec.h"
 
 // Bodies and keys of the platform's API of any bytes are refused with a reason,
@@ -25,7 +27,11 @@
                          reason) != transaction) {
     std::abort();
   }
-  PlatformCodec::DecodeRow(text, reason);
+  camphor::DecodeOperatorTables(
+      {{"config", {.key = "config", .value = std::string(text)}}}, reason);
+  const auto bytes = camphor::DecodeBase64(text);
+  if (bytes && camphor::DecodeBase64(camphor::EncodeBase64(*bytes)) != bytes)
+    std::abort();
   PlatformCodec::DecodeKey(text);
   if (PlatformCodec::DecodeKey(PlatformCodec::EncodeKey(text)) != text)
     std::abort();
--- a/node/admin/admin_server.cc
+++ b/node/admin/admin_server.cc
@@ -53,8 +53,7 @@
 }  // namespace
 
 struct AdminServer::State {
-  explicit State(Options given)
-      : options(std::move(given)) {}
+  explicit State(Options given) : options(std::move(given)) {}
 
   // Connections that the context still holds count themselves off at its end.
   std::atomic<std::uint32_t> open{0};
@@ -204,8 +203,7 @@
   if (!error) acceptor.open(listen.protocol(), error);
   if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
   if (!error) acceptor.bind(listen, error);
-  if (!error)
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (!error) return true;
   last_reason = "can not listen on " + on.ToString() + ": " + error.message();
   return false;
--- a/node/node.cc
+++ b/node/node.cc
@@ -15,11 +15,11 @@
 #include "node/decisions/published.h"
 #include "node/node_report.h"
 #include "node/platform_sync/platform_sync.h"
-#include "store/claim_store.h"
 #include "platform/http_platform_client.h"
 #include "platform/operator_tables.h"
 #include "platform/platform_headers.h"
 #include "proxy/proxy_server.h"
+#include "store/claim_store.h"
 
 namespace camphor {
 namespace {
--- a/node/node_report.h
+++ b/node/node_report.h
@@ -12,9 +12,9 @@
 #include "node/log/log_sink.h"
 #include "node/platform_sync/platform_sync.h"
 #include "node/settings/settings.h"
-#include "store/claim_store.h"
 #include "platform/http_platform_client.h"
 #include "proxy/proxy_server.h"
+#include "store/claim_store.h"
 
 namespace camphor {
 
--- a/node/platform_sync/host_directory.cc
+++ b/node/platform_sync/host_directory.cc
@@ -48,11 +48,10 @@
 
 void HostDirectory::Read(std::string from) {
   under_way_ = true;
-  options_.platform->Page(
-      kTable, std::move(from), options_.rows,
-      [this](const PlatformAnswer& answer) {
-        options_.post([this, answer] { OnRead(answer); });
-      });
+  options_.platform->Page(kTable, std::move(from), options_.rows,
+                          [this](const PlatformAnswer& answer) {
+                            options_.post([this, answer] { OnRead(answer); });
+                          });
 }
 
 void HostDirectory::OnWritten(const PlatformAnswer& answer) {
--- a/node/platform_sync/host_directory.h
+++ b/node/platform_sync/host_directory.h
@@ -29,7 +29,7 @@
     PlatformClient* platform = nullptr;  ///< outlives this
     LogSink* log = nullptr;              ///< outlives this
     std::size_t rows = 32;               ///< rows that one read asks for
-    Milliseconds read_again{1000};  ///< between two reads of a lone host
+    Milliseconds read_again{1000};       ///< between two reads of a lone host
     Backoff::Options retry{.most = Milliseconds(2000)};  ///< after failed calls
     std::uint64_t random_seed = 1;  ///< makes the jitter repeatable
     std::function<void(const std::vector<Endpoint>&)>
--- a/node/platform_sync/operator_feed.cc
+++ b/node/platform_sync/operator_feed.cc
@@ -53,8 +53,7 @@
   }
   if (answer.status != PlatformStatus::kOk) return OnFailure(answer);
   if (!reachable()) {
-    options_.log->Log(LogLevel::kInfo, "platform",
-                      "the platform answers again",
+    options_.log->Log(LogLevel::kInfo, "platform", "the platform answers again",
                       {{"failures", failures_}});
   }
   retry_.Reset();
@@ -91,8 +90,7 @@
 
 void OperatorFeed::Apply() {
   std::string reason;
-  const std::optional<ConfigSnapshot> snapshot =
-      options_.decode(rows_, reason);
+  const std::optional<ConfigSnapshot> snapshot = options_.decode(rows_, reason);
   if (!reason.empty()) {
     last_reason_ = reason;
     options_.log->Log(LogLevel::kWarning, "platform",
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -29,9 +29,9 @@
     std::string table;                   ///< table that the operator writes
     PlatformClient* platform = nullptr;  ///< outlives this
     LogSink* log = nullptr;              ///< outlives this
-    Milliseconds watch{20'000};  ///< a watch without changes is renewed
-    Milliseconds gather{200};    ///< pause after a change, so that several that
-                                 ///< follow closely are read together
+    Milliseconds watch{20'000};          ///< a watch without changes is renewed
+    Milliseconds gather{200};  ///< pause after a change, so that several that
+                               ///< follow closely are read together
     Backoff::Options retry{.most = Milliseconds(2000)};  ///< after failed calls
     std::uint64_t random_seed = 1;  ///< makes the jitter repeatable
     std::function<std::optional<ConfigSnapshot>(
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -68,7 +68,8 @@
   if (feed_) {
     feed_->Tick(poller, now);
     directory_->Tick(replicator.alone(), now);
-  } else if (schedule_.Due(now, {.ready = replicator.ready(), .poller = poller})) {
+  } else if (schedule_.Due(now,
+                           {.ready = replicator.ready(), .poller = poller})) {
     ReadHead();
   }
   archive_.Tick(replicator.rollouts(), poller, now);
@@ -129,8 +130,9 @@
 void PlatformSync::Accept(ConfigEdit edit,
                           std::function<void(const AcceptResult&)> done) {
   if (feed_) {
-    return done({.status = AcceptStatus::kUnavailable,
-                 .reason = "the tables are written by the platform's operator"});
+    return done(
+        {.status = AcceptStatus::kUnavailable,
+         .reason = "the tables are written by the platform's operator"});
   }
   const ConfigSnapshot tables = edit.tables;
   repository_.Accept(std::move(edit), [this, tables, done = std::move(done)](
--- a/node/platform_sync/platform_sync.h
+++ b/node/platform_sync/platform_sync.h
@@ -38,10 +38,11 @@
 class PlatformSync {
  public:
   struct Options {
-    PlatformSettings settings{};           ///< how often the platform is asked
+    PlatformSettings settings{};  ///< how often the platform is asked
     std::optional<OperatorTables>
         operator_tables{};  ///< set: the tables are those that the platform's
-                            ///< operator writes, and hosts find each other there
+                            ///< operator writes, and hosts find each other
+                            ///< there
     HostId host;            ///< this host
     Endpoint mesh{};        ///< where its mesh is reached
     std::uint64_t random_seed = 1;         ///< makes the jitter repeatable
@@ -92,10 +93,10 @@
   ConfigRepository repository_;
   PollSchedule schedule_;
   RolloutArchive archive_;
-  std::optional<OperatorFeed> feed_;         ///< of the operator's tables
+  std::optional<OperatorFeed> feed_;        ///< of the operator's tables
   std::optional<HostDirectory> directory_;  ///< set beside feed_
-  std::optional<ConfigHead> fetching_;  ///< snapshot that is being fetched
-  std::string last_reason_;             ///< of the last failed read
+  std::optional<ConfigHead> fetching_;      ///< snapshot that is being fetched
+  std::string last_reason_;                 ///< of the last failed read
 };
 
 }  // namespace camphor
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -101,9 +101,9 @@
     if (endpoint.has_value()) {
       settings.admin_also.push_back(*endpoint);
     } else {
-      fields.Report("admin_also",
-                    text + " is not an IP number with a port, like "
-                           "10.0.0.1:7001");
+      fields.Report("admin_also", text +
+                                      " is not an IP number with a port, like "
+                                      "10.0.0.1:7001");
     }
   }
   settings.platform = ReadEndpoint(fields, "platform", PortRule::kFixed);
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -85,7 +85,8 @@
   Endpoint mesh_advertise{};     ///< where other hosts' meshes reach this one
   Endpoint admin_listen{};  ///< where operators and targets connect; port 0
                             ///< takes any
-  std::vector<Endpoint> admin_also{};  ///< further addresses that serve the same
+  std::vector<Endpoint>
+      admin_also{};  ///< further addresses that serve the same
   InterfaceKind interface = InterfaceKind::kOwn;  ///< what callers, targets and
                                                   ///< operators speak
   std::string caller_pool;  ///< pool whose targets call from this host; may be
--- a/node/targets/target_registry.h
+++ b/node/targets/target_registry.h
@@ -6,8 +6,8 @@
 
 #include "core/base/endpoint.h"
 #include "core/base/time.h"
-#include "core/replication/host_record.h"
 #include "core/membership/target_announcement.h"
+#include "core/replication/host_record.h"
 
 namespace camphor {
 
@@ -35,8 +35,8 @@
 
   /// Takes a periodic report, which announces, renews or leaves. A report that
   /// is older than what is known, or of an earlier run of the target, changes
-  /// nothing. `changed` says whether the list of targets did. Thread safety: one
-  /// thread.
+  /// nothing. `changed` says whether the list of targets did. Thread safety:
+  /// one thread.
   enum class Taken : std::uint8_t { kRenewed, kChanged, kStale, kTooMany };
   Taken Report(const TargetAnnouncement& report, MonoTime now);
 
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -18,6 +18,9 @@
 
 constexpr Microseconds kLeastTimeForRetry{2000};
 constexpr std::uint32_t kDeathsOfPoison = 2;
+
+/// A target that takes so many times its usual latency counts as silent.
+constexpr int kLatenciesOfSilence = 8;
 constexpr unsigned kFirstFailureStatus = 500;
 
 /// What an error says of the target that it was placed on.
@@ -145,9 +148,7 @@
     request.claim_key = HeaderValue(*options_.header, kIdempotencyKeyHeader);
   }
   if (rule().repeatable && attempt_ < MostAttempts()) {
-    // A connection may have gone silent: half of the time is kept for another.
-    request.abandon_after = std::chrono::duration_cast<Milliseconds>(
-        options_.control->TimeLeft() / 2);
+    request.abandon_after = SilenceAllowed();
     request.may_abandon = [this] { return MayAbandon(); };
   }
   if (!target().local) {
@@ -263,6 +264,19 @@
   return false;
 }
 
+Milliseconds CallerRequest::SilenceAllowed() const {
+  // A connection may have gone silent: half of the time is kept for another.
+  const Microseconds left = options_.control->TimeLeft();
+  const Microseconds half = left / 2;
+  if (!target().local) return std::chrono::duration_cast<Milliseconds>(half);
+  // A target gives no sign of life, so that a slow one must not be taken for
+  // silent.
+  const Microseconds usual = context_.balancer.LatencyOf(target().info.id);
+  const Microseconds silence = std::max(half, usual * kLatenciesOfSilence);
+  if (silence >= left) return Milliseconds(0);
+  return std::chrono::duration_cast<Milliseconds>(silence);
+}
+
 std::uint32_t CallerRequest::MostAttempts() const {
   return rule().attempts > 0 ? rule().attempts
                              : context_.options.limits.attempts;
--- a/proxy/connection.h
+++ b/proxy/connection.h
@@ -24,7 +24,7 @@
   beast::flat_buffer buffer;  ///< bytes received beyond the last answer
   std::string proof;          ///< of the mesh key; goes with the first request
   MonoTime usable_until = MonoTime::max();  ///< the other end may close it then
-  MonoTime idle_since{};      ///< when its last request ended
+  MonoTime idle_since{};                    ///< when its last request ended
 };
 
 }  // namespace camphor
--- a/proxy/error_answer.cc
+++ b/proxy/error_answer.cc
@@ -67,9 +67,9 @@
 /// Whole seconds, rounded up, unless parts of a second are understood.
 std::string RetryAfterText(const ErrorDetail& detail) {
   const std::chrono::duration<double> exact = detail.retry_after;
-  if (detail.fractional_retry_after) return fmt::format("{:.3f}", exact.count());
-  return fmt::format_int(
-             std::chrono::ceil<Seconds>(detail.retry_after).count())
+  if (detail.fractional_retry_after)
+    return fmt::format("{:.3f}", exact.count());
+  return fmt::format_int(std::chrono::ceil<Seconds>(detail.retry_after).count())
       .str();
 }
 
--- a/proxy/error_answer.h
+++ b/proxy/error_answer.h
@@ -54,7 +54,7 @@
 
 /// What an error answer holds besides the error. Immutable value type.
 struct ErrorDetail {
-  std::string_view sentence{};  ///< replaces the usual one when not empty
+  std::string_view sentence{};     ///< replaces the usual one when not empty
   Milliseconds retry_after{1000};  ///< when a refused request may come again
   bool fractional_retry_after = false;  ///< may be told in parts of a second
 };
--- a/proxy/exchange.cc
+++ b/proxy/exchange.cc
@@ -89,7 +89,8 @@
     options_.connection->Close();
   });
   ProgressTimer abandon(connection.socket.get_executor(), [this] {
-    if (!options_.may_abandon || !options_.may_abandon()) return;
+    // A sign of life shows that the request is only slow.
+    if (heard_ || !options_.may_abandon || !options_.may_abandon()) return;
     abandoned_ = true;
     options_.connection->Close();
   });
@@ -117,6 +118,7 @@
       body_held_back_ = false;
       StartPump();
     }
+    heard_ = true;
     if (status < 200 && status != 101) continue;
     if (!IsForeign()) break;
     const bool skipped = co_await SkipForeignAnswer();
@@ -280,8 +282,7 @@
 
 bool Exchange::reusable() const {
   return !met_foreign_ && request_whole_ && answer_whole_ && answer_ &&
-         answer_->keep_alive() &&
-         options_.connection->socket.is_open();
+         answer_->keep_alive() && options_.connection->socket.is_open();
 }
 
 }  // namespace camphor
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -31,7 +31,8 @@
                                   ///< the other end asks for it
     Milliseconds silence{0};      ///< longest pause before the answer's header;
                                   ///< 0: none
-    Milliseconds abandon_after{0};        ///< ask `may_abandon` then; 0: never
+    Milliseconds abandon_after{0};  ///< if nothing at all came by then, ask
+                                    ///< `may_abandon`; 0: never
     std::function<bool()> may_abandon{};  ///< true: give this attempt up
     const HeaderVocabulary* vocabulary =
         nullptr;  ///< set: the other end is a target, whose answers are checked
@@ -109,6 +110,7 @@
   bool request_whole_ = false;
   bool answer_whole_ = false;
   bool met_foreign_ = false;  ///< an answer to another request came here
+  bool heard_ = false;        ///< the other end sent something
   bool silent_ = false;
   bool abandoned_ = false;
 };
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -65,8 +65,8 @@
     const bool more = co_await WriteError(ProxyError::kDraining, false);
     co_return more;
   }
-  const Milliseconds limit =
-      ReadDeadline(header, kDeadlineHeader, kLongestTime).value_or(kLongestTime);
+  const Milliseconds limit = ReadDeadline(header, kDeadlineHeader, kLongestTime)
+                                 .value_or(kLongestTime);
   RequestControl& control = StartControl(arrival + limit);
   InboundBody body({.socket = &socket_,
                     .buffer = &buffer_,
@@ -119,7 +119,7 @@
 
 asio::awaitable<bool> ForwardSession::RunRequest(PlacedRequest request,
                                                  InboundBody& body, bool keep) {
-  heartbeat_.Set(context_.options.limits.heartbeat);
+  heartbeat_.Set(context_.options.limits.first_heartbeat);
   LocalRun run(context_, std::move(request));
   const std::optional<ProxyError> error = co_await run.Begin();
   heartbeat_.Clear();
--- a/proxy/header_vocabulary.h
+++ b/proxy/header_vocabulary.h
@@ -11,14 +11,14 @@
 /// Immutable value type.
 struct HeaderVocabulary {
   std::string deadline = "X-Camphor-Deadline-Ms";  ///< time left, milliseconds
-  std::string attempt = "X-Camphor-Attempt";  ///< number of the attempt, told to
-                                              ///< the target
+  std::string attempt = "X-Camphor-Attempt";  ///< number of the attempt, told
+                                              ///< to the target
   std::string request_id{};  ///< names a request; a target's answer repeats it
   std::string expected_target{};  ///< id of the target that a request is for
   std::string caller_pool{};      ///< pool of the host where a request began
   std::string not_run = "X-Camphor-Not-Run";  ///< in a target's answer: it did
                                               ///< not run the request
-  std::string receipt{};  ///< a success without it is no answer of a target
+  std::string receipt{};      ///< a success without it is no answer of a target
   bool plain_bodies = false;  ///< true: an answer with a Content-Encoding is no
                               ///< answer of a target
   bool unframed_answers =
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -1,6 +1,5 @@
 #include "proxy/local_run.h"
 
-
 #include <fmt/format.h>
 
 #include <array>
@@ -210,8 +209,8 @@
   const auto set = [this](const std::string& name, std::string_view value) {
     if (!name.empty()) request_.header.set(name, value);
   };
-  const auto left = std::chrono::duration_cast<Milliseconds>(
-      request_.control->TimeLeft());
+  const auto left =
+      std::chrono::duration_cast<Milliseconds>(request_.control->TimeLeft());
   set(vocabulary.deadline, fmt::format_int(left.count()).str());
   set(vocabulary.attempt, fmt::format_int(request_.attempt).str());
   set(vocabulary.expected_target, request_.target.value());
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -27,8 +27,10 @@
   Milliseconds keep_alive_timeout{60'000};  ///< idle time of a connection
   Milliseconds body_timeout{5000};          ///< longest pause within a body
   Milliseconds connect_timeout{500};        ///< longest time to connect
-  Milliseconds retry_after{1000};  ///< told with a refusal that did not run
-  Milliseconds heartbeat{500};  ///< pause between interim answers of a host
+  Milliseconds retry_after{1000};    ///< told with a refusal that did not run
+  Milliseconds first_heartbeat{50};  ///< a host sends an interim answer when
+                                     ///< its target has not answered by then
+  Milliseconds heartbeat{500};       ///< pause between further interim answers
   Milliseconds silence{1600};  ///< a host silent for longer lost the connection
   Milliseconds death_notice{
       250};  ///< an answer that tells of a target's death waits this long, so
--- a/stand_ins/platform/platform_stand_in.h
+++ b/stand_ins/platform/platform_stand_in.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "core/base/endpoint.h"
 #include "core/base/time.h"
@@ -12,8 +13,9 @@
 
 namespace camphor {
 
-/// Takes the platform's place in tests: its table service and object store over
-/// HTTP, with faults that can be switched while it runs (POST /control).
+/// Takes the platform's place in tests: its metadata store over HTTP, as its
+/// users publish it, with faults that can be switched while it runs (POST
+/// /control).
 class PlatformStandIn {
  public:
   /// What the platform does with calls.
@@ -23,6 +25,8 @@
     kSlow,         ///< takes effect, and answers, only after the delay
     kLoseAnswers,  ///< takes effect, then closes the connection unanswered
     kSilent,       ///< neither takes effect nor answers
+    kLate,         ///< closes the connection unanswered at once, and takes
+                   ///< effect after the delay
   };
 
   struct Options {
@@ -48,6 +52,14 @@
   const std::string& last_reason() const;
 
  private:
+  // A request for changes that waits for one.
+  struct Watcher {
+    HttpExchange exchange;
+    std::string table;
+    std::uint64_t after = 0;
+    std::uint64_t id = 0;
+  };
+
   // Admits a bounded number of calls in each second.
   struct Limit {
     bool Admit(MonoTime now);
@@ -60,7 +72,10 @@
   void Handle(const HttpExchange& exchange);
   void Serve(const HttpExchange& exchange);
   HttpResponse Apply(const HttpRequest& request);
-  HttpResponse ApplyTables(const HttpRequest& request, const std::string& rest);
+  HttpResponse ReadRows(const HttpRequest& request);
+  HttpResponse Changes(const std::string& table, std::uint64_t after) const;
+  void Watch(const HttpExchange& exchange);
+  void TellWatchers();
   HttpResponse ApplyTransaction(const HttpRequest& request);
   HttpResponse ApplyObject(const HttpRequest& request, const std::string& key);
   HttpResponse Control(const HttpRequest& request);
@@ -71,6 +86,8 @@
   Mode mode_ = Mode::kUp;
   Milliseconds delay_{0};
   PlatformStore store_;
+  std::vector<Watcher> watchers_;
+  std::uint64_t next_watcher_ = 0;
   std::map<std::string, std::uint64_t> counters_;
   HttpServer server_;
 };
--- a/stand_ins/platform/platform_store.h
+++ b/stand_ins/platform/platform_store.h
@@ -21,9 +21,22 @@
   std::optional<TableRow> Read(const std::string& table,
                                const std::string& key) const;
 
-  /// Rows whose key has the prefix, in key order. Thread safety: one thread.
-  std::vector<TableRow> Scan(const std::string& table,
-                             const std::string& prefix) const;
+  /// At most `limit` rows of a table whose key is not below `from`, in key
+  /// order; `more` says whether others follow. Thread safety: one thread.
+  std::vector<TableRow> Page(const std::string& table, const std::string& from,
+                             std::size_t limit, bool& more) const;
+
+  /// Rows of a table that changed after the revision, in the order of their
+  /// last changes. Returns nothing when these are no longer kept. Thread
+  /// safety: one thread.
+  std::optional<std::vector<TableRow>> Changes(const std::string& table,
+                                               std::uint64_t after) const;
+
+  /// Forgets the changes so far. Thread safety: one thread.
+  void DropHistory();
+
+  /// Newest revision of any row. Thread safety: one thread.
+  std::uint64_t revision() const { return last_revision_; }
 
   /// Applies the writes if all conditions hold, else nothing. Returns the rows
   /// that broke a condition as they stand (revision 0 when not there). Thread
@@ -40,6 +53,8 @@
   using RowKey = std::pair<std::string, std::string>;
 
   std::map<RowKey, TableRow> rows_;
+  std::map<RowKey, TableRow> changes_;  ///< last change of each row
+  std::uint64_t forgotten_ = 0;         ///< changes up to it are no longer kept
   std::map<std::string, std::string> objects_;
   std::uint64_t last_revision_ = 0;
 };
--- a/store/platform_client.h
+++ b/store/platform_client.h
@@ -102,8 +102,8 @@
                     PlatformCallback done) = 0;
 
   /// Answers with the rows of a table that changed after the given revision, as
-  /// soon as there is one, or with none after `wait`. Errors: kCompacted besides
-  /// those of Read. Thread safety: any thread.
+  /// soon as there is one, or with none after `wait`. Errors: kCompacted
+  /// besides those of Read. Thread safety: any thread.
   virtual void Watch(std::string table, std::uint64_t after, Milliseconds wait,
                      PlatformCallback done) = 0;
 
--- a/unit_tests/node/platform_sync/rollout_archive_test.cc
+++ b/unit_tests/node/platform_sync/rollout_archive_test.cc
@@ -25,6 +25,14 @@
           .rows = {{.key = key, .value = found->second, .revision = 1}}});
   }
   void Scan(std::string, std::string, PlatformCallback) override {}
+  void Page(std::string, std::string, std::size_t,
+            PlatformCallback done) override {
+    done({});
+  }
+  void Watch(std::string, std::uint64_t, Milliseconds,
+             PlatformCallback done) override {
+    done({});
+  }
   void Transact(TableTransaction transaction, PlatformCallback done) override {
     ++writes;
     if (status == PlatformStatus::kUnavailable) return done({.status = status});
--- a/unit_tests/store/fake_platform.h
+++ b/unit_tests/store/fake_platform.h
@@ -26,8 +26,25 @@
             PlatformCallback done) override {
     Add(std::move(done), [this, table, key] { return DoRead(table, key); });
   }
-  void Scan(std::string, std::string, PlatformCallback done) override {
-    Add(std::move(done), [] { return PlatformAnswer{}; });
+  void Scan(std::string table, std::string prefix,
+            PlatformCallback done) override {
+    Add(std::move(done), [this, table, prefix] {
+      PlatformAnswer answer = DoPage(table, prefix, rows_.size() + 1);
+      std::erase_if(answer.rows, [&prefix](const TableRow& row) {
+        return !row.key.starts_with(prefix);
+      });
+      return answer;
+    });
+  }
+  void Page(std::string table, std::string from, std::size_t limit,
+            PlatformCallback done) override {
+    Add(std::move(done),
+        [this, table, from, limit] { return DoPage(table, from, limit); });
+  }
+  void Watch(std::string table, std::uint64_t after, Milliseconds,
+             PlatformCallback done) override {
+    Add(std::move(done),
+        [this, table, after] { return DoWatch(table, after); });
   }
   void Transact(TableTransaction transaction, PlatformCallback done) override {
     Add(std::move(done),
@@ -50,6 +67,16 @@
     });
   }
 
+  /// Writes a row as somebody else would.
+  void Put(const std::string& table, const std::string& key,
+           const std::string& value) {
+    rows_[{table, key}] = {
+        .table = table, .key = key, .value = value, .revision = ++revision_};
+  }
+
+  /// Forgets the changes so far.
+  void DropHistory() { forgotten_ = revision_; }
+
   /// Calls back later, as a timer would.
   void Schedule(std::function<void()> run) {
     waiting_.push_back([run = std::move(run)](Fault) { run(); });
@@ -103,6 +130,28 @@
     return {.status = PlatformStatus::kOk, .rows = {found->second}};
   }
 
+  PlatformAnswer DoPage(const std::string& table, const std::string& from,
+                        std::size_t limit) {
+    PlatformAnswer answer{.status = PlatformStatus::kOk, .revision = revision_};
+    for (auto row = rows_.lower_bound({table, from});
+         row != rows_.end() && row->first.first == table; ++row) {
+      answer.more = answer.rows.size() == limit;
+      if (answer.more) break;
+      answer.rows.push_back(row->second);
+    }
+    return answer;
+  }
+
+  PlatformAnswer DoWatch(const std::string& table, std::uint64_t after) {
+    if (after < forgotten_) return {.status = PlatformStatus::kCompacted};
+    PlatformAnswer answer{.status = PlatformStatus::kOk, .revision = revision_};
+    for (const auto& [key, row] : rows_) {
+      if (key.first == table && row.revision > after)
+        answer.rows.push_back(row);
+    }
+    return answer;
+  }
+
   PlatformAnswer DoTransact(const TableTransaction& transaction) {
     for (const RowCondition& condition : transaction.conditions) {
       const auto found = rows_.find({condition.table, condition.key});
@@ -124,6 +173,7 @@
   std::map<std::pair<std::string, std::string>, TableRow> rows_;
   std::map<std::string, std::string> objects_;
   std::uint64_t revision_ = 0;
+  std::uint64_t forgotten_ = 0;
 };
 
 }  // namespace camphor
