Test what the platform's interface rests on

Operator tables, feed, host directory, target reports, headers of callers and targets, divided routes, limits; a success that names no request is no answer.

--- a/proxy/exchange.cc
+++ b/proxy/exchange.cc
@@ -124,12 +124,18 @@
     const bool skipped = co_await SkipForeignAnswer();
     if (!skipped) co_return Failure(Sent::kBroken);
   }
-  if (FindFaultOfAnswer(*answer_, options_.vocabulary))
+  if (LacksRequestId() || FindFaultOfAnswer(*answer_, options_.vocabulary))
     co_return Sent::kBadAnswer;
   answer_whole_ = answer_->is_done();
   co_return Sent::kAnswer;
 }
 
+bool Exchange::LacksRequestId() const {
+  if (request_id_.empty()) return false;
+  return answer_->get().result_int() / 100 == 2 &&
+         HeaderValue(answer_->get(), options_.vocabulary->request_id).empty();
+}
+
 bool Exchange::IsForeign() const {
   if (request_id_.empty()) return false;
   const std::string_view id =
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -91,6 +91,7 @@
   asio::awaitable<Sent> ReadAnswerHeader();
   asio::awaitable<bool> SkipForeignAnswer();
   bool IsForeign() const;
+  bool LacksRequestId() const;
   asio::awaitable<void> PumpBody();
   void StartPump();
   Sent Failure(Sent otherwise) const;
--- a/unit_tests/core/config/config_codec_test.cc
+++ b/unit_tests/core/config/config_codec_test.cc
@@ -64,5 +64,32 @@
   EXPECT_NE(codec.last_reason().message.find("line 2"), std::string::npos);
 }
 
+TEST(ConfigCodecDecode, DividedRouteAndLimits_AreReadBackFromTheEncoding) {
+  ConfigCodec codec;
+  const auto snapshot = codec.Decode(
+      R"({"routes": [{"name": "r", "split": [{"pool": "b", "weight": 90},
+                                             {"pool": "a", "weight": 10}],
+                      "attempts": 2, "target_latency_ms": 250,
+                      "priority": 1}],
+          "pools": [{"name": "a"}, {"name": "b", "withheld": "v2"}],
+          "limits": {"body_bytes": 10}})",
+      3);
+  ASSERT_TRUE(snapshot) << codec.last_reason().message;
+  EXPECT_EQ(snapshot->routes[0].pool, PoolName("b"));
+  EXPECT_EQ(snapshot->routes[0].split[1].weight, 10U);
+  EXPECT_EQ(snapshot->limits.body_bytes, 10U);
+  EXPECT_EQ(codec.Decode(ConfigCodec::Encode(*snapshot), 3), snapshot);
+}
+
+TEST(ConfigCodecDecode, DividedRouteWithAMissingPool_IsRefused) {
+  ConfigCodec codec;
+  EXPECT_FALSE(codec.Decode(
+      R"({"routes": [{"name": "r", "split": [{"pool": "a", "weight": 1},
+                                             {"pool": "b", "weight": 1}]}],
+          "pools": [{"name": "a"}]})",
+      3));
+  EXPECT_EQ(codec.last_reason().kind, ConfigError::Kind::kMissingPool);
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/core/config/config_delta_test.cc
+++ b/unit_tests/core/config/config_delta_test.cc
@@ -26,9 +26,10 @@
           route, pool, *rc::gen::inRange(1, 4));
   }
   ConfigCodec codec;
-  return *codec.Decode(
-      fmt::format(R"({{"routes": [{}], "pools": [{}]}})", routes, pools),
-      version);
+  return *codec.Decode(fmt::format(R"({{"routes": [{}], "pools": [{}],
+                      "limits": {{"body_bytes": {}}}}})",
+                                   routes, pools, *rc::gen::inRange(0, 3)),
+                       version);
 }
 
 TEST(ConfigDeltaApply, AnyTwoSnapshots_GivesTheSecondFromTheFirst) {
--- a/unit_tests/core/routing/placement_test.cc
+++ b/unit_tests/core/routing/placement_test.cc
@@ -56,6 +56,22 @@
   }));
 }
 
+TEST(PowerOfTwoBalancerChooseShare, Weights_AreKeptToOverManyRequests) {
+  EffectiveRouting routing = *MakeRouting(3, 0, 1);
+  routing.routes[0].split = {{.pool = 0, .weight = 90},
+                             {.pool = 0, .weight = 0},
+                             {.pool = 0, .weight = 10}};
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(std::make_shared<const EffectiveRouting>(routing),
+                      kStart);
+  std::map<std::uint32_t, int> drawn;
+  constexpr int kRequests = 10'000;
+  for (int request = 0; request < kRequests; ++request)
+    ++drawn[balancer.ChooseShare(0)];
+  EXPECT_EQ(drawn[1], 0);
+  EXPECT_NEAR(drawn[2], kRequests / 10, kRequests / 50);
+}
+
 TEST(PowerOfTwoBalancerChoose, OwnDomain_GoesFirstWhileItHasRoom) {
   PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
   const EffectiveRoutingPtr routing = MakeRouting(6, 0, 2);
--- a/unit_tests/core/routing/routing_builder_test.cc
+++ b/unit_tests/core/routing/routing_builder_test.cc
@@ -153,5 +153,25 @@
   EXPECT_EQ(name("GET", "/x"), "all");
 }
 
+TEST_F(RoutingBuilder, PoolWithoutVersion_TakesAllButTheWithheldOne) {
+  snapshot_.pools = {{.name = PoolName("p"), .withheld = TargetVersion("v2")}};
+  const EffectiveRouting routing = Build();
+  ASSERT_EQ(routing.pools[0].groups.size(), 1U);
+  ASSERT_EQ(routing.pools[0].groups[0].targets.size(), 1U);
+  EXPECT_EQ(routing.pools[0].groups[0].targets[0].info.id, TargetId("t1"));
+}
+
+TEST_F(RoutingBuilder, DividedRoute_IsJoinedToEachOfItsPools) {
+  snapshot_.pools.push_back({.name = PoolName("q")});
+  snapshot_.routes = {{.name = RouteName("r"),
+                       .pool = PoolName("q"),
+                       .split = {{PoolName("q"), 90}, {PoolName("p"), 10}}}};
+  const EffectiveRouting routing = Build();
+  ASSERT_EQ(routing.routes[0].split.size(), 2U);
+  EXPECT_EQ(routing.pools[routing.routes[0].split[0].pool].spec.name,
+            PoolName("q"));
+  EXPECT_EQ(routing.routes[0].split[1].weight, 10U);
+}
+
 }  // namespace
 }  // namespace camphor
--- /dev/null
+++ b/unit_tests/node/platform_sync/host_directory_test.cc
@@ -0,0 +1,125 @@
+#include "node/platform_sync/host_directory.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+
+#include "unit_tests/store/fake_platform.h"
+
+namespace camphor {
+namespace {
+
+// Some hosts on one platform, whose calls the test ends in any order.
+class HostDirectoryTest : public testing::Test {
+ protected:
+  struct Host {
+    std::set<Endpoint> found{};
+    std::unique_ptr<HostDirectory> directory{};
+  };
+
+  static Endpoint MeshOf(int number) {
+    return {.address = fmt::format("10.0.0.{}", number), .port = 7000};
+  }
+
+  Host& Add(int number) {
+    Host& host = hosts_.emplace_back();
+    host.directory = std::make_unique<HostDirectory>(HostDirectory::Options{
+        .host = HostId(fmt::format("host-{:02}", number)),
+        .mesh = MeshOf(number),
+        .platform = &platform_,
+        .log = &log_,
+        .found =
+            [&host](const std::vector<Endpoint>& meshes) {
+              host.found.insert(meshes.begin(), meshes.end());
+            },
+        .post = [](const std::function<void()>& task) { task(); }});
+    return host;
+  }
+
+  void TickAll(Milliseconds later = Seconds(3)) {
+    now_ += later;
+    for (const Host& host : hosts_)
+      host.directory->Tick(host.found.empty(), now_);
+  }
+
+  FakePlatform platform_;
+  LogSink log_{{.write = [](const std::string&) {}}};
+  MonoTime now_{Seconds(100)};
+  std::deque<Host> hosts_;
+};
+
+TEST_F(HostDirectoryTest, TwoThatStartTogether_FindEachOther) {
+  Add(1);
+  Add(2);
+  for (int round = 0; round < 4; ++round) {
+    TickAll();
+    platform_.Run();
+  }
+  EXPECT_TRUE(hosts_[0].found.contains(MeshOf(2)));
+  EXPECT_TRUE(hosts_[1].found.contains(MeshOf(1)));
+}
+
+TEST_F(HostDirectoryTest, LastOnTheRing_ReadsOnFromTheFirst) {
+  for (int number = 1; number < 5; ++number)
+    platform_.Put("mesh_hosts", fmt::format("host-{:02}", number),
+                  MeshOf(number).ToString());
+  Host& last = Add(9);
+  for (int round = 0; round < 3; ++round) {
+    TickAll();
+    platform_.Run();
+  }
+  EXPECT_EQ(last.found.size(), 4U);
+}
+
+TEST_F(HostDirectoryTest, PlatformOutAtFirst_IsFoundOnceItAnswers) {
+  platform_.Put("mesh_hosts", "host-05", MeshOf(5).ToString());
+  Host& host = Add(1);
+  for (int round = 0; round < 3; ++round) {
+    TickAll();
+    while (platform_.waiting() > 0)
+      platform_.Step(FakePlatform::Fault::kRefused);
+  }
+  EXPECT_TRUE(host.found.empty());
+  for (int round = 0; round < 3; ++round) {
+    TickAll();
+    platform_.Run();
+  }
+  EXPECT_TRUE(host.found.contains(MeshOf(5)));
+}
+
+TEST_F(HostDirectoryTest, LostAnswerToTheWrite_IsSettledByWritingItAgain) {
+  Add(1);
+  TickAll();
+  platform_.Step(FakePlatform::Fault::kLostAfter);
+  TickAll();
+  platform_.Run();
+  EXPECT_EQ(platform_.Value("mesh_hosts", "host-01"), MeshOf(1).ToString());
+  EXPECT_EQ(platform_.CountRows("mesh_hosts"), 1U);
+}
+
+TEST_F(HostDirectoryTest, MalformedRow_IsPassedOver) {
+  platform_.Put("mesh_hosts", "host-05", "nonsense");
+  platform_.Put("mesh_hosts", "host-06", MeshOf(6).ToString());
+  Host& host = Add(1);
+  for (int round = 0; round < 3; ++round) {
+    TickAll();
+    platform_.Run();
+  }
+  EXPECT_EQ(host.found, std::set<Endpoint>{MeshOf(6)});
+}
+
+TEST_F(HostDirectoryTest, HostWithPeers_AsksNoMore) {
+  platform_.Put("mesh_hosts", "host-05", MeshOf(5).ToString());
+  Add(1);
+  for (int round = 0; round < 3; ++round) {
+    TickAll();
+    platform_.Run();
+  }
+  TickAll(Seconds(60));
+  EXPECT_EQ(platform_.waiting(), 0U);
+}
+
+}  // namespace
+}  // namespace camphor
--- a/unit_tests/node/targets/target_registry_test.cc
+++ b/unit_tests/node/targets/target_registry_test.cc
@@ -92,5 +92,81 @@
   EXPECT_EQ(errors[2].field, "slots");
 }
 
+using Taken = TargetRegistry::Taken;
+
+// Targets that report themselves each second or so.
+class TargetRegistryReport : public testing::Test {
+ protected:
+  static TargetAnnouncement Report(const std::string& id,
+                                   std::uint64_t started_ms,
+                                   std::uint64_t sequence,
+                                   std::uint16_t port = 8080) {
+    return {.id = TargetId(id),
+            .pool = PoolName("billing"),
+            .version = TargetVersion("v1"),
+            .address = {.address = "127.0.0.1", .port = port},
+            .started_ms = started_ms,
+            .sequence = sequence};
+  }
+
+  TargetStatus StatusOf(const std::string& id) const {
+    for (const TargetInfo& info : registry_.targets())
+      if (info.id == TargetId(id)) return info.status;
+    return TargetStatus::kLeaving;
+  }
+
+  const MonoTime start_{seconds(100)};
+  TargetRegistry registry_{{.lease = seconds(6)}};
+};
+
+TEST_F(TargetRegistryReport, FirstAndFurtherReports_AnnounceAndRenew) {
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 1), start_), Taken::kChanged);
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 2), start_ + seconds(5)),
+            Taken::kRenewed);
+  EXPECT_FALSE(registry_.Expire(start_ + seconds(7)));
+  EXPECT_EQ(StatusOf("t1"), TargetStatus::kReady);
+}
+
+TEST_F(TargetRegistryReport, LateReadyReport_DoesNotBringBackOneThatLeaves) {
+  registry_.Report(Report("t1", 10, 1), start_);
+  TargetAnnouncement leaving = Report("t1", 10, 3);
+  leaving.leaving = true;
+  EXPECT_EQ(registry_.Report(leaving, start_), Taken::kChanged);
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 2), start_), Taken::kStale);
+  EXPECT_EQ(StatusOf("t1"), TargetStatus::kLeaving);
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 4), start_), Taken::kRenewed);
+  EXPECT_EQ(StatusOf("t1"), TargetStatus::kLeaving);
+}
+
+TEST_F(TargetRegistryReport, UnknownTargetThatLeaves_StaysListedAsLeaving) {
+  TargetAnnouncement leaving = Report("t1", 10, 3);
+  leaving.leaving = true;
+  registry_.Report(leaving, start_);
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 2), start_), Taken::kStale);
+  EXPECT_EQ(StatusOf("t1"), TargetStatus::kLeaving);
+}
+
+TEST_F(TargetRegistryReport, ReturnUnderTheSameId_CountsAnew) {
+  registry_.Report(Report("t1", 10, 9), start_);
+  registry_.Leave(TargetId("t1"), start_);
+  EXPECT_EQ(registry_.Report(Report("t1", 20, 1), start_), Taken::kChanged);
+  EXPECT_EQ(StatusOf("t1"), TargetStatus::kReady);
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 10), start_), Taken::kStale);
+}
+
+TEST_F(TargetRegistryReport, AnotherTargetAtTheAddress_ReplacesTheEarlierRun) {
+  registry_.Report(Report("t1", 10, 5), start_);
+  EXPECT_EQ(registry_.Report(Report("t2", 20, 1), start_), Taken::kChanged);
+  EXPECT_EQ(StatusOf("t1"), TargetStatus::kLeaving);
+  EXPECT_EQ(StatusOf("t2"), TargetStatus::kReady);
+}
+
+TEST_F(TargetRegistryReport, LateReportOfAnEarlierRun_NamesNoTarget) {
+  registry_.Report(Report("t2", 20, 1), start_);
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 6), start_), Taken::kStale);
+  EXPECT_EQ(StatusOf("t1"), TargetStatus::kLeaving);
+  EXPECT_EQ(StatusOf("t2"), TargetStatus::kReady);
+}
+
 }  // namespace
 }  // namespace camphor
--- /dev/null
+++ b/unit_tests/platform/base64_test.cc
@@ -0,0 +1,27 @@
+#include "platform/base64.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace camphor {
+namespace {
+
+TEST(Base64Decode, WhatWasEncoded_GivesTheSameBytes) {
+  EXPECT_TRUE(rc::check([](const std::string& bytes) {
+    RC_ASSERT(DecodeBase64(EncodeBase64(bytes)) == bytes);
+  }));
+}
+
+TEST(Base64Encode, KnownBytes_GiveKnownText) {
+  EXPECT_EQ(EncodeBase64("node-1"), "bm9kZS0x");
+  EXPECT_EQ(EncodeBase64("a"), "YQ==");
+  EXPECT_EQ(EncodeBase64(""), "");
+}
+
+TEST(Base64Decode, MalformedText_IsRefused) {
+  for (const char* text : {"a", "YQ=", "Y===", "Y=Q=", "YQ= ", "****"})
+    EXPECT_FALSE(DecodeBase64(text)) << text;
+}
+
+}  // namespace
+}  // namespace camphor
--- a/unit_tests/platform/http_platform_client_test.cc
+++ b/unit_tests/platform/http_platform_client_test.cc
@@ -91,6 +91,69 @@
   EXPECT_EQ(answer.rows[0].key, "b/1");
 }
 
+TEST_F(HttpPlatformClientTest, Page_GivesSomeRowsAndSaysThatMoreFollow) {
+  for (const char* key : {"a", "b", "c"}) Write(key, "v", 0);
+  const PlatformAnswer answer = Await([&](PlatformCallback done) {
+    client_->Page("t", "b", 1, std::move(done));
+  });
+  ASSERT_EQ(answer.rows.size(), 1U);
+  EXPECT_EQ(answer.rows[0].key, "b");
+  EXPECT_TRUE(answer.more);
+}
+
+TEST_F(HttpPlatformClientTest, WatchWithoutAChange_EndsEmptyAfterItsTime) {
+  Write("k", "v", 0);
+  const PlatformAnswer answer = Await([&](PlatformCallback done) {
+    client_->Watch("t", 1, Milliseconds(50), std::move(done));
+  });
+  EXPECT_EQ(answer.status, PlatformStatus::kOk);
+  EXPECT_TRUE(answer.rows.empty());
+  EXPECT_EQ(answer.revision, 1U);
+}
+
+TEST_F(HttpPlatformClientTest, Watch_IsAnsweredByWritesAndRemovals) {
+  std::promise<PlatformAnswer> first;
+  client_->Watch("t", 0, Seconds(20), [&](const PlatformAnswer& answer) {
+    first.set_value(answer);
+  });
+  Write("k", "v", 0);
+  const PlatformAnswer written = first.get_future().get();
+  ASSERT_EQ(written.rows.size(), 1U);
+  EXPECT_EQ(written.rows[0].value, "v");
+
+  std::promise<PlatformAnswer> second;
+  client_->Watch(
+      "t", written.revision, Seconds(20),
+      [&](const PlatformAnswer& answer) { second.set_value(answer); });
+  Await([&](PlatformCallback done) {
+    client_->Transact({.writes = {{.table = "t", .key = "k"}}},
+                      std::move(done));
+  });
+  const PlatformAnswer removed = second.get_future().get();
+  ASSERT_EQ(removed.rows.size(), 1U);
+  EXPECT_TRUE(removed.rows[0].removed);
+}
+
+TEST_F(HttpPlatformClientTest, WatchOfDroppedHistory_IsCompacted) {
+  Write("k", "v", 0);
+  SetMode(R"({"mode": "up", "drop_history": true})");
+  const PlatformAnswer answer = Await([&](PlatformCallback done) {
+    client_->Watch("t", 0, Milliseconds(50), std::move(done));
+  });
+  EXPECT_EQ(answer.status, PlatformStatus::kCompacted);
+}
+
+TEST_F(HttpPlatformClientTest, LateWrite_IsUnknownAndTakesEffectAfterwards) {
+  SetMode(R"({"mode": "late", "delay_ms": 20})");
+  EXPECT_EQ(Write("k", "v", 0).status, PlatformStatus::kUnknown);
+  SetMode(R"({"mode": "up"})");
+  const PlatformAnswer answer = Await([&](PlatformCallback done) {
+    client_->Watch("t", 0, Seconds(20), std::move(done));
+  });
+  ASSERT_EQ(answer.rows.size(), 1U);
+  EXPECT_EQ(answer.rows[0].value, "v");
+}
+
 TEST_F(HttpPlatformClientTest, ObjectsPutAndGet_GiveSameBytes) {
   const std::string bytes("\0\xff{}", 4);
   Await([&](PlatformCallback done) {
--- /dev/null
+++ b/unit_tests/platform/operator_tables_test.cc
@@ -0,0 +1,113 @@
+#include "platform/operator_tables.h"
+
+#include <gtest/gtest.h>
+
+namespace camphor {
+namespace {
+
+constexpr char kConfig[] = R"({
+  "version": 7, "added_later": {"x": 1},
+  "services": [{"name": "a", "healthPath": "/health", "maxConnections": 110},
+               {"name": "b", "maxConnections": 90}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+  "virtualHosts": [{"host": "h.example", "pathRules": [
+    {"name": "r1", "prefix": "/x/", "kind": "idempotent", "timeoutMs": 500,
+     "targetLatencyMs": 250, "priority": 2, "maxAttempts": 2,
+     "weightedServices": [{"pool": "b", "weight": 90},
+                          {"pool": "a", "weight": 10}]},
+    {"name": "r2", "prefix": "/y/", "kind": "non_idempotent",
+     "timeoutMs": 600, "priority": 1, "pool": "a", "maxAttempts": 1}]}]})";
+
+class OperatorTables : public testing::Test {
+ protected:
+  void Put(const std::string& key, const std::string& value,
+           std::uint64_t revision) {
+    rows_[key] = {
+        .table = "op", .key = key, .value = value, .revision = revision};
+  }
+
+  std::optional<ConfigSnapshot> Decode() {
+    reason_.clear();
+    return DecodeOperatorTables(rows_, reason_);
+  }
+
+  std::map<std::string, TableRow> rows_;
+  std::string reason_;
+};
+
+TEST_F(OperatorTables, Config_GivesRoutesPoolsAndLimits) {
+  Put("config", kConfig, 12);
+  const auto tables = Decode();
+  ASSERT_TRUE(tables) << reason_;
+  EXPECT_EQ(tables->head.version, 12U);
+  ASSERT_EQ(tables->routes.size(), 2U);
+  const RouteRule& divided = tables->routes[0];
+  EXPECT_EQ(divided.host, "h.example");
+  EXPECT_EQ(divided.path_prefix, "/x/");
+  EXPECT_TRUE(divided.repeatable);
+  EXPECT_EQ(divided.timeout, Milliseconds(500));
+  EXPECT_EQ(divided.target_latency, Milliseconds(250));
+  EXPECT_EQ(divided.attempts, 2U);
+  EXPECT_EQ(divided.priority, 2U);
+  ASSERT_EQ(divided.split.size(), 2U);
+  EXPECT_EQ(divided.split[0], (PoolShare{PoolName("b"), 90}));
+  EXPECT_EQ(divided.pool, PoolName("b"));
+  const RouteRule& once = tables->routes[1];
+  EXPECT_FALSE(once.repeatable);
+  EXPECT_FALSE(once.at_most_once);
+  EXPECT_EQ(once.pool, PoolName("a"));
+  EXPECT_EQ(tables->pools[0].connections_per_target, 110U);
+  EXPECT_EQ(tables->limits.body_bytes, 1000U);
+  EXPECT_EQ(tables->limits.idle_timeout, Milliseconds(15000));
+}
+
+TEST_F(OperatorTables, SameRows_GiveTheSameHead) {
+  Put("config", kConfig, 12);
+  Put("rollout/a", R"({"pool": "a", "target": "v2", "durationS": 12})", 15);
+  EXPECT_EQ(Decode()->head, Decode()->head);
+  EXPECT_EQ(Decode()->head.version, 15U);
+}
+
+TEST_F(OperatorTables, RolloutOrder_KeepsItsVersionApart) {
+  Put("config", kConfig, 12);
+  Put("rollout/a", R"({"pool": "a", "target": "v2", "durationS": 12})", 15);
+  const auto tables = Decode();
+  ASSERT_TRUE(tables) << reason_;
+  EXPECT_EQ(tables->pools[0].withheld, TargetVersion("v2"));
+  EXPECT_TRUE(tables->pools[1].withheld.empty());
+}
+
+TEST_F(OperatorTables, MalformedRolloutOrder_LeavesTheRestInForce) {
+  Put("config", kConfig, 12);
+  Put("rollout/a", "{not json", 15);
+  EXPECT_TRUE(Decode());
+  EXPECT_FALSE(reason_.empty());
+}
+
+TEST_F(OperatorTables, NoConfig_GivesTheReason) {
+  Put("rollout/a", R"({"pool": "a", "target": "v2"})", 15);
+  EXPECT_FALSE(Decode());
+  EXPECT_FALSE(reason_.empty());
+}
+
+TEST_F(OperatorTables, MalformedConfigs_AreRefusedWithTheReason) {
+  for (const char* text :
+       {"", "[]", "{\"services\": 1}", "\xff\xfe",
+        R"({"services": [], "virtualHosts": [{"host": "h", "pathRules": [
+            {"name": "r", "prefix": "/x/", "kind": "idempotent",
+             "pool": "missing"}]}]})",
+        R"({"services": [{"name": "a"}], "virtualHosts": [{"host": "h",
+            "pathRules": [{"name": "r", "prefix": "x", "kind": "idempotent",
+                           "pool": "a"}]}]})",
+        R"({"services": [{"name": "a"}], "virtualHosts": [{"host": "h",
+            "pathRules": [{"name": "r", "prefix": "/x/", "kind": "often",
+                           "pool": "a"}]}]})"}) {
+    Put("config", text, 12);
+    EXPECT_FALSE(Decode()) << text;
+    EXPECT_FALSE(reason_.empty()) << text;
+  }
+}
+
+}  // namespace
+}  // namespace camphor
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -102,6 +102,8 @@
               },
           .claim = claim_,
           .release_claim = release_claim_,
+          .vocabulary = vocabulary_,
+          .caller_pool = "callers",
           .debug_headers = true,
           .limits = limits};
       proxies_[host] = std::make_unique<ProxyServer>(std::move(options));
@@ -117,6 +119,7 @@
     snapshot->head.version = 1;
     snapshot->routes = routes_;
     snapshot->pools = {pool_};
+    snapshot->limits = caller_limits_;
     RoutingInputs inputs{.snapshot = snapshot, .poison = poison_};
     for (const auto& [host, proxy] : proxies_) {
       inputs.hosts[HostId(host)] = {.host = HostId(host),
@@ -160,6 +163,8 @@
   std::mutex mutex_;
   std::vector<RouteRule> routes_;
   PoolSpec pool_;
+  HeaderVocabulary vocabulary_;
+  CallerLimits caller_limits_;
   std::map<std::uint64_t, PoisonRecord> poison_;
   std::map<std::string, std::vector<TargetInfo>> host_targets_;
   std::map<TargetId, Endpoint> addresses_;
