--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -13,6 +13,8 @@
 constexpr double kFailurePenalty = 20;  // factor of the cost at only failures
 constexpr double kColdestPart = 0.1;    // of a target that was just announced
 constexpr double kUnknownLatencyUs = 1000;
+constexpr double kPartOfObjective = 0.6;   // of it may pass in the own domain
+constexpr double kCrossingUs = 8000;       // to another domain and back
 constexpr Milliseconds kFirstBackoff{20};  // after one refusal
 constexpr Milliseconds kLongestBackoff{1000};
 constexpr std::uint32_t kMostDoublings = 6;
@@ -108,10 +110,11 @@
   assert(routing_ && route < routing_->routes.size());
   const RoutedShare part = ShareOf(route, share);
   const std::uint32_t pool = part.pool;
+  const Milliseconds objective = routing_->routes[route].rule.target_latency;
   const std::optional<std::uint32_t> group = ChooseGroup(route, part);
   if (!group) return std::nullopt;
   const std::optional<Placement> chosen =
-      ChooseTarget({.pool = pool, .group = *group}, tried, now);
+      ChooseTarget({.pool = pool, .group = *group}, tried, objective, now);
   if (chosen) return chosen;
 
   // A version without a usable target leaves its share to the other one, if
@@ -120,7 +123,7 @@
   for (std::uint32_t other = 0; other < groups.size(); ++other) {
     if (other == *group || groups[other].share_ppm == 0) continue;
     if (other == 1 && part.new_share_ppm == 0) continue;
-    return ChooseTarget({.pool = pool, .group = other}, tried, now);
+    return ChooseTarget({.pool = pool, .group = other}, tried, objective, now);
   }
   return std::nullopt;
 }
@@ -140,18 +143,49 @@
 }
 
 std::optional<Placement> PowerOfTwoBalancer::ChooseTarget(
-    const Placement& group, std::span<const Placement> tried, MonoTime now) {
+    const Placement& group, std::span<const Placement> tried,
+    Milliseconds objective, MonoTime now) {
   const GroupView& view = pools_[group.pool].groups[group.group];
   // Own failure domain with room, any with room, then whatever is not ejected.
   std::optional<std::uint32_t> target =
       BetterOfTwo(view.own_domain, group, tried, true, now);
-  if (!target) target = BetterOfTwo(view.others, group, tried, true, now);
+  if (!target || objective.count() > 0) {
+    const auto other = BetterOfTwo(view.others, group, tried, true, now);
+    const bool leave =
+        other && (!target || LeavesDomain(*view.stats[*target],
+                                          *view.stats[*other], objective));
+    if (leave) target = other;
+  }
   if (!target) target = BetterOfTwo(view.own_domain, group, tried, false, now);
   if (!target) target = BetterOfTwo(view.others, group, tried, false, now);
   if (!target) return std::nullopt;
   return Placement{.pool = group.pool, .group = group.group, .target = *target};
 }
 
+bool PowerOfTwoBalancer::LeavesDomain(const TargetStats& own,
+                                      const TargetStats& other,
+                                      Milliseconds objective) {
+  // Crossing costs bytes and time, so that it must save an objective that the
+  // own failure domain is likely to miss.
+  const double own_us = ExpectedLatency(own);
+  const double bound_us =
+      kPartOfObjective *
+      static_cast<double>(std::chrono::microseconds(objective).count());
+  if (own_us <= bound_us) return false;
+  const double other_us = ExpectedLatency(other) + kCrossingUs;
+  if (other_us >= own_us) return false;
+  // The faster gets more, not all: the slower one is looked at again, and not
+  // every proxy runs to the same target.
+  std::uniform_real_distribution<double> draw(0, own_us + other_us);
+  return draw(random_) < own_us;
+}
+
+double PowerOfTwoBalancer::ExpectedLatency(const TargetStats& stats) {
+  const double latency =
+      stats.latency_us > 0 ? stats.latency_us : kUnknownLatencyUs;
+  return latency * (1 + kFailurePenalty * stats.failure_rate);
+}
+
 std::optional<std::uint32_t> PowerOfTwoBalancer::BetterOfTwo(
     const std::vector<std::uint32_t>& candidates, const Placement& group,
     std::span<const Placement> tried, bool with_room, MonoTime now) {
@@ -191,14 +225,12 @@
 
 double PowerOfTwoBalancer::Cost(const RoutedTarget& target,
                                 const TargetStats& stats, MonoTime now) const {
-  const double latency =
-      stats.latency_us > 0 ? stats.latency_us : kUnknownLatencyUs;
   const double slots = std::max<double>(target.info.slots, 1);
   const double queue = (stats.in_flight + 1) / slots;
   const double age = std::chrono::duration<double>(now - stats.first_seen) /
                      std::chrono::duration<double>(options_.slow_start);
   const double part = std::clamp(age, kColdestPart, 1.0);
-  return queue * latency * (1 + kFailurePenalty * stats.failure_rate) / part;
+  return queue * ExpectedLatency(stats) / part;
 }
 
 bool PowerOfTwoBalancer::HasRoom(const RoutedTarget& target,
@@ -206,10 +238,15 @@
   return stats.full_until <= now && stats.in_flight < target.info.slots;
 }
 
-Microseconds PowerOfTwoBalancer::LatencyOf(const TargetId& target) const {
+const TargetStats* PowerOfTwoBalancer::StatsOf(const TargetId& target) const {
   const auto found = stats_.find(target);
-  if (found == stats_.end()) return Microseconds(0);
-  return Microseconds(static_cast<std::int64_t>(found->second.latency_us));
+  return found == stats_.end() ? nullptr : &found->second;
+}
+
+Microseconds PowerOfTwoBalancer::LatencyOf(const TargetId& target) const {
+  const TargetStats* stats = StatsOf(target);
+  if (stats == nullptr) return Microseconds(0);
+  return Microseconds(static_cast<std::int64_t>(stats->latency_us));
 }
 
 void PowerOfTwoBalancer::OnSent(const TargetId& target) {
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -30,10 +30,11 @@
 /// Places requests: first the target version by its share, then the better of
 /// two random targets by this proxy's own evidence.
 ///
-/// Targets of the own failure domain go first while they have room. A cold
-/// target gets its part slowly. Ejected outliers get nothing, but never more of
-/// a pool is ejected than its row allows. The same calls with the same seed
-/// give the same placements. Choosing allocates nothing. Not thread safe.
+/// Targets of the own failure domain go first while they have room and are
+/// likely to answer within the route's objective. A cold target gets its part
+/// slowly. Ejected outliers get nothing, but never more of a pool is ejected
+/// than its row allows. The same calls with the same seed give the same
+/// placements. Choosing allocates nothing. Not thread safe.
 class PowerOfTwoBalancer {
  public:
   struct Options {
@@ -77,6 +78,9 @@
   /// Moving average of the target's successes; 0 when there were none.
   Microseconds LatencyOf(const TargetId& target) const;
 
+  /// Evidence of one target; null when it is not known.
+  const TargetStats* StatsOf(const TargetId& target) const;
+
   /// Evidence of each target, for the dump.
   const std::unordered_map<TargetId, TargetStats>& stats() const {
     return stats_;
@@ -99,7 +103,10 @@
                                            const RoutedShare& part);
   std::optional<Placement> ChooseTarget(const Placement& group,
                                         std::span<const Placement> tried,
-                                        MonoTime now);
+                                        Milliseconds objective, MonoTime now);
+  bool LeavesDomain(const TargetStats& own, const TargetStats& other,
+                    Milliseconds objective);
+  static double ExpectedLatency(const TargetStats& stats);
   std::optional<std::uint32_t> BetterOfTwo(
       const std::vector<std::uint32_t>& candidates, const Placement& group,
       std::span<const Placement> tried, bool with_room, MonoTime now);
--- a/harness/process.cc
+++ b/harness/process.cc
@@ -37,6 +37,7 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
+  posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
   posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null",
                                    O_RDONLY, 0);
   posix_spawnattr_t attributes;
--- a/node/log/log_sink.cc
+++ b/node/log/log_sink.cc
@@ -124,7 +124,8 @@
     if (options_.write) {
       options_.write(batch);
     } else {
-      std::fwrite(batch.data(), 1, batch.size(), stderr);
+      std::fwrite(batch.data(), 1, batch.size(), stdout);
+      std::fflush(stdout);
     }
     lock.lock();
   }
--- a/node/log/log_sink.h
+++ b/node/log/log_sink.h
@@ -27,7 +27,7 @@
   LogField(std::string_view field_key, std::uint64_t number);
 };
 
-/// Writes log lines to standard error on a thread of its own, so that a slow
+/// Writes log lines to standard output on a thread of its own, so that a slow
 /// reader never holds up the work.
 ///
 /// Lines wait in a bounded ring; when it is full a line is dropped and counted.
@@ -36,7 +36,7 @@
   struct Options {
     std::size_t capacity = 4096;  ///< lines that wait at most
     std::function<void(const std::string&)>
-        write{};  ///< takes whole lines; standard error if not set
+        write{};  ///< takes whole lines; standard output if not set
   };
 
   explicit LogSink(Options options);
--- /dev/null
+++ b/node/log/request_log.cc
@@ -0,0 +1,75 @@
+#include "node/log/request_log.h"
+
+#include <xxhash.h>
+
+#include <cassert>
+#include <string>
+#include <string_view>
+
+namespace camphor {
+namespace {
+
+std::string_view SentenceOf(RequestDecision::Kind kind) {
+  switch (kind) {
+    case RequestDecision::Kind::kAnswered:
+      return "a request was answered";
+    case RequestDecision::Kind::kCut:
+      return "a request's answer was cut";
+    case RequestDecision::Kind::kRetried:
+      return "a request is tried again";
+    case RequestDecision::Kind::kRefused:
+      return "a request was refused and has not run";
+    case RequestDecision::Kind::kFailed:
+      return "a request failed and may have run";
+    case RequestDecision::Kind::kCancelled:
+      return "a request was given up by its caller";
+  }
+  return "a request ended";
+}
+
+std::uint64_t Number(Microseconds time) {
+  return static_cast<std::uint64_t>(time.count());
+}
+
+}  // namespace
+
+RequestLog::RequestLog(Options options)
+    : options_(options), budget_(options.budget) {
+  assert(options_.log != nullptr);
+}
+
+void RequestLog::Write(const RequestDecision& decision, MonoTime now) {
+  const bool answered = decision.kind == RequestDecision::Kind::kAnswered;
+  if (answered && !Samples(decision)) return;
+  if (!budget_.Take(1, now)) {
+    ++left_out_;
+    return;
+  }
+  const bool at_target = decision.hop == RequestDecision::Hop::kTarget;
+  options_.log->Log(answered ? LogLevel::kInfo : LogLevel::kWarning, "proxy",
+                    SentenceOf(decision.kind),
+                    {{"request", std::string(decision.request_id)},
+                     {"hop", at_target ? "target" : "caller"},
+                     {"route", std::string(decision.route)},
+                     {"pool", std::string(decision.pool)},
+                     {"target", std::string(decision.target)},
+                     {"attempt", decision.attempt},
+                     {"status", decision.status},
+                     {"reason", std::string(decision.reason)},
+                     {"version", decision.version},
+                     {"age_us", Number(decision.age)},
+                     {"left_us", Number(decision.time_left)},
+                     {"in_flight", decision.in_flight},
+                     {"waiting", decision.waiting},
+                     {"usual_us", Number(decision.usual_latency)},
+                     {"left_out", left_out_}});
+}
+
+bool RequestLog::Samples(const RequestDecision& decision) const {
+  if (options_.answered_one_in == 0) return false;
+  const std::uint64_t hash =
+      XXH3_64bits(decision.request_id.data(), decision.request_id.size());
+  return hash % options_.answered_one_in == 0;
+}
+
+}  // namespace camphor
--- a/node/node.cc
+++ b/node/node.cc
@@ -13,6 +13,7 @@
 #include "node/decisions/decision_thread.h"
 #include "node/decisions/host_controller.h"
 #include "node/decisions/published.h"
+#include "node/log/request_log.h"
 #include "node/node_report.h"
 #include "node/platform_sync/platform_sync.h"
 #include "platform/http_platform_client.h"
@@ -65,6 +66,7 @@
         log(*options.log),
         incarnation(NewIncarnation()),
         started(Now()),
+        requests({.log = &log}),
         admin(AdminOptions()),
         decisions(DecisionOptions()),
         proxy(ProxyOptions()),
@@ -82,6 +84,7 @@
   std::atomic<bool> draining{false};
   std::atomic<MonoTime::rep> last_tick{0};
   Published<EffectiveRouting> routing;
+  RequestLog requests;  ///< used on the proxy thread
   Published<TargetAddresses> addresses;
 
   // Destroyed from the bottom up: what calls goes before what is called.
@@ -163,6 +166,10 @@
                  const std::function<void(bool)>& done) {
             claims.Release(key, done);
           },
+      .on_decision =
+          [this](const RequestDecision& decision) {
+            requests.Write(decision, Now());
+          },
       .caller_pool = settings.caller_pool,
       .debug_headers = settings.proxy.debug_headers,
       .limits = {.retry_budget = settings.proxy.retry_budget}};
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -91,6 +91,7 @@
     if (!failed) co_return Ended{.whole = whole_};
     error = *failed;
     if (!MayRetry(error)) break;
+    Report(RequestDecision::Kind::kRetried, TraitsOf(error).reason, 0);
     if (!TraitsOf(error).not_run) unknown_ = error;
     context_.metrics.Count(Counter::kRetries);
   }
@@ -229,6 +230,44 @@
     Sample(RequestOutcome::kCancelled);
   }
   RecordAnswer(status, whole_);
+  const bool gone = stopped == RequestControl::Stop::kCallerGone ||
+                    relayed == Exchange::Relayed::kLost;
+  Report(whole_ ? RequestDecision::Kind::kAnswered
+         : gone ? RequestDecision::Kind::kCancelled
+                : RequestDecision::Kind::kCut,
+         whole_                                       ? ""
+         : stopped == RequestControl::Stop::kDeadline ? "deadline"
+                                                      : "answer_cut",
+         status);
+}
+
+void CallerRequest::Report(RequestDecision::Kind kind, std::string_view reason,
+                           unsigned status) const {
+  if (!context_.options.on_decision) return;
+  RequestDecision decision{
+      .kind = kind,
+      .request_id = RequestIdOf(*options_.header, context_.options.vocabulary),
+      .reason = reason,
+      .attempt = attempt_,
+      .status = status,
+      .age = std::chrono::duration_cast<Microseconds>(
+          std::chrono::steady_clock::now() - options_.arrival),
+      .time_left = options_.control->TimeLeft()};
+  if (routing_) {
+    decision.route = rule().name.value();
+    decision.version = routing_->head.version;
+  }
+  if (attempt_ > 0) {
+    decision.pool = routing_->pools[placement_.pool].spec.name.value();
+    decision.target = target().info.id.value();
+    const TargetStats* stats = context_.balancer.StatsOf(target().info.id);
+    if (stats != nullptr) {
+      decision.in_flight = stats->in_flight;
+      decision.usual_latency =
+          Microseconds(static_cast<std::int64_t>(stats->latency_us));
+    }
+  }
+  context_.options.on_decision(decision);
 }
 
 void CallerRequest::Sample(RequestOutcome outcome) {
@@ -306,6 +345,10 @@
         TraitsOf(error).reason,
         HeaderValue(*options_.header, kIdempotencyKeyHeader));
   });
+  Report(error == ProxyError::kCallerGone ? RequestDecision::Kind::kCancelled
+         : not_run                        ? RequestDecision::Kind::kRefused
+                                          : RequestDecision::Kind::kFailed,
+         TraitsOf(error).reason, static_cast<unsigned>(TraitsOf(error).status));
   return {.error = error};
 }
 
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -62,6 +62,8 @@
   void Sample(RequestOutcome outcome);
   Ended Refuse(ProxyError error);
   void RecordAnswer(unsigned status, bool whole) const;
+  void Report(RequestDecision::Kind kind, std::string_view reason,
+              unsigned status) const;
   const RouteRule& rule() const { return routing_->routes[route_].rule; }
   const RoutedTarget& target() const;
 
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -62,9 +62,17 @@
       routing ? MatchRoute(*routing, query) : std::nullopt;
   if (!route) {
     context_.metrics.Count(Counter::kRefusedNotRun);
-    const bool more = co_await WriteError(
-        routing ? ProxyError::kNoRoute : ProxyError::kNotReady,
-        keep_without_body);
+    const ProxyError error =
+        routing ? ProxyError::kNoRoute : ProxyError::kNotReady;
+    if (context_.options.on_decision) {
+      context_.options.on_decision(
+          {.kind = RequestDecision::Kind::kRefused,
+           .request_id = RequestIdOf(header, context_.options.vocabulary),
+           .reason = TraitsOf(error).reason,
+           .status = static_cast<unsigned>(TraitsOf(error).status),
+           .version = routing ? routing->head.version : 0});
+    }
+    const bool more = co_await WriteError(error, keep_without_body);
     co_return more;
   }
   const RouteRule& rule = routing->routes[*route].rule;
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -124,6 +124,7 @@
   const std::optional<ProxyError> error = co_await run.Begin();
   heartbeat_.Clear();
   if (error) {
+    ReportRefusal(run, *error);
     co_await run.End(false);
     if (*error == ProxyError::kCallerGone) co_return false;
     const bool more = co_await WriteError(*error, keep && body.whole());
@@ -141,6 +142,29 @@
   co_return (whole && keeps && body.whole());
 }
 
+void ForwardSession::ReportRefusal(const LocalRun& run,
+                                   ProxyError error) const {
+  if (!context_.options.on_decision) return;
+  const ProxyErrorTraits& traits = TraitsOf(error);
+  const SlotGate* gate = run.gate();
+  context_.options.on_decision(
+      {.kind = error == ProxyError::kCallerGone
+                   ? RequestDecision::Kind::kCancelled
+               : traits.not_run ? RequestDecision::Kind::kRefused
+                                : RequestDecision::Kind::kFailed,
+       .hop = RequestDecision::Hop::kTarget,
+       .request_id = run.request_id(),
+       .target = run.request().target.value(),
+       .reason = traits.reason,
+       .attempt = run.request().attempt,
+       .status = static_cast<unsigned>(traits.status),
+       .version = context_.Routing() ? context_.Routing()->head.version : 0,
+       .time_left = run.request().control->TimeLeft(),
+       .in_flight = gate == nullptr ? 0 : gate->running(),
+       .waiting =
+           gate == nullptr ? 0 : static_cast<std::uint32_t>(gate->waiting())});
+}
+
 void ForwardSession::SendHeartbeat() {
   // A host that waits hears from this one, so that it can tell a slow target
   // from a connection that went silent. Some bytes on an empty send buffer are
--- a/proxy/forward_session.h
+++ b/proxy/forward_session.h
@@ -10,6 +10,8 @@
 
 namespace camphor {
 
+class LocalRun;
+
 /// One connection of another host's proxy: its requests run on targets of this
 /// host. Nothing is served before the other end proved the mesh key. One
 /// thread.
@@ -29,6 +31,7 @@
   PlacedRequest MakeRequest(const http::request_header<>& header) const;
   asio::awaitable<bool> RunRequest(PlacedRequest request, InboundBody& body,
                                    bool keep);
+  void ReportRefusal(const LocalRun& run, ProxyError error) const;
   void SendHeartbeat();
 
   std::string client_nonce_;
--- a/proxy/header_rules.cc
+++ b/proxy/header_rules.cc
@@ -119,6 +119,14 @@
   return std::nullopt;
 }
 
+std::string_view RequestIdOf(const http::request_header<>& header,
+                             const HeaderVocabulary& vocabulary) {
+  constexpr std::string_view kUsualHeader = "X-Request-Id";
+  return HeaderValue(header, vocabulary.request_id.empty()
+                                 ? kUsualHeader
+                                 : std::string_view(vocabulary.request_id));
+}
+
 bool SaysNotRun(const http::response_header<>& header,
                 const HeaderVocabulary& vocabulary) {
   if (!vocabulary.not_run.empty() &&
--- a/proxy/header_rules.h
+++ b/proxy/header_rules.h
@@ -30,6 +30,11 @@
 std::optional<std::string> FindFaultOfAnswer(
     const AnswerParser& parser, const HeaderVocabulary* vocabulary);
 
+/// What the caller names its request by; empty when it does not. Thread safety:
+/// any thread.
+std::string_view RequestIdOf(const http::request_header<>& header,
+                             const HeaderVocabulary& vocabulary);
+
 /// True when a target's answer says that it did not run the request. Thread
 /// safety: any thread.
 bool SaysNotRun(const http::response_header<>& header,
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -59,7 +59,9 @@
 }  // namespace
 
 LocalRun::LocalRun(ProxyContext& context, PlacedRequest request)
-    : context_(context), request_(std::move(request)) {}
+    : context_(context),
+      request_(std::move(request)),
+      request_id_(RequestIdOf(request_.header, context.options.vocabulary)) {}
 
 asio::awaitable<std::optional<ProxyError>> LocalRun::Begin() {
   std::optional<ProxyError> error = co_await Admit();
--- a/proxy/local_run.h
+++ b/proxy/local_run.h
@@ -22,6 +22,13 @@
   asio::awaitable<void> End(bool cut) override;
   Exchange& exchange() override { return *exchange_; }
 
+  /// What runs, and the slots of its target; null before it was found here.
+  const PlacedRequest& request() const { return request_; }
+  const SlotGate* gate() const { return target_ ? &target_->gate() : nullptr; }
+
+  /// What the caller names the request by.
+  const std::string& request_id() const { return request_id_; }
+
  private:
   std::optional<ProxyError> CheckPoison();
   asio::awaitable<std::optional<ProxyError>> Admit();
@@ -36,6 +43,7 @@
 
   ProxyContext& context_;
   PlacedRequest request_;
+  std::string request_id_;
   std::shared_ptr<LocalTarget> target_;
   ConnectionPool::Lease lease_;
   std::optional<Exchange> exchange_;
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -14,6 +14,7 @@
 #include "core/routing/request_sample.h"
 #include "proxy/header_vocabulary.h"
 #include "proxy/proxy_limits.h"
+#include "proxy/request_decision.h"
 
 namespace camphor {
 
@@ -52,6 +53,9 @@
     std::function<void(const std::string&)>
         history{};  ///< takes "event=NAME key=value ..." for the history
                     ///< checker; null when it is off
+    std::function<void(const RequestDecision&)>
+        on_decision{};  ///< what was decided about a request, for the log; null
+                        ///< when nobody listens
     HeaderVocabulary vocabulary{};  ///< headers that callers and targets speak
     std::string caller_pool;  ///< pool whose targets call from this host; told
                               ///< to targets when the vocabulary names a header
--- a/unit_tests/core/routing/placement_test.cc
+++ b/unit_tests/core/routing/placement_test.cc
@@ -56,6 +56,46 @@
   }));
 }
 
+// One own target that answers in `own` and one elsewhere that does in `other`;
+// the part of a hundred requests that go elsewhere.
+int RequestsThatLeave(Milliseconds objective, Milliseconds own,
+                      Milliseconds other) {
+  EffectiveRouting routing = *MakeRouting(2, 0, 1);
+  routing.routes[0].rule.target_latency = objective;
+  const auto shared = std::make_shared<const EffectiveRouting>(routing);
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(shared, kStart);
+  for (int answer = 0; answer < 100; ++answer) {
+    balancer.OnEnded(TargetId("v1-0"), PoolName("p"), RequestOutcome::kSuccess,
+                     own, kStart);
+    balancer.OnEnded(TargetId("v1-1"), PoolName("p"), RequestOutcome::kSuccess,
+                     other, kStart);
+  }
+  int left = 0;
+  for (int request = 0; request < 100; ++request)
+    left += balancer.Choose(0, {}, kStart)->target == 1 ? 1 : 0;
+  return left;
+}
+
+TEST(PowerOfTwoBalancerChoose, OwnDomainMissesTheObjective_MostRequestsLeave) {
+  const int left =
+      RequestsThatLeave(Milliseconds(200), Milliseconds(300), Milliseconds(60));
+  EXPECT_GT(left, 50);
+  EXPECT_LT(left, 100);
+}
+
+TEST(PowerOfTwoBalancerChoose, OwnDomainKeepsTheObjective_NoneLeaves) {
+  EXPECT_EQ(
+      RequestsThatLeave(Milliseconds(200), Milliseconds(100), Milliseconds(10)),
+      0);
+}
+
+TEST(PowerOfTwoBalancerChoose, OtherDomainIsNoFaster_NoneLeaves) {
+  EXPECT_EQ(RequestsThatLeave(Milliseconds(200), Milliseconds(300),
+                              Milliseconds(300)),
+            0);
+}
+
 TEST(PowerOfTwoBalancerChooseShare, Weights_AreKeptToOverManyRequests) {
   EffectiveRouting routing = *MakeRouting(3, 0, 1);
   routing.routes[0].split = {{.pool = 0, .weight = 90},
