Queue requests at their target by priority and by the time that they are wanted

Now the route's priority and objective travel with the request; calls, which have short objectives, go first, a more urgent request displaces the least urgent one, and what would miss its objective by waiting is refused at once.

--- a/core/routing/slot_gate.h
+++ b/core/routing/slot_gate.h
@@ -3,18 +3,22 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "core/base/time.h"
-#include "core/routing/deadline_queue.h"
+#include "core/routing/urgency_queue.h"
 
 namespace camphor {
 
 /// Admits requests to one target: so many run at a time, a few wait in the
-/// order of their deadlines, the others are refused before they cost anything.
+/// order of their urgency, the others are refused before they cost anything.
 ///
-/// A request that could not end before its deadline is refused at once, by the
-/// running average of the time that requests take. Not thread safe; time is
+/// A request that could not end in the time it is wanted by is refused at once,
+/// by the running average of the time that requests of its class take: while
+/// more is asked than the target can do, an answer in time is worth more than
+/// two late ones. A more urgent request takes the place of the least urgent one
+/// in a full queue. Not thread safe; time is
 /// passed in.
 class SlotGate {
  public:
@@ -27,7 +31,7 @@
     kRun,      ///< holds a slot: call Leave when it ends
     kWait,     ///< queued: Leave of others may hand it a slot
     kFull,     ///< refused: slots and queue are taken
-    kTooLate,  ///< refused: would not end before its deadline
+    kTooLate,  ///< refused: would not end in time
   };
 
   /// Which requests a freed slot concerns.
@@ -42,11 +46,21 @@
   void SetOptions(Options options);
 
   /// Asks for a slot. @pre `id` is not in the gate.
-  Verdict Enter(std::uint64_t id, MonoTime deadline, MonoTime now);
+  Verdict Enter(std::uint64_t id, const Urgency& urgency, MonoTime now);
 
-  /// Gives a slot back and hands it on. `took` is how long the request ran;
-  /// nothing when it says nothing of the target's speed.
-  Handover Leave(std::optional<Microseconds> took, MonoTime now);
+  /// The request that the last Enter put out of the queue, if any: it is
+  /// refused.
+  std::optional<std::uint64_t> displaced() const { return displaced_; }
+
+  /// What a request that ended says of the target's speed.
+  struct Ended {
+    std::uint32_t work_class = 0;  ///< class of the request
+    Microseconds took{0};          ///< how long it ran
+  };
+
+  /// Gives a slot back and hands it on. `ended` is nothing when the request
+  /// says nothing of the target's speed.
+  Handover Leave(const std::optional<Ended>& ended, MonoTime now);
 
   /// Takes a waiting request out of the queue. Returns false if it is not
   /// there.
@@ -57,11 +71,17 @@
 
  private:
   Microseconds ExpectedWait(std::size_t position) const;
+  Microseconds ServiceOf(std::uint32_t work_class) const;
+  bool EndsInTime(const Urgency& urgency, MonoTime now) const;
+  void Learn(const Ended& ended);
 
   Options options_;
-  DeadlineQueue queue_;
+  UrgencyQueue queue_;
   std::uint32_t running_ = 0;
-  double service_us_ = 0;  ///< running average; 0 until the first
+  std::optional<std::uint64_t> displaced_;
+  double service_us_ = 0;  ///< running average of all; 0 until the first
+  std::vector<std::pair<std::uint32_t, double>>
+      service_of_class_us_;  ///< the same for each class
 };
 
 }  // namespace camphor
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -141,6 +141,7 @@
   PlacedRequest request{.header = header_,
                         .control = options_.control,
                         .body = options_.body,
+                        .urgency = UrgencyNow(),
                         .target = target().info.id,
                         .fingerprint = fingerprint_,
                         .suspect = deaths_ > 0,
@@ -303,6 +304,18 @@
   return false;
 }
 
+Urgency CallerRequest::UrgencyNow() const {
+  const MonoTime deadline = options_.control->deadline();
+  const MonoTime wanted = options_.arrival + rule().target_latency;
+  const bool useful = rule().target_latency.count() > 0 && wanted < deadline &&
+                      wanted > std::chrono::steady_clock::now();
+  return {.priority = rule().priority,
+          .wanted = useful ? wanted : deadline,
+          .deadline = deadline,
+          .work_class =
+              static_cast<std::uint32_t>(std::hash<RouteName>()(rule().name))};
+}
+
 Milliseconds CallerRequest::SilenceAllowed() const {
   // A connection may have gone silent: half of the time is kept for another.
   const Microseconds left = options_.control->TimeLeft();
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -1,5 +1,6 @@
 #include "proxy/forward_session.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <chrono>
@@ -26,6 +27,21 @@
   return fallback;
 }
 
+/// What the other host says of a request's urgency.
+Urgency UrgencyOf(const http::request_header<>& header, MonoTime arrival,
+                  MonoTime deadline) {
+  const auto number = [&header](std::string_view name, std::int64_t fallback) {
+    return ParseNumber(HeaderValue(header, name), 10, fallback);
+  };
+  const Milliseconds wanted_in(number(kWantedHeader, 0));
+  return {
+      .priority = static_cast<std::uint32_t>(number(kPriorityHeader, 0)),
+      .wanted = wanted_in.count() > 0 ? std::min(arrival + wanted_in, deadline)
+                                      : deadline,
+      .deadline = deadline,
+      .work_class = static_cast<std::uint32_t>(number(kWorkClassHeader, 0))};
+}
+
 }  // namespace
 
 ForwardSession::ForwardSession(ProxyContext& context, tcp::socket socket)
@@ -85,6 +101,7 @@
   }
   PlacedRequest request = MakeRequest(header);
   request.control = &control;
+  request.urgency = UrgencyOf(header, arrival, control.deadline());
   request.body = &body;
   if (held_back) {
     request.before_send = [this]() -> asio::awaitable<bool> {
--- a/proxy/header_names.h
+++ b/proxy/header_names.h
@@ -28,6 +28,9 @@
 inline constexpr std::string_view kPoolHeader = "X-Camphor-Pool";
 inline constexpr std::string_view kClaimHeader = "X-Camphor-Claim";
 inline constexpr std::string_view kFingerprintHeader = "X-Camphor-Fingerprint";
+inline constexpr std::string_view kPriorityHeader = "X-Camphor-Priority";
+inline constexpr std::string_view kWantedHeader = "X-Camphor-Wanted-Ms";
+inline constexpr std::string_view kWorkClassHeader = "X-Camphor-Work-Class";
 inline constexpr std::string_view kSuspectHeader = "X-Camphor-Suspect";
 inline constexpr std::string_view kTargetDiedHeader = "X-Camphor-Target-Died";
 
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -66,7 +66,8 @@
 asio::awaitable<std::optional<ProxyError>> LocalRun::Begin() {
   std::optional<ProxyError> error = co_await Admit();
   if (!error && !request_.claim_key.empty()) error = co_await Claim();
-  if (!error) error = co_await target_->Enter(*request_.control);
+  if (!error)
+    error = co_await target_->Enter(*request_.control, request_.urgency);
   if (!error) {
     has_slot_ = true;
     error = co_await Connect();
@@ -82,7 +83,9 @@
   if (const auto poison = CheckPoison()) co_return poison;
   target_ = context_.targets->Find(request_.target);
   if (!target_) co_return ProxyError::kNoTarget;
-  if (target_->IsFull()) co_return ProxyError::kFull;
+  // No claim is made for what has no room.
+  if (!request_.claim_key.empty() && target_->IsFull())
+    co_return ProxyError::kFull;
   co_return Stopped();
 }
 
@@ -278,7 +281,10 @@
   if (has_slot_) {
     const auto took = std::chrono::duration_cast<Microseconds>(
         std::chrono::steady_clock::now() - sent_at_);
-    target_->Leave(tracked_ && !refused_ ? std::optional(took) : std::nullopt);
+    std::optional<SlotGate::Ended> ended;
+    if (tracked_ && !refused_)
+      ended = {.work_class = request_.urgency.work_class, .took = took};
+    target_->Leave(ended);
   }
   has_slot_ = false;
   tracked_ = false;
--- a/proxy/local_targets.cc
+++ b/proxy/local_targets.cc
@@ -56,10 +56,12 @@
       pool_(std::move(pool)) {}
 
 asio::awaitable<std::optional<ProxyError>> LocalTarget::Enter(
-    RequestControl& control) {
+    RequestControl& control, const Urgency& urgency) {
   const std::uint64_t id = next_id_++;
-  switch (
-      gate_.Enter(id, control.deadline(), std::chrono::steady_clock::now())) {
+  const SlotGate::Verdict verdict =
+      gate_.Enter(id, urgency, std::chrono::steady_clock::now());
+  if (gate_.displaced()) Wake(*gate_.displaced(), false, true);
+  switch (verdict) {
     case SlotGate::Verdict::kRun:
       co_return std::nullopt;
     case SlotGate::Verdict::kFull:
@@ -84,6 +86,7 @@
   waiters_.erase(id);
   if (waiter.granted) co_return std::nullopt;
   gate_.Cancel(id);
+  if (waiter.displaced) co_return ProxyError::kFull;
   co_return control.stopped() == RequestControl::Stop::kCallerGone
       ? ProxyError::kCallerGone
       : ProxyError::kTooLate;
@@ -93,22 +96,23 @@
   return gate_.running() >= limits_.slots && gate_.waiting() >= limits_.queue;
 }
 
-void LocalTarget::Leave(std::optional<Microseconds> took) {
+void LocalTarget::Leave(const std::optional<SlotGate::Ended>& ended) {
   const SlotGate::Handover handover =
-      gate_.Leave(took, std::chrono::steady_clock::now());
-  for (const std::uint64_t id : handover.expired) {
-    const auto found = waiters_.find(id);
-    if (found == waiters_.end()) continue;
-    found->second->expired = true;
-    found->second->timer.cancel();
-  }
+      gate_.Leave(ended, std::chrono::steady_clock::now());
+  for (const std::uint64_t id : handover.expired) Wake(id, false, false);
   if (!handover.granted) return;
-  const auto found = waiters_.find(*handover.granted);
-  if (found == waiters_.end()) {
+  if (waiters_.contains(*handover.granted)) {
+    Wake(*handover.granted, true, false);
+  } else {
     Leave(std::nullopt);  // nobody waits there any more
-    return;
   }
-  found->second->granted = true;
+}
+
+void LocalTarget::Wake(std::uint64_t id, bool granted, bool displaced) {
+  const auto found = waiters_.find(id);
+  if (found == waiters_.end()) return;
+  found->second->granted = granted;
+  found->second->displaced = displaced;
   found->second->timer.cancel();
 }
 
--- a/proxy/local_targets.h
+++ b/proxy/local_targets.h
@@ -25,13 +25,14 @@
 
   /// Awaits a slot. Returns the reason when there is none; else call Leave when
   /// the request ends.
-  asio::awaitable<std::optional<ProxyError>> Enter(RequestControl& control);
+  asio::awaitable<std::optional<ProxyError>> Enter(RequestControl& control,
+                                                   const Urgency& urgency);
 
   /// True when a request would be refused now.
   bool IsFull() const;
 
   /// Gives a slot back and hands it on.
-  void Leave(std::optional<Microseconds> took);
+  void Leave(const std::optional<SlotGate::Ended>& ended);
 
   void SetLimits(SlotGate::Options limits);
 
@@ -39,11 +40,13 @@
   const SlotGate& gate() const { return gate_; }
 
  private:
+  void Wake(std::uint64_t id, bool granted, bool displaced);
+
   struct Waiter {
     explicit Waiter(const asio::any_io_executor& executor) : timer(executor) {}
     asio::steady_timer timer;
     bool granted = false;
-    bool expired = false;
+    bool displaced = false;  ///< a more urgent request took its place
   };
 
   asio::any_io_executor executor_;
--- a/proxy/placed_request.h
+++ b/proxy/placed_request.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/base/identifier.h"
+#include "core/routing/urgency.h"
 #include "proxy/asio_types.h"
 #include "proxy/error_answer.h"
 #include "proxy/exchange.h"
@@ -20,6 +21,7 @@
   http::request_header<> header{};    ///< without hop-by-hop headers
   RequestControl* control = nullptr;  ///< deadline and cancellation
   InboundBody* body = nullptr;        ///< what follows the header
+  Urgency urgency{};                  ///< where it waits for a slot
   TargetId target;                    ///< where it runs
   std::uint64_t fingerprint = 0;      ///< tells it when it is sent again
   bool suspect = false;       ///< a target died under this fingerprint before
--- a/proxy/remote_run.cc
+++ b/proxy/remote_run.cc
@@ -80,6 +80,12 @@
           .str());
   header.set(kAttemptHeader, fmt::format_int(request_.attempt).str());
   header.set(kFingerprintHeader, fmt::format("{:016x}", request_.fingerprint));
+  const Urgency& urgency = request_.urgency;
+  const auto wanted_in = std::chrono::duration_cast<Milliseconds>(
+      urgency.wanted - std::chrono::steady_clock::now());
+  header.set(kPriorityHeader, fmt::format_int(urgency.priority).str());
+  header.set(kWorkClassHeader, fmt::format_int(urgency.work_class).str());
+  header.set(kWantedHeader, fmt::format_int(wanted_in.count()).str());
   if (request_.suspect) header.set(kSuspectHeader, "1");
   if (!request_.claim_key.empty()) header.set(kClaimHeader, "1");
 }
--- a/unit_tests/core/routing/placement_test.cc
+++ b/unit_tests/core/routing/placement_test.cc
@@ -180,7 +180,8 @@
       now += Milliseconds(1);
       if (step % 3 == 0 && running > 0) {
         --running;
-        const auto handover = gate.Leave(Microseconds(500), now);
+        const auto handover =
+            gate.Leave(SlotGate::Ended{.took = Microseconds(500)}, now);
         for (const std::uint64_t id : handover.expired) {
           RC_ASSERT(waiting.erase(id) == 1U);
         }
@@ -189,7 +190,13 @@
           ++running;
         }
       } else {
-        const auto verdict = gate.Enter(next, now + Milliseconds(step), now);
+        Urgency urgency = Urgency::Of(now + Milliseconds(step));
+        urgency.priority = static_cast<std::uint32_t>(step % 5);
+        const auto verdict = gate.Enter(next, urgency, now);
+        if (gate.displaced()) {
+          RC_ASSERT(verdict == SlotGate::Verdict::kWait);
+          RC_ASSERT(waiting.erase(*gate.displaced()) == 1U);
+        }
         if (verdict == SlotGate::Verdict::kRun) ++running;
         if (verdict == SlotGate::Verdict::kWait) waiting.insert(next);
         ++next;
@@ -204,21 +211,96 @@
 
 TEST(SlotGateLeave, EarliestDeadline_GoesFirst) {
   SlotGate gate({.slots = 1, .queue = 4});
-  gate.Enter(1, kStart + Seconds(1), kStart);
-  gate.Enter(2, kStart + Seconds(3), kStart);
-  gate.Enter(3, kStart + Seconds(2), kStart);
+  gate.Enter(1, Urgency::Of(kStart + Seconds(1)), kStart);
+  gate.Enter(2, Urgency::Of(kStart + Seconds(3)), kStart);
+  gate.Enter(3, Urgency::Of(kStart + Seconds(2)), kStart);
   EXPECT_EQ(gate.Leave(std::nullopt, kStart).granted, 3U);
   EXPECT_EQ(gate.Leave(std::nullopt, kStart).granted, 2U);
 }
 
+// A gate of one slot whose requests take 100 ms, with one that runs.
+SlotGate BusyGate(std::uint32_t queue) {
+  SlotGate gate({.slots = 1, .queue = queue});
+  gate.Enter(1, Urgency::Of(kStart + Seconds(1)), kStart);
+  gate.Leave(SlotGate::Ended{.took = Milliseconds(100)}, kStart);
+  gate.Enter(2, Urgency::Of(kStart + Seconds(1)), kStart);
+  return gate;
+}
+
+TEST(SlotGateEnter, WantedTimeCanNotBeKept_IsRefusedThoughTheDeadlineCould) {
+  SlotGate gate = BusyGate(4);
+  const Urgency late{.wanted = kStart + Milliseconds(150),
+                     .deadline = kStart + Seconds(1)};
+  EXPECT_EQ(gate.Enter(3, late, kStart), SlotGate::Verdict::kTooLate);
+}
+
+TEST(SlotGateEnter, TargetTooSlowForTheWantedTime_StillServesLate) {
+  SlotGate gate = BusyGate(4);
+  const Urgency hopeless{.wanted = kStart + Milliseconds(50),
+                         .deadline = kStart + Seconds(1)};
+  EXPECT_EQ(gate.Enter(3, hopeless, kStart), SlotGate::Verdict::kWait);
+}
+
+TEST(SlotGateEnter, FullQueue_GivesTheLastPlaceToTheMoreUrgent) {
+  SlotGate gate = BusyGate(1);
+  const MonoTime deadline = kStart + Seconds(1);
+  const Urgency low{.priority = 2, .wanted = deadline, .deadline = deadline};
+  const Urgency high{.priority = 1, .wanted = deadline, .deadline = deadline};
+  EXPECT_EQ(gate.Enter(3, low, kStart), SlotGate::Verdict::kWait);
+  EXPECT_EQ(gate.Enter(4, low, kStart), SlotGate::Verdict::kFull);
+  EXPECT_EQ(gate.Enter(5, high, kStart), SlotGate::Verdict::kWait);
+  EXPECT_EQ(gate.displaced(), 3U);
+  EXPECT_EQ(gate.waiting(), 1U);
+}
+
+TEST(SlotGateLeave, HigherPriority_GoesFirst) {
+  SlotGate gate = BusyGate(4);
+  const MonoTime deadline = kStart + Seconds(1);
+  gate.Enter(3, {.priority = 2, .wanted = deadline, .deadline = deadline},
+             kStart);
+  gate.Enter(4, {.priority = 1, .wanted = deadline, .deadline = deadline},
+             kStart);
+  EXPECT_EQ(gate.Leave(std::nullopt, kStart).granted, 4U);
+}
+
+TEST(SlotGateLeave, LateAlready_YieldsToWhatIsStillInTime) {
+  SlotGate gate = BusyGate(4);
+  const MonoTime deadline = kStart + Seconds(1);
+  gate.Enter(3, {.wanted = kStart + Milliseconds(220), .deadline = deadline},
+             kStart);
+  gate.Enter(4, {.wanted = kStart + Milliseconds(600), .deadline = deadline},
+             kStart);
+  const MonoTime later = kStart + Milliseconds(200);
+  EXPECT_EQ(gate.Leave(std::nullopt, later).granted, 4U);
+  EXPECT_EQ(gate.Leave(std::nullopt, later).granted, 3U);
+}
+
+TEST(SlotGateEnter, ClassesOfWork_AreJudgedByTheirOwnTimes) {
+  SlotGate gate({.slots = 1, .queue = 4});
+  const MonoTime deadline = kStart + Seconds(1);
+  for (const std::uint32_t work_class : {1U, 2U}) {
+    gate.Enter(1, Urgency::Of(deadline), kStart);
+    gate.Leave(
+        SlotGate::Ended{.work_class = work_class,
+                        .took = Milliseconds(work_class == 1 ? 10 : 500)},
+        kStart);
+  }
+  gate.Enter(1, Urgency::Of(deadline), kStart);
+  const MonoTime wanted = kStart + Milliseconds(300);
+  const Urgency quick{.wanted = wanted, .deadline = wanted, .work_class = 1};
+  const Urgency slow{.wanted = wanted, .deadline = wanted, .work_class = 2};
+  EXPECT_EQ(gate.Enter(2, quick, kStart), SlotGate::Verdict::kWait);
+  EXPECT_EQ(gate.Enter(3, slow, kStart), SlotGate::Verdict::kTooLate);
+}
+
 TEST(SlotGateEnter, DeadlineCanNotBeKept_IsRefusedAtOnce) {
   SlotGate gate({.slots = 1, .queue = 4});
-  gate.Enter(1, kStart + Seconds(1), kStart);
-  gate.Leave(Milliseconds(100), kStart);
-  gate.Enter(2, kStart + Seconds(1), kStart);
-  EXPECT_EQ(gate.Enter(3, kStart + Milliseconds(150), kStart),
+  gate.Enter(1, Urgency::Of(kStart + Seconds(1)), kStart);
+  gate.Leave(SlotGate::Ended{.took = Milliseconds(100)}, kStart);
+  gate.Enter(2, Urgency::Of(kStart + Seconds(1)), kStart);
+  EXPECT_EQ(gate.Enter(3, Urgency::Of(kStart + Milliseconds(150)), kStart),
             SlotGate::Verdict::kTooLate);
-  EXPECT_EQ(gate.Enter(4, kStart + Milliseconds(250), kStart),
+  EXPECT_EQ(gate.Enter(4, Urgency::Of(kStart + Milliseconds(250)), kStart),
             SlotGate::Verdict::kWait);
 }
 
