--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -125,6 +125,7 @@
   const std::optional<Placement> placement = context_.balancer.Choose(
       route_, share_, tried_, std::chrono::steady_clock::now());
   if (!placement) return false;
+  placed_in_ = routing_;
   placement_ = *placement;
   tried_.push_back(placement_);
   ++attempt_;
@@ -132,7 +133,7 @@
 }
 
 const RoutedTarget& CallerRequest::target() const {
-  return routing_->pools[placement_.pool]
+  return placed_in_->pools[placement_.pool]
       .groups[placement_.group]
       .targets[placement_.target];
 }
@@ -259,7 +260,7 @@
     decision.version = routing_->head.version;
   }
   if (attempt_ > 0) {
-    decision.pool = routing_->pools[placement_.pool].spec.name.value();
+    decision.pool = placed_in_->pools[placement_.pool].spec.name.value();
     decision.target = target().info.id.value();
     const TargetStats* stats = context_.balancer.StatsOf(target().info.id);
     if (stats != nullptr) {
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -74,7 +74,8 @@
   std::uint64_t fingerprint_ = 0;
   EffectiveRoutingPtr routing_;
   std::uint32_t route_ = 0;
-  std::uint32_t share_ = 0;  ///< part of a divided route
+  std::uint32_t share_ = 0;        ///< part of a divided route
+  EffectiveRoutingPtr placed_in_;  ///< routing that placement_ belongs to
   Placement placement_{};
   std::vector<Placement> tried_;
   std::uint32_t attempt_ = 0;
--- a/unit_tests/proxy/proxy_server_test.cc
+++ b/unit_tests/proxy/proxy_server_test.cc
@@ -122,6 +122,26 @@
   EXPECT_FALSE(answer->fields.contains("x-of-target"));
 }
 
+// The last attempt's placement belongs to the tables of that time.
+TEST_F(ProxyServerCall, TablesLoseTheTargetsUnderARetry_RefusesTruthfully) {
+  AddTarget("h1", "t1", [this](const HttpExchange& exchange) {
+    {
+      const std::scoped_lock lock(mutex_);
+      host_targets_.clear();
+      RebuildLocked();
+    }
+    exchange.Respond(
+        {.status = 503, .fields = {{"X-Camphor-Not-Run", "true"}}});
+  });
+  StartHosts();
+  const auto answer = Call({.method = "POST", .target = "/x"});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 503);
+  const std::scoped_lock lock(mutex_);
+  EXPECT_EQ(decisions_[RequestDecision::Kind::kRetried], 1U);
+  EXPECT_EQ(decisions_[RequestDecision::Kind::kRefused], 1U);
+}
+
 TEST_F(ProxyServerCall, TargetRefusesWithoutRunning_AnotherOneRunsIt) {
   AddTarget("h1", "t1", [](const HttpExchange& exchange) {
     exchange.Respond(
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -102,6 +102,11 @@
               },
           .claim = claim_,
           .release_claim = release_claim_,
+          .on_decision =
+              [this](const RequestDecision& decision) {
+                const std::scoped_lock lock(mutex_);
+                ++decisions_[decision.kind];
+              },
           .vocabulary = vocabulary_,
           .caller_pool = "callers",
           .debug_headers = true,
@@ -170,6 +175,7 @@
   std::map<TargetId, Endpoint> addresses_;
   std::map<std::string, EffectiveRoutingPtr> routings_;
   std::map<RequestOutcome, std::uint64_t> samples_;
+  std::map<RequestDecision::Kind, std::uint64_t> decisions_;
   std::map<std::string, std::unique_ptr<HttpServer>> targets_;
   std::map<std::string, std::unique_ptr<ProxyServer>> proxies_;
   std::function<void(std::string, std::uint64_t, ClaimCallback)> claim_;
