--- a/unit_tests/proxy/proxy_vocabulary_test.cc
+++ b/unit_tests/proxy/proxy_vocabulary_test.cc
@@ -2,6 +2,7 @@
 #include <boost/asio.hpp>
 #include <cctype>
 #include <list>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -37,8 +38,11 @@
     Tcp::socket wake(io_);
     wake.connect(acceptor_.local_endpoint(), ignored);
     accepting_.join();
-    for (Tcp::socket& socket : sockets_)
-      socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    {
+      const std::scoped_lock lock(closing_);
+      for (Tcp::socket& socket : sockets_)
+        socket.shutdown(Tcp::socket::shutdown_both, ignored);
+    }
     for (std::thread& thread : threads_) thread.join();
   }
 
@@ -66,6 +70,7 @@
       buffer.erase(0, size);
       asio::write(socket, asio::buffer(answer.bytes), error);
       if (answer.reset) {
+        const std::scoped_lock lock(closing_);
         socket.set_option(asio::socket_base::linger(true, 0), error);
         socket.close(error);
         return;
@@ -81,6 +86,7 @@
   asio::io_context io_;
   Tcp::acceptor acceptor_;
   std::atomic<bool> stopping_ = false;
+  std::mutex closing_;  ///< a socket is closed by one thread at a time
   std::list<Tcp::socket> sockets_;
   std::list<std::thread> threads_;
   std::thread accepting_;
