Look at other failure domains only when the own one misses the objective

Cause: the balancer drew two candidates of the other domains for every request of a route with an objective, also when the own target kept it; the choice is the same, the draws are made only when they count.

--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -149,12 +149,12 @@
   // Own failure domain with room, any with room, then whatever is not ejected.
   std::optional<std::uint32_t> target =
       BetterOfTwo(view.own_domain, group, tried, true, now);
-  if (!target || objective.count() > 0) {
+  if (!target) {
+    target = BetterOfTwo(view.others, group, tried, true, now);
+  } else if (MissesObjective(*view.stats[*target], objective)) {
     const auto other = BetterOfTwo(view.others, group, tried, true, now);
-    const bool leave =
-        other && (!target || LeavesDomain(*view.stats[*target],
-                                          *view.stats[*other], objective));
-    if (leave) target = other;
+    if (other && Crosses(*view.stats[*target], *view.stats[*other]))
+      target = other;
   }
   if (!target) target = BetterOfTwo(view.own_domain, group, tried, false, now);
   if (!target) target = BetterOfTwo(view.others, group, tried, false, now);
@@ -162,16 +162,18 @@
   return Placement{.pool = group.pool, .group = group.group, .target = *target};
 }
 
-bool PowerOfTwoBalancer::LeavesDomain(const TargetStats& own,
-                                      const TargetStats& other,
-                                      Milliseconds objective) {
-  // Crossing costs bytes and time, so that it must save an objective that the
-  // own failure domain is likely to miss.
-  const double own_us = ExpectedLatency(own);
+bool PowerOfTwoBalancer::MissesObjective(const TargetStats& stats,
+                                         Milliseconds objective) {
   const double bound_us =
       kPartOfObjective *
       static_cast<double>(std::chrono::microseconds(objective).count());
-  if (own_us <= bound_us) return false;
+  return objective.count() > 0 && ExpectedLatency(stats) > bound_us;
+}
+
+bool PowerOfTwoBalancer::Crosses(const TargetStats& own,
+                                 const TargetStats& other) {
+  // Crossing costs bytes and time.
+  const double own_us = ExpectedLatency(own);
   const double other_us = ExpectedLatency(other) + kCrossingUs;
   if (other_us >= own_us) return false;
   // The faster gets more, not all: the slower one is looked at again, and not
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -104,8 +104,8 @@
   std::optional<Placement> ChooseTarget(const Placement& group,
                                         std::span<const Placement> tried,
                                         Milliseconds objective, MonoTime now);
-  bool LeavesDomain(const TargetStats& own, const TargetStats& other,
-                    Milliseconds objective);
+  static bool MissesObjective(const TargetStats& stats, Milliseconds objective);
+  bool Crosses(const TargetStats& own, const TargetStats& other);
   static double ExpectedLatency(const TargetStats& stats);
   std::optional<std::uint32_t> BetterOfTwo(
       const std::vector<std::uint32_t>& candidates, const Placement& group,
--- a/core/routing/slot_gate.h
+++ b/core/routing/slot_gate.h
@@ -18,8 +18,7 @@
 /// by the running average of the time that requests of its class take: while
 /// more is asked than the target can do, an answer in time is worth more than
 /// two late ones. A more urgent request takes the place of the least urgent one
-/// in a full queue. Not thread safe; time is
-/// passed in.
+/// in a full queue. Not thread safe; time is passed in.
 class SlotGate {
  public:
   struct Options {
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -263,11 +263,8 @@
     decision.pool = placed_in_->pools[placement_.pool].spec.name.value();
     decision.target = target().info.id.value();
     const TargetStats* stats = context_.balancer.StatsOf(target().info.id);
-    if (stats != nullptr) {
-      decision.in_flight = stats->in_flight;
-      decision.usual_latency =
-          Microseconds(static_cast<std::int64_t>(stats->latency_us));
-    }
+    if (stats != nullptr) decision.in_flight = stats->in_flight;
+    decision.usual_latency = context_.balancer.LatencyOf(target().info.id);
   }
   context_.options.on_decision(decision);
 }
