--- a/core/config/pool_spec.h
+++ b/core/config/pool_spec.h
@@ -10,14 +10,20 @@
 
 namespace camphor {
 
-/// An operator's order to shift a pool from its version to another one by a
-/// given time. Immutable value type.
+/// An operator's order to shift a pool from its version to another one.
+/// Immutable value type.
+///
+/// The order either names the time by which the new version must have all the
+/// traffic, or says how long it may take until its outcome stands.
 struct RolloutSpec {
-  TargetVersion version;   ///< the target version that takes over
-  WallTime complete_by{};  ///< time by which it must have all the traffic
+  TargetVersion version;    ///< the target version that takes over
+  WallTime complete_by{};   ///< time by which it must have all the traffic;
+                            ///< unused beside `allowed`
+  Milliseconds allowed{0};  ///< from the order to its outcome; 0: `complete_by`
+                            ///< and `bake` hold
   Seconds bake{
       600};  ///< watched this long at full share before it counts as done
-  std::uint32_t attempt =
+  std::uint64_t attempt =
       1;  ///< raised by the operator to try a rolled-back version again
 
   auto operator<=>(const RolloutSpec&) const = default;
@@ -27,10 +33,10 @@
 /// and its limits. Immutable value type. Targets announce themselves; no list
 /// of them is kept here.
 struct PoolSpec {
-  PoolName name;           ///< unique within the table
-  TargetVersion version;   ///< the target version that serves; empty: every
-                           ///< version but the withheld one
-  TargetVersion withheld;  ///< a version that gets no requests; empty: none
+  PoolName name;          ///< unique within the table
+  TargetVersion version;  ///< the target version that serves; empty: every
+                          ///< version but those that are ordered or were
+                          ///< rolled back
   std::optional<RolloutSpec>
       rollout{};  ///< the rollout that is under way, if any
   std::uint32_t slots_per_target =
--- a/core/config/table_rows.cc
+++ b/core/config/table_rows.cc
@@ -14,6 +14,8 @@
 constexpr std::int64_t kLongestBakeSeconds = 7 * 24 * 3600;
 constexpr std::int64_t kMostSlots = 10'000;
 constexpr std::int64_t kMostAttempts = 1'000'000;
+constexpr std::int64_t kMostRolloutAttempts = 1LL << 53;
+constexpr std::int64_t kLongestRolloutMs = 7LL * 24 * 3600 * 1000;
 constexpr std::int64_t kMostWeight = 1'000'000;
 constexpr std::int64_t kLowestPriority = 1'000;
 
@@ -21,18 +23,35 @@
   const RolloutSpec defaults;
   RolloutSpec rollout;
   rollout.version = TargetVersion(fields.String("version"));
-  const std::optional<WallTime> complete_by =
-      ParseWallTime(fields.String("complete_by"));
-  if (!complete_by)
-    fields.Report("complete_by", "must be a time like 2027-03-31T18:00:00Z");
-  rollout.complete_by = complete_by.value_or(WallTime{});
+  rollout.allowed =
+      Milliseconds(fields.Integer("allowed_ms", 0, kLongestRolloutMs, 0));
+  if (rollout.allowed.count() == 0) {
+    const std::optional<WallTime> complete_by =
+        ParseWallTime(fields.String("complete_by"));
+    if (!complete_by)
+      fields.Report("complete_by", "must be a time like 2027-03-31T18:00:00Z");
+    rollout.complete_by = complete_by.value_or(WallTime{});
+  }
   rollout.bake = Seconds(
       fields.Integer("bake_s", 0, kLongestBakeSeconds, defaults.bake.count()));
-  rollout.attempt = static_cast<std::uint32_t>(
-      fields.Integer("attempt", 1, kMostAttempts, defaults.attempt));
+  rollout.attempt = static_cast<std::uint64_t>(
+      fields.Integer("attempt", 1, kMostRolloutAttempts,
+                     static_cast<std::int64_t>(defaults.attempt)));
   return rollout;
 }
 
+boost::json::object WriteRollout(const RolloutSpec& rollout) {
+  boost::json::object out{{"version", rollout.version.value()},
+                          {"bake_s", rollout.bake.count()},
+                          {"attempt", rollout.attempt}};
+  if (rollout.allowed.count() > 0) {
+    out["allowed_ms"] = rollout.allowed.count();
+  } else {
+    out["complete_by"] = FormatWallTime(rollout.complete_by);
+  }
+  return out;
+}
+
 std::uint32_t ReadCount(JsonFields& fields, std::string_view key,
                         std::int64_t least, std::int64_t most,
                         std::uint32_t fallback) {
@@ -76,7 +95,6 @@
   PoolSpec pool;
   pool.name = PoolName(fields.String("name"));
   pool.version = TargetVersion(fields.String("version", ""));
-  pool.withheld = TargetVersion(fields.String("withheld", ""));
   fields.Object("rollout",
                 [&](JsonFields& inner) { pool.rollout = ReadRollout(inner); });
   if (pool.rollout && pool.rollout->version == pool.version) {
@@ -125,14 +143,7 @@
   boost::json::object out;
   out["name"] = pool.name.value();
   if (!pool.version.empty()) out["version"] = pool.version.value();
-  if (!pool.withheld.empty()) out["withheld"] = pool.withheld.value();
-  if (pool.rollout) {
-    out["rollout"] = {
-        {"version", pool.rollout->version.value()},
-        {"complete_by", FormatWallTime(pool.rollout->complete_by)},
-        {"bake_s", pool.rollout->bake.count()},
-        {"attempt", pool.rollout->attempt}};
-  }
+  if (pool.rollout) out["rollout"] = WriteRollout(*pool.rollout);
   out["slots_per_target"] = pool.slots_per_target;
   out["connections_per_target"] = pool.connections_per_target;
   out["queue_per_target"] = pool.queue_per_target;
--- a/core/replication/record_hash.cc
+++ b/core/replication/record_hash.cc
@@ -76,6 +76,7 @@
       .Add(static_cast<unsigned>(record.stage))
       .Add(record.share_ppm)
       .Add(record.stage_since.time_since_epoch().count())
+      .Add(record.ordered_at.time_since_epoch().count())
       .Add(record.hurry)
       .Add(record.recorded)
       .Add(record.reason.signal)
--- a/core/replication/replicator_state.cc
+++ b/core/replication/replicator_state.cc
@@ -5,8 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "core/config/rollout_key.h"
 #include "core/replication/record_hash.h"
-#include "core/routing/routing_builder.h"
 
 namespace camphor {
 namespace {
@@ -230,7 +230,7 @@
   Applied(Self(), serving->head.version, std::nullopt);
   std::set<RolloutId> active;
   for (const PoolSpec& pool : serving->pools)
-    if (pool.rollout) active.insert(RolloutIdOf(pool));
+    if (pool.rollout) active.insert(RolloutKey::Of(pool).id());
   store.SetActiveRollouts(std::move(active), now);
   options.config_changed(serving);
 }
--- a/core/replication/rollout_record.cc
+++ b/core/replication/rollout_record.cc
@@ -1,5 +1,6 @@
 #include "core/replication/rollout_record.h"
 
+#include <algorithm>
 #include <cassert>
 #include <tuple>
 
@@ -15,6 +16,10 @@
   };
   RolloutRecord merged = order(left) < order(right) ? right : left;
   merged.hurry = left.hurry || right.hurry;
+  const bool both =
+      left.ordered_at > WallTime{} && right.ordered_at > WallTime{};
+  merged.ordered_at = both ? std::min(left.ordered_at, right.ordered_at)
+                           : std::max(left.ordered_at, right.ordered_at);
   return merged;
 }
 
--- a/core/replication/rollout_record.h
+++ b/core/replication/rollout_record.h
@@ -58,12 +58,15 @@
       0;  ///< the new version's share goes to this many of its targets, chosen
           ///< by ChooseTargets; 0 means all
   WallTime stage_since{};  ///< when this stage was entered
+  WallTime ordered_at{};   ///< from when the time allowed counts; zero: not
+                           ///< known, or the order names its own time
   bool hurry = false;  ///< the operator asked to go ahead faster; never unset
   bool recorded = false;   ///< the platform holds the final outcome
   RolloutReason reason{};  ///< why it stands there
 
   /// Keeps an outcome that the platform holds (there is one at most), then the
-  /// higher stage, then the higher share; joins the operator's wish.
+  /// higher stage, then the higher share; joins the operator's wish; the
+  /// earliest time of the order stands.
   /// Commutative, associative, idempotent. @pre both have one id. Thread
   /// safety: any thread.
   static RolloutRecord Merge(const RolloutRecord& left,
--- a/core/rollout/evidence_collector.cc
+++ b/core/rollout/evidence_collector.cc
@@ -77,7 +77,7 @@
   const EffectiveRouting& routing = *sample.routing;
   assert(sample.route < routing.routes.size());
   const RoutedRule& rule = routing.routes[sample.route];
-  const VersionGroup& group = routing.pools[rule.pool].groups[sample.group];
+  const VersionGroup& group = routing.pools[sample.pool].groups[sample.group];
   assert(sample.target < group.targets.size());
 
   // Find the cell by its indices while the routing stays the same.
--- a/core/rollout/ramp_plan.cc
+++ b/core/rollout/ramp_plan.cc
@@ -108,16 +108,21 @@
     const RampOptions& options, std::uint32_t share_ppm,
     const std::vector<RouteWeight>& weights) {
   std::vector<RouteShare> shares;
-  if (weights.size() < 2) return shares;
+  const auto counts = [&options](const RouteWeight& route) {
+    return route.weight > 0 && route.weight >= options.least_route_weight;
+  };
+  const auto routes =
+      static_cast<std::size_t>(std::ranges::count_if(weights, counts));
+  if (routes < 2) return shares;
   for (const RouteWeight& route : weights) {
-    if (route.weight <= 0) continue;
+    if (!counts(route)) continue;
     const double canary =
         std::min<double>(EvenShare(options.canary_share_ppm, options.even_part,
-                                   route.weight, weights.size()),
+                                   route.weight, routes),
                          options.most_route_share_ppm);
     const double control =
         std::min<double>(EvenShare(options.control_share_ppm, options.even_part,
-                                   route.weight, weights.size()),
+                                   route.weight, routes),
                          options.most_route_control_ppm);
     const double narrow = share_ppm <= options.canary_share_ppm
                               ? canary
--- a/core/rollout/ramp_plan.h
+++ b/core/rollout/ramp_plan.h
@@ -39,6 +39,8 @@
   Milliseconds shortest_step{2'000};       ///< also when the time is almost up
   double fewest_steps = 4;  ///< of a ramp, also when the time is almost up
   double doubt = 0.45;  ///< evidence against the version that holds the share
+  double least_route_weight = 0;  ///< part of the pool's requests from which a
+                                  ///< route has a share of its own
 };
 
 /// Where a rollout stands as its share is planned. Immutable value type.
--- a/core/rollout/rollout_manager.cc
+++ b/core/rollout/rollout_manager.cc
@@ -4,8 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "core/config/rollout_key.h"
 #include "core/rollout/rollout_tracker.h"
-#include "core/routing/routing_builder.h"
 
 namespace camphor {
 namespace {
@@ -37,14 +37,15 @@
 }
 
 void RolloutManager::State::Add(const RolloutId& id, const PoolSpec& pool) {
-  auto tracker = std::make_unique<RolloutTracker>(
-      RolloutTracker::Options{.host = options.host,
-                              .incarnation = options.incarnation,
-                              .id = id,
-                              .pool = pool,
-                              .settings = options.rollout,
-                              .publish = options.publish,
-                              .send_evidence = options.send_evidence});
+  auto tracker = std::make_unique<RolloutTracker>(RolloutTracker::Options{
+      .host = options.host,
+      .incarnation = options.incarnation,
+      .id = id,
+      .pool = pool,
+      .settings = pool.rollout->allowed.count() > 0 ? options.short_rollout
+                                                    : options.rollout,
+      .publish = options.publish,
+      .send_evidence = options.send_evidence});
   Place(*tracker);
   const auto early = early_records.find(id);
   if (early != early_records.end()) {
@@ -66,9 +67,12 @@
       if (target.pool != pool.name || target.status == TargetStatus::kLeaving) {
         continue;
       }
-      if (target.version == pool.version) targets.old_version[target.id] = id;
       if (target.version == pool.rollout->version) {
         targets.new_version[target.id] = id;
+        targets.new_slots += target.slots;
+      } else if (pool.version.empty() || target.version == pool.version) {
+        targets.old_version[target.id] = id;
+        targets.old_slots += target.slots;
       }
     }
   }
@@ -97,7 +101,7 @@
   if (!snapshot) return;
   std::map<RolloutId, const PoolSpec*> ordered;
   for (const PoolSpec& pool : snapshot->pools) {
-    if (pool.rollout) ordered[RolloutIdOf(pool)] = &pool;
+    if (pool.rollout) ordered[RolloutKey::Of(pool).id()] = &pool;
   }
   state_->sampled = nullptr;
   std::erase_if(state_->trackers, [&ordered](const auto& entry) {
@@ -139,8 +143,7 @@
           pool.rollout.empty() ? nullptr : state_->Find(pool.rollout));
     }
   }
-  const std::uint32_t pool = sample.routing->routes[sample.route].pool;
-  RolloutTracker* tracker = state_->by_pool[pool];
+  RolloutTracker* tracker = state_->by_pool[sample.pool];
   if (tracker != nullptr) tracker->OnSample(sample);
 }
 
--- a/core/rollout/rollout_manager.h
+++ b/core/rollout/rollout_manager.h
@@ -15,6 +15,7 @@
 #include "core/replication/rollout_record.h"
 #include "core/rollout/evidence_report.h"
 #include "core/rollout/rollout_tracker.h"
+#include "core/rollout/short_rollout.h"
 #include "core/routing/request_sample.h"
 
 namespace camphor {
@@ -36,7 +37,11 @@
         send_evidence{};  ///< towards the owner
     std::function<void()>
         routing_changed{};  ///< a local ejection changed what may be routed to
-    RolloutOptions rollout{};  ///< settings of all rollouts
+    RolloutOptions rollout{};  ///< settings of rollouts whose order names the
+                               ///< time by which it must be complete
+    RolloutOptions short_rollout =
+        ShortRollout();  ///< settings of those whose order says how long they
+                         ///< may take
   };
 
   explicit RolloutManager(Options options);
--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -15,8 +15,6 @@
 // A host judges alone on far less than all requests: it must be surer.
 constexpr double kLocalFalseAlarm = 1e-9;
 
-constexpr Seconds kShortestColdStart{3};
-
 bool IsWidening(RolloutStage stage) {
   return stage > RolloutStage::kPending && stage < RolloutStage::kDone;
 }
@@ -66,6 +64,10 @@
 
 bool RolloutTracker::Tick(MonoTime now, WallTime wall_now) {
   const std::optional<MonoTime> last = std::exchange(last_tick_, now);
+  if (!last) {
+    seen_at_ = now;
+    seen_at_wall_ = wall_now;
+  }
   if (!last || now - *last > options_.settings.longest_gap) Restart(now);
   if (HasEnded()) {
     collector_.Clear();
@@ -116,11 +118,12 @@
   // A cold start must not take up the time that there is to judge.
   const WallTime start =
       record_.stage == RolloutStage::kPending ? wall_now : record_.stage_since;
-  const auto allowed = options_.pool.rollout->complete_by - start;
-  const auto part = std::chrono::duration_cast<Seconds>(
+  const auto allowed = CompleteBy() - start;
+  const auto part = std::chrono::duration_cast<Milliseconds>(
       allowed * options_.settings.cold_start_part);
   options.comparison.cold_start =
-      std::clamp(part, kShortestColdStart, options.comparison.cold_start);
+      std::clamp<Milliseconds>(part, options_.settings.shortest_cold_start,
+                               options.comparison.cold_start);
   return std::make_unique<SequentialJudge>(options);
 }
 
@@ -162,7 +165,7 @@
           .new_version = options_.pool.rollout->version,
           .end = now,
           .new_targets = chosen,
-          .slots = options_.pool.slots_per_target,
+          .slots = SlotsPerTarget(),
           .cells = std::move(cells)};
 }
 
@@ -192,10 +195,10 @@
     }
   }
   // The time to wait for more evidence is over: less of it decides.
-  const bool late = wall_now >= options_.pool.rollout->complete_by;
+  const bool late = wall_now >= CompleteBy();
   const bool out_of_time =
       record_.stage == RolloutStage::kBake
-          ? wall_now >= record_.stage_since + 2 * options_.pool.rollout->bake
+          ? wall_now >= record_.stage_since + 2 * Bake()
           : IsWidening(record_.stage) &&
                 !HasTimeToWait(options_.settings.ramp, StateOf(now), wall_now);
   if (out_of_time && judge_->evidence() >= options_.settings.last_doubt) {
@@ -221,8 +224,41 @@
   return reason;
 }
 
+bool RolloutTracker::MayBegin(MonoTime now) const {
+  // A beginning that is on record can be taken up again after a loss of all
+  // memory; one that cannot be recorded does not wait for ever.
+  if (options_.pool.rollout->allowed.count() == 0) return true;
+  return record_.ordered_at > WallTime{} ||
+         now - seen_at_ >= options_.settings.confirmation;
+}
+
+WallTime RolloutTracker::OrderedAt() const {
+  return record_.ordered_at > WallTime{} ? record_.ordered_at : seen_at_wall_;
+}
+
+WallTime RolloutTracker::CompleteBy() const {
+  const RolloutSpec& order = *options_.pool.rollout;
+  if (order.allowed.count() == 0) return order.complete_by;
+  return OrderedAt() + std::chrono::duration_cast<Milliseconds>(
+                           order.allowed * options_.settings.full_share_part);
+}
+
+Milliseconds RolloutTracker::Bake() const {
+  const RolloutSpec& order = *options_.pool.rollout;
+  if (order.allowed.count() == 0) return order.bake;
+  return std::chrono::duration_cast<Milliseconds>(order.allowed *
+                                                  options_.settings.bake_part);
+}
+
+std::uint32_t RolloutTracker::SlotsPerTarget() const {
+  const auto targets = static_cast<std::uint32_t>(targets_.new_version.size());
+  if (targets == 0) return options_.pool.slots_per_target;
+  return std::clamp(targets_.new_slots / targets, 1U,
+                    options_.pool.slots_per_target);
+}
+
 void RolloutTracker::DecidePending(MonoTime now, WallTime wall_now) {
-  if (targets_.new_version.empty()) return;
+  if (targets_.new_version.empty() || !MayBegin(now)) return;
   RolloutRecord next = record_;
   next.share_ppm = options_.settings.ramp.canary_share_ppm;
   next.route_shares =
@@ -256,7 +292,7 @@
 
 void RolloutTracker::DecideBake(WallTime wall_now) {
   const auto spent = wall_now - record_.stage_since;
-  const Seconds bake = options_.pool.rollout->bake;
+  const Milliseconds bake = Bake();
   if (spent < bake) return;
   // A doubt is watched on, for as long again at most.
   const bool doubt = judge_->evidence() >= options_.settings.ramp.doubt;
@@ -281,7 +317,7 @@
           .share_ppm = record_.share_ppm,
           .stage_since = record_.stage_since,
           .started = canary_since_.value_or(record_.stage_since),
-          .complete_by = options_.pool.rollout->complete_by,
+          .complete_by = CompleteBy(),
           .since_step = since_step,
           .evidence = judge_->evidence(),
           .hurry = record_.hurry};
@@ -359,7 +395,7 @@
 boost::json::object RolloutTracker::Dump() const {
   boost::json::object dump = ViewOf(record_);
   dump["pool"] = options_.pool.name.value();
-  dump["complete_by"] = FormatWallTime(options_.pool.rollout->complete_by);
+  dump["complete_by"] = FormatWallTime(CompleteBy());
   dump["owner"] = tree_.owner().value_or(HostId()).value();
   dump["old_targets"] = targets_.old_version.size();
   dump["new_targets"] = targets_.new_version.size();
--- a/core/rollout/rollout_tracker.h
+++ b/core/rollout/rollout_tracker.h
@@ -35,8 +35,16 @@
   double last_doubt = 0.5;  ///< evidence that rolls the version back when there
                             ///< is no more time to wait for more: at the latest
                             ///< start of the ramp, and at the end of the bake
+  Milliseconds shortest_cold_start{
+      3'000};  ///< a new target's latency does not count for so long at least
   double cold_start_part =
       0.15;  ///< part of the time allowed that a cold start takes at most
+  Milliseconds confirmation{2'000};  ///< a rollout whose order says how long it
+                                     ///< may take waits so long at most until
+                                     ///< its beginning is on record
+  double full_share_part = 0.7;  ///< part of the time that such an order allows
+                                 ///< until the new version has all the traffic
+  double bake_part = 0.08;       ///< part of it that full share is watched for
   std::function<std::unique_ptr<VersionJudge>()>
       make_judge{};  ///< judge of the owner; empty for the sequential one
   std::function<std::unique_ptr<VersionJudge>()>
@@ -47,6 +55,8 @@
 struct RolloutTargets {
   std::map<TargetId, HostId> old_version{};  ///< targets that serve now
   std::map<TargetId, HostId> new_version{};  ///< targets that are to take over
+  std::uint32_t old_slots = 0;  ///< slots of the old version's targets together
+  std::uint32_t new_slots = 0;  ///< slots of the new version's targets together
 };
 
 /// Runs one rollout on one host.
@@ -110,6 +120,11 @@
  private:
   bool IsOwner() const { return tree_.owner() == options_.host; }
   bool HasEnded() const { return record_.stage >= RolloutStage::kDone; }
+  bool MayBegin(MonoTime now) const;
+  WallTime OrderedAt() const;
+  WallTime CompleteBy() const;
+  Milliseconds Bake() const;
+  std::uint32_t SlotsPerTarget() const;
   void Restart(MonoTime now);
   bool JudgeOwn(MonoTime now, WallTime wall_now);
   std::unique_ptr<VersionJudge> MakeJudge(double false_alarm,
@@ -142,6 +157,8 @@
   std::map<RouteName, double> route_requests_;
   std::uint64_t period_ = 0;
   std::optional<MonoTime> last_tick_;
+  MonoTime seen_at_{};       ///< first tick of this rollout here
+  WallTime seen_at_wall_{};  ///< the same
   MonoTime block_end_{};
   MonoTime owned_since_{};
   MonoTime last_step_{};
--- a/core/rollout/route_comparison.cc
+++ b/core/rollout/route_comparison.cc
@@ -154,11 +154,8 @@
                            .new_requests = new_requests,
                            .old_requests = old_requests,
                            .old_hits = old_hits};
-      LogRatios ratios =
-          signal == JudgeSignal::kFailures
-              ? RareHitEvidence(hits, tolerated)
-              : FrequentHitEvidence(hits, tolerated,
-                                    std::min(old_rate, kHighestUsualRate));
+      LogRatios ratios = FrequentHitEvidence(
+          hits, tolerated, std::min(old_rate, kHighestUsualRate));
       for (double& ratio : ratios) {
         ratio = std::min(ratio / dispersion, options_->block_limit);
       }
--- a/core/rollout/route_comparison.h
+++ b/core/rollout/route_comparison.h
@@ -26,8 +26,8 @@
       Tolerance{.ratio = 1.5, .excess = 0.01}};  ///< by signal
   double cold_failure_excess =
       0.08;  ///< more failures than that are no cold start
-  Seconds cold_start{
-      90};  ///< a new target's latency does not count for so long
+  Milliseconds cold_start{
+      90'000};  ///< a new target's latency does not count for so long
   double most_busy =
       0.85;  ///< busy part of the slots above which requests queue whatever
              ///< the version: latency and refusals do not count
--- a/core/routing/request_sample.h
+++ b/core/routing/request_sample.h
@@ -25,6 +25,7 @@
 struct RequestSample {
   EffectiveRoutingPtr routing{};  ///< what placed the request
   std::uint32_t route = 0;        ///< index into routing->routes
+  std::uint32_t pool = 0;         ///< index into routing->pools
   std::uint32_t group = 0;        ///< index into the pool's groups
   std::uint32_t target = 0;       ///< index into the group's targets
   RequestOutcome outcome = RequestOutcome::kSuccess;  ///< how it ended
--- a/core/routing/routing_builder.cc
+++ b/core/routing/routing_builder.cc
@@ -1,12 +1,12 @@
 #include "core/routing/routing_builder.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <cassert>
+#include <functional>
+#include <set>
 #include <tuple>
 #include <utility>
 
+#include "core/config/rollout_key.h"
 #include "core/rollout/rendezvous.h"
 
 namespace camphor {
@@ -23,7 +23,7 @@
   if (inputs.locally_ejected.contains({pool.name, pool.rollout->version})) {
     return nullptr;
   }
-  const auto found = inputs.rollouts.find(RolloutIdOf(pool));
+  const auto found = inputs.rollouts.find(RolloutKey::Of(pool).id());
   if (found == inputs.rollouts.end()) return nullptr;
   const RolloutRecord& record = found->second;
   const bool narrow = record.stage == RolloutStage::kPending ||
@@ -41,26 +41,43 @@
   return std::min(differs ? own->share_ppm : record->share_ppm, kWhole);
 }
 
-/// True when a target of the version `runs` belongs to the group of `version`.
-/// A pool that names no version takes every one that is not singled out.
-bool Serves(const PoolSpec& pool, const TargetVersion& version,
-            const TargetVersion& runs) {
-  if (!version.empty()) return runs == version;
-  if (runs.empty() || runs == pool.withheld) return false;
-  return !pool.rollout || runs != pool.rollout->version;
+/// Versions of a pool that its group of unnamed versions leaves out: the one
+/// that is ordered, and those that were rolled back.
+std::set<TargetVersion> LeftOut(const RoutingInputs& inputs,
+                                const PoolSpec& pool) {
+  std::set<TargetVersion> versions;
+  if (pool.rollout) versions.insert(pool.rollout->version);
+  for (const auto& [id, record] : inputs.rollouts) {
+    if (record.stage != RolloutStage::kRolledBack) continue;
+    const std::optional<RolloutKey> key = RolloutKey::Parse(id);
+    if (key && key->pool == pool.name) versions.insert(key->to);
+  }
+  return versions;
 }
 
-/// Targets of one version on the hosts that `accepts` takes.
-template <typename Accepts>
+/// Says which versions a group takes: the one it names, or all that are not
+/// left out.
+std::function<bool(const TargetVersion&)> MemberOf(
+    const RoutingInputs& inputs, const PoolSpec& pool,
+    const TargetVersion& version) {
+  if (!version.empty())
+    return [version](const TargetVersion& runs) { return runs == version; };
+  return [left_out = LeftOut(inputs, pool)](const TargetVersion& runs) {
+    return !runs.empty() && !left_out.contains(runs);
+  };
+}
+
+/// Targets of a pool on the hosts that `accepts` takes, of the versions that
+/// `serves` takes.
+template <typename Accepts, typename Serves>
 std::vector<RoutedTarget> TargetsOf(const RoutingInputs& inputs,
-                                    const PoolSpec& pool,
-                                    const TargetVersion& version,
+                                    const PoolSpec& pool, const Serves& serves,
                                     const Accepts& accepts) {
   std::vector<RoutedTarget> targets;
   for (const auto& [id, host] : inputs.hosts) {
     if (!accepts(host.status)) continue;
     for (const TargetInfo& info : host.targets) {
-      if (info.pool != pool.name || !Serves(pool, version, info.version) ||
+      if (info.pool != pool.name || !serves(info.version) ||
           info.status == TargetStatus::kLeaving) {
         continue;
       }
@@ -79,11 +96,12 @@
 
 VersionGroup GroupOf(const RoutingInputs& inputs, const PoolSpec& pool,
                      const TargetVersion& version, std::uint32_t share_ppm) {
+  const auto serves = MemberOf(inputs, pool, version);
   std::vector<RoutedTarget> alive =
-      TargetsOf(inputs, pool, version,
+      TargetsOf(inputs, pool, serves,
                 [](HostStatus status) { return status == HostStatus::kAlive; });
   std::vector<RoutedTarget> possible =
-      TargetsOf(inputs, pool, version, [](HostStatus status) {
+      TargetsOf(inputs, pool, serves, [](HostStatus status) {
         return status == HostStatus::kAlive || status == HostStatus::kSuspect;
       });
   // When half of a version is suspect, the suspicion itself is doubtful.
@@ -101,7 +119,7 @@
   pool.groups.push_back(
       GroupOf(inputs, spec, spec.version, kWhole - share_of_new));
   if (!spec.rollout) return pool;
-  pool.rollout = RolloutIdOf(spec);
+  pool.rollout = RolloutKey::Of(spec).id();
   VersionGroup group =
       GroupOf(inputs, spec, spec.rollout->version, share_of_new);
   if (record != nullptr) {
@@ -176,11 +194,4 @@
   return routing;
 }
 
-RolloutId RolloutIdOf(const PoolSpec& pool) {
-  assert(pool.rollout.has_value());
-  return RolloutId(
-      fmt::format("{}/{}/{}/{}", pool.name.value(), pool.version.value(),
-                  pool.rollout->version.value(), pool.rollout->attempt));
-}
-
 }  // namespace camphor
--- a/core/routing/routing_builder.h
+++ b/core/routing/routing_builder.h
@@ -34,11 +34,6 @@
 /// version all of the traffic. Thread safety: any thread.
 EffectiveRouting BuildRouting(const RoutingInputs& inputs);
 
-/// Name of the rollout that a row of the table of pools orders:
-/// "pool/from/to/attempt".
-/// @pre pool.rollout is set. Thread safety: any thread.
-RolloutId RolloutIdOf(const PoolSpec& pool);
-
 }  // namespace camphor
 
 #endif  // CAMPHORHILL_CORE_ROUTING_ROUTING_BUILDER_H_
--- a/mesh/mesh.capnp
+++ b/mesh/mesh.capnp
@@ -49,6 +49,7 @@
   sentence @10 :Text;
   routeShares @11 :List(RouteShare);
   canaryTargets @12 :UInt32;
+  orderedAtMs @13 :Int64;
 }
 
 struct RouteShare {
@@ -88,6 +89,7 @@
   failures @4 :UInt64;
   refused @5 :UInt64;
   latency @6 :List(UInt32);
+  firstBucket @7 :UInt8;
 }
 
 struct Evidence {
--- a/mesh/mesh.capnp.h
+++ b/mesh/mesh.capnp.h
@@ -121,7 +121,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d086f421cb79d331, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(d086f421cb79d331, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -211,7 +211,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b467ac6b8cc264e9, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b467ac6b8cc264e9, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -957,6 +957,8 @@
 
   inline  ::uint32_t getCanaryTargets() const;
 
+  inline  ::int64_t getOrderedAtMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1044,6 +1046,9 @@
   inline  ::uint32_t getCanaryTargets();
   inline void setCanaryTargets( ::uint32_t value);
 
+  inline  ::int64_t getOrderedAtMs();
+  inline void setOrderedAtMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1591,6 +1596,8 @@
   inline bool hasLatency() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getLatency() const;
 
+  inline  ::uint8_t getFirstBucket() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1657,6 +1664,9 @@
   inline void adoptLatency(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownLatency();
 
+  inline  ::uint8_t getFirstBucket();
+  inline void setFirstBucket( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3907,6 +3917,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Rollout::Reader::getOrderedAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Rollout::Builder::getOrderedAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Rollout::Builder::setOrderedAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RouteShare::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4534,6 +4558,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t EvidenceCell::Reader::getFirstBucket() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t EvidenceCell::Builder::getFirstBucket() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+}
+inline void EvidenceCell::Builder::setFirstBucket( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Evidence::Reader::hasRollout() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -93,6 +93,7 @@
   out.setStage(static_cast<std::uint8_t>(record.stage));
   out.setSharePpm(record.share_ppm);
   out.setStageSinceMs(record.stage_since.time_since_epoch().count());
+  out.setOrderedAtMs(record.ordered_at.time_since_epoch().count());
   out.setHurry(record.hurry);
   out.setRecorded(record.recorded);
   out.setSignal(record.reason.signal);
@@ -115,6 +116,7 @@
       .share_ppm = in.getSharePpm(),
       .canary_targets = in.getCanaryTargets(),
       .stage_since = WallTime(Milliseconds(in.getStageSinceMs())),
+      .ordered_at = WallTime(Milliseconds(in.getOrderedAtMs())),
       .hurry = in.getHurry(),
       .recorded = in.getRecorded(),
       .reason = {.signal = ToString(in.getSignal()),
@@ -154,9 +156,18 @@
   out.setRequests(cell.requests);
   out.setFailures(cell.failures);
   out.setRefused(cell.refused);
-  auto latency = out.initLatency(cell.latency.size());
-  for (unsigned index = 0; index < latency.size(); ++index)
-    latency.set(index, cell.latency[index]);
+
+  // A target's latencies fall into a few neighbouring buckets.
+  const auto& buckets = cell.latency;
+  const auto counts = [](std::uint32_t count) { return count > 0; };
+  const auto first = std::ranges::find_if(buckets, counts);
+  if (first == buckets.end()) return;
+  const auto last = std::find_if(buckets.rbegin(), buckets.rend(), counts);
+  const auto size = static_cast<unsigned>(last.base() - first);
+  out.setFirstBucket(static_cast<std::uint8_t>(first - buckets.begin()));
+  auto latency = out.initLatency(size);
+  for (unsigned index = 0; index < size; ++index)
+    latency.set(index, *(first + index));
 }
 
 EvidenceCell Read(wire::EvidenceCell::Reader in) {
@@ -167,9 +178,11 @@
                     .failures = in.getFailures(),
                     .refused = in.getRefused()};
   const auto latency = in.getLatency();
-  KJ_REQUIRE(latency.size() == cell.latency.size(), "wrong histogram size");
+  const std::size_t first = in.getFirstBucket();
+  KJ_REQUIRE(first + latency.size() <= cell.latency.size(),
+             "wrong histogram size");
   for (unsigned index = 0; index < latency.size(); ++index)
-    cell.latency[index] = latency[index];
+    cell.latency[first + index] = latency[index];
   return cell;
 }
 
--- a/node/admin/state_view.cc
+++ b/node/admin/state_view.cc
@@ -8,7 +8,7 @@
 
 #include "core/base/wall_time_text.h"
 #include "core/config/config_codec.h"
-#include "core/routing/routing_builder.h"
+#include "core/config/rollout_key.h"
 #include "node/json/record_json.h"
 
 namespace camphor {
@@ -56,7 +56,7 @@
   if (snapshot == nullptr) return view;
   for (const PoolSpec& pool : snapshot->pools) {
     if (!pool.rollout.has_value()) continue;
-    const RolloutId id = RolloutIdOf(pool);
+    const RolloutId id = RolloutKey::Of(pool).id();
     const auto found = replicator.rollouts().find(id);
     boost::json::object row =
         ToJson(found == replicator.rollouts().end() ? RolloutRecord{.id = id}
@@ -66,6 +66,7 @@
     row["to"] = pool.rollout->version.value();
     row["attempt"] = pool.rollout->attempt;
     row["complete_by"] = FormatWallTime(pool.rollout->complete_by);
+    row["allowed_ms"] = pool.rollout->allowed.count();
     row["bake_s"] = pool.rollout->bake.count();
     view.push_back(std::move(row));
   }
--- a/node/json/record_json.cc
+++ b/node/json/record_json.cc
@@ -100,6 +100,7 @@
           {"stage", Text(NameOf(rollout.stage))},
           {"share_ppm", rollout.share_ppm},
           {"stage_since", FormatWallTime(rollout.stage_since)},
+          {"ordered_at_ms", rollout.ordered_at.time_since_epoch().count()},
           {"hurry", rollout.hurry},
           {"recorded", rollout.recorded},
           {"reason", ToJson(rollout.reason)}};
@@ -120,6 +121,8 @@
       ParseWallTime(fields.String("stage_since"));
   record.share_ppm =
       static_cast<std::uint32_t>(fields.Integer("share_ppm", 0, kAllTraffic));
+  record.ordered_at =
+      WallTime(Milliseconds(ReadCounter(fields, "ordered_at_ms")));
   record.hurry = fields.Boolean("hurry", false);
   record.recorded = fields.Boolean("recorded", false);
   // An empty string of the reason is no fault: nothing was to be said.
--- a/node/node.cc
+++ b/node/node.cc
@@ -19,6 +19,7 @@
 #include "platform/http_platform_client.h"
 #include "platform/operator_tables.h"
 #include "platform/platform_headers.h"
+#include "platform/rollout_report.h"
 #include "proxy/proxy_server.h"
 #include "store/claim_store.h"
 
@@ -239,7 +240,9 @@
 PlatformSync::Options Node::State::SyncOptions() {
   std::optional<OperatorTables> tables;
   if (settings.interface == InterfaceKind::kPlatform) {
-    tables = {.table = kOperatorTable, .decode = DecodeOperatorTables};
+    tables = {.table = kOperatorTable,
+              .decode = DecodeOperatorTables,
+              .report = ReportRollout};
   }
   return {.settings = settings.polling,
           .operator_tables = std::move(tables),
@@ -284,8 +287,9 @@
 void Node::State::OnTick() {
   const MonoTime now = Now();
   last_tick = now.time_since_epoch().count();
-  controller->Tick(now, WallNow());
-  sync->Tick(now);
+  const WallTime wall_now = WallNow();
+  controller->Tick(now, wall_now);
+  sync->Tick(now, wall_now);
 }
 
 void Node::State::OnIdle() {
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -19,16 +19,25 @@
       schedule_({.poll = options_.settings.poll,
                  .slow_poll = options_.settings.slow_poll,
                  .random_seed = options_.random_seed}),
-      archive_({.platform = options_.platform,
-                .post = options_.post,
-                .publish = [this](const RolloutRecord& record) {
-                  options_.controller->replicator().Publish(record, Now());
-                }}) {
+      archive_(ArchiveOptions()) {
   if (!options_.operator_tables) return;
   feed_.emplace(FeedOptions());
   directory_.emplace(DirectoryOptions());
 }
 
+RolloutArchive::Options PlatformSync::ArchiveOptions() {
+  RolloutArchive::Options archive{
+      .platform = options_.platform,
+      .log = options_.log,
+      .post = options_.post,
+      .publish = [this](const RolloutRecord& record) {
+        options_.controller->replicator().Publish(record, Now());
+      }};
+  if (options_.operator_tables)
+    archive.report = options_.operator_tables->report;
+  return archive;
+}
+
 OperatorFeed::Options PlatformSync::FeedOptions() {
   return {.table = options_.operator_tables->table,
           .platform = options_.platform,
@@ -62,7 +71,7 @@
   replicator.OnPlatformHead(snapshot.head, Now());
 }
 
-void PlatformSync::Tick(MonoTime now) {
+void PlatformSync::Tick(MonoTime now, WallTime wall_now) {
   const Replicator& replicator = options_.controller->replicator();
   const bool poller = replicator.is_platform_poller();
   if (feed_) {
@@ -72,7 +81,7 @@
                            {.ready = replicator.ready(), .poller = poller})) {
     ReadHead();
   }
-  archive_.Tick(replicator.rollouts(), poller, now);
+  archive_.Tick(replicator.rollouts(), poller, now, wall_now);
 }
 
 void PlatformSync::OnConfigChanged(const ConfigSnapshot& snapshot) {
--- a/node/platform_sync/platform_sync.h
+++ b/node/platform_sync/platform_sync.h
@@ -28,6 +28,8 @@
   std::function<std::optional<ConfigSnapshot>(
       const std::map<std::string, TableRow>&, std::string&)>
       decode{};  ///< turns rows into a snapshot, or gives the reason
+  RolloutArchive::Report
+      report{};  ///< rows that tell the operator of a rollout
 };
 
 /// Keeps this host in step with what is kept at the platform: the newest head,
@@ -58,7 +60,7 @@
   explicit PlatformSync(Options options);
 
   /// Reads and writes what is due. Thread safety: the decisions thread.
-  void Tick(MonoTime now);
+  void Tick(MonoTime now, WallTime wall_now);
 
   /// A newer configuration is in force. Thread safety: the decisions thread.
   void OnConfigChanged(const ConfigSnapshot& snapshot);
@@ -81,6 +83,7 @@
   boost::json::object Dump() const;
 
  private:
+  RolloutArchive::Options ArchiveOptions();
   OperatorFeed::Options FeedOptions();
   HostDirectory::Options DirectoryOptions();
   void TakeOperatorTables(const ConfigSnapshot& snapshot);
--- a/performance_test/rollout/rollout_trial.cc
+++ b/performance_test/rollout/rollout_trial.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 
+#include "core/config/rollout_key.h"
 #include "core/rollout/evidence_tree.h"
 #include "core/rollout/rendezvous.h"
 #include "core/routing/routing_builder.h"
@@ -63,7 +64,7 @@
     : options_(&options),
       model_(options.workload, options.kind, options.seed),
       snapshot_(SnapshotOf(options.workload)),
-      id_(RolloutIdOf(snapshot_->pools.front())),
+      id_(RolloutKey::Of(snapshot_->pools.front()).id()),
       owner_(OwnerName()),
       published_{.id = id_},
       in_force_{.id = id_} {
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -276,11 +276,10 @@
                             routing_->pools[placement_.pool].spec.name, outcome,
                             latency, now);
   context_.metrics.OnOutcome(outcome);
-  // Evidence of a rollout is counted by the route's own pool.
-  const bool own_pool = placement_.pool == routing_->routes[route_].pool;
-  if (!context_.options.on_sample || !own_pool) return;
+  if (!context_.options.on_sample) return;
   context_.options.on_sample({.routing = routing_,
                               .route = route_,
+                              .pool = placement_.pool,
                               .group = placement_.group,
                               .target = placement_.target,
                               .outcome = outcome,
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -98,7 +98,8 @@
   }
 
   RequestControl& control =
-      StartControl(arrival + std::min(*limit, rule.timeout));
+      StartControl(arrival + std::min(*limit, rule.timeout),
+                   context_.options.limits.last_word);
   InboundBody body({.socket = &socket_,
                     .buffer = &buffer_,
                     .parser = &parser,
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -83,7 +83,7 @@
   }
   const Milliseconds limit = ReadDeadline(header, kDeadlineHeader, kLongestTime)
                                  .value_or(kLongestTime);
-  RequestControl& control = StartControl(arrival + limit);
+  RequestControl& control = StartControl(arrival + limit, Milliseconds(0));
   InboundBody body({.socket = &socket_,
                     .buffer = &buffer_,
                     .parser = &parser,
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -151,9 +151,10 @@
       });
 }
 
-RequestControl& HttpSession::StartControl(MonoTime deadline) {
+RequestControl& HttpSession::StartControl(MonoTime deadline,
+                                          Milliseconds last_word) {
   control_ = std::make_shared<RequestControl>(socket_.get_executor(), deadline);
-  control_->Start();
+  control_->Start(last_word);
   return *control_;
 }
 
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -47,8 +47,8 @@
   /// its request was read whole.
   void WatchSender();
 
-  /// Makes the control of the request now in flight.
-  RequestControl& StartControl(MonoTime deadline);
+  /// Makes the control of the request now in flight; see RequestControl::Start.
+  RequestControl& StartControl(MonoTime deadline, Milliseconds last_word);
 
   /// Ends the request in flight.
   void FinishControl();
--- a/proxy/local_targets.cc
+++ b/proxy/local_targets.cc
@@ -72,9 +72,9 @@
       break;
   }
 
-  // The timer stands for "until somebody wakes this request".
+  // Somebody wakes this request, or its time is over.
   Waiter waiter(executor_);
-  waiter.timer.expires_at(MonoTime::max());
+  waiter.timer.expires_at(urgency.deadline);
   waiters_[id] = &waiter;
   {
     const RequestControl::Scope scope(control,
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -32,6 +32,9 @@
                                      ///< its target has not answered by then
   Milliseconds heartbeat{500};       ///< pause between further interim answers
   Milliseconds silence{1600};  ///< a host silent for longer lost the connection
+  Milliseconds last_word{
+      100};  ///< a request whose time is up waits so long for what the host of
+             ///< its target says became of it
   Milliseconds death_notice{
       250};  ///< an answer that tells of a target's death waits this long, so
              ///< that other hosts know before the request is sent again
--- a/proxy/request_control.cc
+++ b/proxy/request_control.cc
@@ -18,8 +18,8 @@
                                MonoTime deadline)
     : deadline_(deadline), timer_(executor) {}
 
-void RequestControl::Start() {
-  timer_.expires_at(deadline_);
+void RequestControl::Start(Milliseconds last_word) {
+  timer_.expires_at(deadline_ + last_word);
   timer_.async_wait([weak = weak_from_this()](const beast::error_code& error) {
     if (error) return;
     if (const auto self = weak.lock()) self->StopNow(Stop::kDeadline);
--- a/proxy/request_control.h
+++ b/proxy/request_control.h
@@ -38,8 +38,10 @@
 
   RequestControl(const asio::any_io_executor& executor, MonoTime deadline);
 
-  /// Starts the deadline. @pre owned by a shared pointer.
-  void Start();
+  /// Starts the deadline. The request is stopped `last_word` after it, so that
+  /// what others decided in time is still heard. @pre owned by a shared
+  /// pointer.
+  void Start(Milliseconds last_word = Milliseconds(0));
 
   /// Stops the request, unless it ended or was stopped already.
   void StopNow(Stop reason);
--- a/unit_tests/core/config/config_codec_test.cc
+++ b/unit_tests/core/config/config_codec_test.cc
@@ -71,7 +71,9 @@
                                              {"pool": "a", "weight": 10}],
                       "attempts": 2, "target_latency_ms": 250,
                       "priority": 1}],
-          "pools": [{"name": "a"}, {"name": "b", "withheld": "v2"}],
+          "pools": [{"name": "a"}, {"name": "b", "rollout": {"version": "v2",
+                                                     "allowed_ms": 12000,
+                                                     "attempt": 900}}],
           "limits": {"body_bytes": 10}})",
       3);
   ASSERT_TRUE(snapshot) << codec.last_reason().message;
--- a/unit_tests/core/replication/record_merge_test.cc
+++ b/unit_tests/core/replication/record_merge_test.cc
@@ -21,6 +21,7 @@
           .stage = static_cast<RolloutStage>(*rc::gen::inRange(0, 6)),
           .share_ppm = *rc::gen::inRange<std::uint32_t>(0, 3),
           .canary_targets = *rc::gen::inRange<std::uint32_t>(0, 3),
+          .ordered_at = WallTime(Milliseconds(*rc::gen::inRange(0, 4))),
           .hurry = *rc::gen::arbitrary<bool>(),
           .recorded = *rc::gen::arbitrary<bool>()};
 }
--- a/unit_tests/core/rollout/rollout_fixture.h
+++ b/unit_tests/core/rollout/rollout_fixture.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/config/rollout_key.h"
 #include "core/rollout/evidence_tree.h"
 #include "core/rollout/rollout_manager.h"
 #include "core/routing/routing_builder.h"
@@ -25,7 +26,6 @@
 class RolloutFixture : public testing::Test {
  protected:
   static constexpr int kHosts = 5;
-  static constexpr int kRequests = 200;  // of a host, route and tick
   static constexpr Seconds kTimeAllowed{600};
   static constexpr Seconds kBake{60};
 
@@ -53,11 +53,12 @@
     PoolSpec& pool = snapshot->pools.emplace_back();
     pool.name = PoolName("pool");
     pool.version = TargetVersion("v1");
-    pool.rollout = RolloutSpec{.version = TargetVersion("v2"),
-                               .complete_by = wall_ + kTimeAllowed,
-                               .bake = kBake};
+    pool.rollout = order_;
+    pool.rollout->version = TargetVersion("v2");
+    pool.rollout->complete_by = wall_ + kTimeAllowed;
+    pool.rollout->bake = kBake;
     pool.slots_per_target = 1000;
-    id_ = RolloutIdOf(pool);
+    id_ = RolloutKey::Of(pool).id();
     snapshot_ = snapshot;
     for (int host = 0; host < kHosts; ++host) {
       Start("h" + std::to_string(host));
@@ -133,9 +134,13 @@
 
   /// Runs all hosts for some seconds.
   void Run(int seconds, const Fails& fails) {
-    for (int second = 0; second < seconds; ++second) {
-      now_ += Seconds(1);
-      wall_ += Seconds(1);
+    RunTicks(Milliseconds(Seconds(seconds)) / tick_, fails);
+  }
+
+  void RunTicks(std::int64_t ticks, const Fails& fails) {
+    for (std::int64_t tick = 0; tick < ticks; ++tick) {
+      now_ += tick_;
+      wall_ += tick_;
       for (auto& [name, host] : hosts_) {
         if (host.paused) continue;
         Route(name, host);
@@ -160,7 +165,7 @@
          ++route) {
       const RoutedRule& rule = host.routing->routes[route];
       double& credit = host.credit[rule.rule.name.value()];
-      for (int request = 0; request < kRequests; ++request) {
+      for (int request = 0; request < requests_; ++request) {
         credit += rule.new_share_ppm / 1e6;
         const std::uint32_t group = credit >= 1 ? 1 : 0;
         credit -= group;
@@ -219,6 +224,9 @@
   }
   static bool Bad(bool is_new, const std::string& /*host*/) { return is_new; }
 
+  RolloutSpec order_{};       ///< what a test sets of the order
+  Milliseconds tick_{1'000};  ///< time between two ticks
+  int requests_ = 200;        ///< of a host, route and tick
   MonoTime now_{Seconds(100)};
   WallTime wall_{Seconds(1'800'000'000)};
   ConfigSnapshotPtr snapshot_;
--- a/unit_tests/core/routing/routing_builder_test.cc
+++ b/unit_tests/core/routing/routing_builder_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/config/rollout_key.h"
 #include "core/routing/route_matcher.h"
 
 namespace camphor {
@@ -46,7 +47,7 @@
   }
 
   void SetRollout(RolloutStage stage, std::uint32_t share_ppm) {
-    const RolloutId id = RolloutIdOf(snapshot_.pools.front());
+    const RolloutId id = RolloutKey::Of(snapshot_.pools.front()).id();
     rollouts_[id] = {.id = id, .stage = stage, .share_ppm = share_ppm};
   }
 
@@ -153,10 +154,25 @@
   EXPECT_EQ(name("GET", "/x"), "all");
 }
 
-TEST_F(RoutingBuilder, PoolWithoutVersion_TakesAllButTheWithheldOne) {
-  snapshot_.pools = {{.name = PoolName("p"), .withheld = TargetVersion("v2")}};
+TEST_F(RoutingBuilder, PoolWithoutVersion_TakesAllButTheOrderedOne) {
+  snapshot_.pools = {{.name = PoolName("p"),
+                      .rollout = RolloutSpec{.version = TargetVersion("v2"),
+                                             .allowed = Seconds(12)}}};
+  const EffectiveRouting routing = Build();
+  ASSERT_EQ(routing.pools[0].groups.size(), 2U);
+  ASSERT_EQ(routing.pools[0].groups[0].targets.size(), 1U);
+  EXPECT_EQ(routing.pools[0].groups[0].targets[0].info.id, TargetId("t1"));
+  EXPECT_EQ(routing.pools[0].groups[1].share_ppm, 0U);
+}
+
+TEST_F(RoutingBuilder, PoolWithoutVersion_LeavesOutWhatWasRolledBack) {
+  snapshot_.pools = {{.name = PoolName("p"),
+                      .rollout = RolloutSpec{.version = TargetVersion("v3"),
+                                             .allowed = Seconds(12),
+                                             .attempt = 9}}};
+  const RolloutId before("p//v2/7");
+  rollouts_[before] = {.id = before, .stage = RolloutStage::kRolledBack};
   const EffectiveRouting routing = Build();
-  ASSERT_EQ(routing.pools[0].groups.size(), 1U);
   ASSERT_EQ(routing.pools[0].groups[0].targets.size(), 1U);
   EXPECT_EQ(routing.pools[0].groups[0].targets[0].info.id, TargetId("t1"));
 }
--- a/unit_tests/node/platform_sync/rollout_archive_test.cc
+++ b/unit_tests/node/platform_sync/rollout_archive_test.cc
@@ -7,7 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "core/config/rollout_key.h"
+#include "core/rollout/rollout_view.h"
 #include "node/json/record_json.h"
+#include "unit_tests/store/fake_platform.h"
 
 namespace camphor {
 namespace {
@@ -58,10 +61,11 @@
   }
 
   void Tick(const RolloutRecord& record, bool writer, Seconds after) {
-    archive_.Tick({{record.id, record}}, writer, start_ + after);
+    archive_.Tick({{record.id, record}}, writer, start_ + after, kWallStart);
   }
 
   inline static const RolloutId kId{"billing/v1/v2/1"};
+  static constexpr WallTime kWallStart{Seconds(1'800'000'000)};
   const MonoTime start_{Seconds(100)};
   OneTablePlatform platform_;
   std::vector<RolloutRecord> published_;
@@ -125,11 +129,144 @@
                      .version = TargetVersion("v1"),
                      .rollout = RolloutSpec{.version = TargetVersion("v2")}}};
   archive_.SetConfig(snapshot);
-  archive_.Tick({}, false, start_);
+  archive_.Tick({}, false, start_, kWallStart);
   ASSERT_EQ(published_.size(), 1U);
   EXPECT_EQ(published_[0].stage, RolloutStage::kRolledBack);
   EXPECT_EQ(archive_.unread(), 0U);
 }
 
+/// A rollout whose order says how long it may take, on a platform with several
+/// tables.
+class RolloutArchiveOrder : public testing::Test {
+ protected:
+  using Fault = FakePlatform::Fault;
+
+  void SetUp() override {
+    snapshot_.pools = {{.name = PoolName("billing"),
+                        .rollout = RolloutSpec{.version = TargetVersion("v2"),
+                                               .allowed = Seconds(12),
+                                               .attempt = 4}}};
+    snapshot_.routes = {{.name = RouteName("r"),
+                         .pool = PoolName("billing"),
+                         .timeout = Milliseconds(600)}};
+    id_ = RolloutKey::Of(snapshot_.pools.front()).id();
+    archive_.SetConfig(snapshot_);
+  }
+
+  RolloutArchive::Options Options() {
+    return {.platform = &platform_,
+            .post = [](const std::function<void()>& task) { task(); },
+            .publish =
+                [this](const RolloutRecord& record) {
+                  auto& known = records_[record.id];
+                  known.id = record.id;
+                  known = RolloutRecord::Merge(known, record);
+                },
+            .report =
+                [](const PoolSpec& pool, RolloutStage stage) {
+                  return TableTransaction{
+                      .writes = {{.table = "told",
+                                  .key = pool.name.value(),
+                                  .value = std::string(NameOf(stage))}}};
+                }};
+  }
+
+  void Tick(Milliseconds after, bool writer = true) {
+    now_ += after;
+    archive_.Tick(records_, writer, now_, kWall);
+  }
+
+  /// Lets the beginning be recorded.
+  void Begin() {
+    for (int call = 0; call < 3; ++call) {
+      Tick(Milliseconds(100));
+      platform_.Run();
+    }
+  }
+
+  void End(RolloutStage stage) { records_[id_].stage = stage; }
+
+  static constexpr WallTime kWall{Seconds(1'800'000'000)};
+  ConfigSnapshot snapshot_;
+  RolloutId id_;
+  MonoTime now_{Seconds(100)};
+  FakePlatform platform_;
+  std::map<RolloutId, RolloutRecord> records_;
+  RolloutArchive archive_{Options()};
+};
+
+TEST_F(RolloutArchiveOrder, NewOrder_IsRecordedWithItsTimeAndTold) {
+  Begin();
+  EXPECT_EQ(records_[id_].ordered_at, kWall);
+  EXPECT_EQ(platform_.Value("told", "billing"), "pending");
+  Tick(Milliseconds(100));
+  EXPECT_EQ(platform_.waiting(), 0U);
+}
+
+TEST_F(RolloutArchiveOrder, NoWriter_WaitsForTheOthers) {
+  RolloutArchive late(Options());
+  ConfigSnapshot before;
+  late.SetConfig(before);
+  late.SetConfig(snapshot_);
+  late.Tick(records_, false, now_, kWall);
+  EXPECT_EQ(platform_.waiting(), 0U);
+  late.Tick(records_, false, now_ + Seconds(3), kWall);
+  EXPECT_EQ(platform_.waiting(), 1U);
+  platform_.Run();
+}
+
+TEST_F(RolloutArchiveOrder, Success_IsToldOnceRequestsToTheOldTargetsEnded) {
+  Begin();
+  End(RolloutStage::kDone);
+  Tick(Milliseconds(0));
+  Tick(Milliseconds(900));
+  EXPECT_EQ(platform_.waiting(), 0U);
+  Tick(Milliseconds(200));
+  platform_.Run();
+  EXPECT_EQ(platform_.Value("told", "billing"), "done");
+  EXPECT_TRUE(records_[id_].recorded);
+}
+
+TEST_F(RolloutArchiveOrder, RolledBack_IsToldAtOnce) {
+  Begin();
+  End(RolloutStage::kRolledBack);
+  Tick(Milliseconds(0));
+  platform_.Run();
+  EXPECT_EQ(platform_.Value("told", "billing"), "rolled_back");
+}
+
+TEST_F(RolloutArchiveOrder, LostAnswerOfTheOutcome_LeavesOneOutcome) {
+  Begin();
+  End(RolloutStage::kRolledBack);
+  Tick(Milliseconds(0));
+  platform_.Step(Fault::kLostAfter);
+  records_[id_].stage = RolloutStage::kDone;  // another host's view
+  for (int call = 0; call < 20; ++call) {
+    Tick(Milliseconds(500));
+    platform_.Run();
+  }
+  EXPECT_EQ(platform_.Value("told", "billing"), "rolled_back");
+  EXPECT_EQ(records_[id_].stage, RolloutStage::kRolledBack);
+  EXPECT_TRUE(records_[id_].recorded);
+}
+
+TEST_F(RolloutArchiveOrder, TwoWritersAtOnce_LeaveOneBeginning) {
+  RolloutArchive other(Options());
+  other.SetConfig(snapshot_);
+  Tick(Milliseconds(100));
+  other.Tick(records_, true, now_, kWall);
+  platform_.Run();
+  Tick(Milliseconds(100));
+  other.Tick(records_, true, now_, kWall + Seconds(1));
+  platform_.Run();
+  for (int call = 0; call < 5; ++call) {
+    Tick(Milliseconds(600));
+    other.Tick(records_, true, now_, kWall);
+    platform_.Run();
+  }
+  EXPECT_EQ(records_[id_].ordered_at, kWall);
+  EXPECT_EQ(platform_.CountRows("rollouts"), 1U);
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/platform/operator_tables_test.cc
+++ b/unit_tests/platform/operator_tables_test.cc
@@ -69,13 +69,31 @@
   EXPECT_EQ(Decode()->head.version, 15U);
 }
 
-TEST_F(OperatorTables, RolloutOrder_KeepsItsVersionApart) {
+TEST_F(OperatorTables, RolloutOrder_StandsBesideItsPool) {
   Put("config", kConfig, 12);
   Put("rollout/a", R"({"pool": "a", "target": "v2", "durationS": 12})", 15);
   const auto tables = Decode();
   ASSERT_TRUE(tables) << reason_;
-  EXPECT_EQ(tables->pools[0].withheld, TargetVersion("v2"));
-  EXPECT_TRUE(tables->pools[1].withheld.empty());
+  ASSERT_TRUE(tables->pools[0].rollout);
+  EXPECT_EQ(*tables->pools[0].rollout,
+            (RolloutSpec{.version = TargetVersion("v2"),
+                         .allowed = Seconds(12),
+                         .attempt = 15}));
+  EXPECT_FALSE(tables->pools[1].rollout);
+}
+
+TEST_F(OperatorTables, RolloutOrderWithoutAVersionOrATime_IsPassedOver) {
+  for (const char* order :
+       {R"({"pool": "a", "durationS": 12})", R"({"pool": "a", "target": "v2"})",
+        R"({"pool": "a", "target": "v2", "durationS": "soon"})",
+        R"({"pool": "a", "target": 7, "durationS": 12})"}) {
+    Put("config", kConfig, 12);
+    Put("rollout/a", order, 15);
+    const auto tables = Decode();
+    ASSERT_TRUE(tables) << reason_;
+    EXPECT_FALSE(tables->pools[0].rollout) << order;
+    EXPECT_FALSE(reason_.empty()) << order;
+  }
 }
 
 TEST_F(OperatorTables, MalformedRolloutOrder_LeavesTheRestInForce) {
