Count a caller that leaves after its objective against the target

Now a caller that leaves when its objective has passed, or its time, is a timeout of the target; one that leaves earlier still says nothing.

--- a/core/routing/request_sample.h
+++ b/core/routing/request_sample.h
@@ -13,9 +13,10 @@
   kSuccess,     ///< a whole answer below 500
   kError,       ///< a whole answer of 500 or above that is no refusal
   kRefused,     ///< known not run: shed by the target or its host
-  kTimeout,     ///< no whole answer within the deadline
+  kTimeout,     ///< no whole answer within the deadline, or the caller left
+                ///< when its objective had passed
   kTargetDied,  ///< the target's connection broke in a way that says it died
-  kCancelled,   ///< the caller went away: says nothing of the target
+  kCancelled,   ///< the caller went away early: says nothing of the target
 };
 
 /// One request's result, as evidence for rollouts and balancing.
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -272,6 +272,8 @@
 void CallerRequest::Sample(RequestOutcome outcome) {
   const MonoTime now = std::chrono::steady_clock::now();
   const auto latency = std::chrono::duration_cast<Microseconds>(now - sent_at_);
+  if (outcome == RequestOutcome::kCancelled && TookTooLong(latency))
+    outcome = RequestOutcome::kTimeout;
   context_.balancer.OnEnded(target().info.id,
                             routing_->pools[placement_.pool].spec.name, outcome,
                             latency, now);
@@ -286,6 +288,13 @@
                               .latency = latency});
 }
 
+bool CallerRequest::TookTooLong(Microseconds latency) const {
+  // A caller that leaves this late leaves because of the target.
+  const Milliseconds objective = rule().target_latency;
+  return options_.control->TimeLeft().count() == 0 ||
+         (objective.count() > 0 && latency >= objective);
+}
+
 bool CallerRequest::MayRetry(ProxyError error) {
   const bool had_token = std::exchange(has_token_, false);
   if (!AnotherTargetMayRun(error) || options_.body->consumed()) return false;
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -55,6 +55,7 @@
   std::unique_ptr<RequestRun> MakeRun();
   bool MayRetry(ProxyError error);
   bool MayAbandon();
+  bool TookTooLong(Microseconds latency) const;
   Urgency UrgencyNow() const;
   Milliseconds SilenceAllowed() const;
   std::uint32_t MostAttempts() const;
--- a/unit_tests/proxy/proxy_faults_test.cc
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -226,6 +226,26 @@
   AwaitDump("h1", R"("in_flight":0)");
 }
 
+TEST_F(ProxyFaultsTest,
+       CallerGoesAwayAfterTheObjective_CountsAgainstTheTarget) {
+  for (RouteRule& route : routes_) route.target_latency = Milliseconds(30);
+  AddHoldingTarget("h2", "t1");
+  StartHosts();
+  const Endpoint proxy = proxies_["h1"]->caller_endpoint();
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket caller(io);
+  caller.connect({boost::asio::ip::make_address(proxy.address), proxy.port});
+  const std::string request =
+      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  holding_.AwaitHeld(1);
+  boost::asio::steady_timer(io, Milliseconds(60)).wait();
+  caller.close();
+  AwaitDump("h1", R"("in_flight":0)");
+  EXPECT_EQ(Samples(RequestOutcome::kTimeout), 1U);
+  EXPECT_EQ(Samples(RequestOutcome::kCancelled), 0U);
+}
+
 TEST_F(ProxyFaultsTest, Drain_FinishesWhatIsInFlight) {
   AddHoldingTarget("h2", "t1");
   StartHosts();
