--- a/core/rollout/evidence_stream.cc
+++ b/core/rollout/evidence_stream.cc
@@ -37,10 +37,12 @@
   if (rule.lone) return std::ranges::max(total_);
   constexpr std::size_t kFewestForLimit = 3;
   const std::size_t targets = by_target_.size();
+  const std::size_t possible = std::max(targets, rule.version_targets);
   const auto outliers = std::max<std::size_t>(
-      1, static_cast<std::size_t>(
-             std::lround(rule.outlier_share * static_cast<double>(targets))));
-  const bool limited = targets >= kFewestForLimit && rule.target_limit > 0;
+      rule.least_outliers,
+      static_cast<std::size_t>(
+          std::lround(rule.outlier_share * static_cast<double>(targets))));
+  const bool limited = possible >= kFewestForLimit && rule.target_limit > 0;
   double strength = 0;
   std::vector<double> parts;
   for (std::size_t size = 0; size < total_.size(); ++size) {
--- a/core/rollout/evidence_stream.h
+++ b/core/rollout/evidence_stream.h
@@ -19,10 +19,12 @@
 /// Which part of the evidence counts.
 struct StrengthRule {
   bool lone = false;  ///< the version has but one target: all of it counts
+  std::size_t version_targets = 0;  ///< targets of the version, also those
+                                    ///< that added nothing yet
   double target_limit =
       0;  ///< most that one target may add, if there are three or more
-  double outlier_share = 0.2;  ///< targets that add the most and do not count;
-                               ///< at least one
+  double outlier_share = 0.2;  ///< targets that add the most and do not count
+  std::size_t least_outliers = 1;  ///< at least so many of them
 };
 
 /// Sums evidence against the new version on one route and signal, kept apart
--- a/core/rollout/hit_evidence.cc
+++ b/core/rollout/hit_evidence.cc
@@ -23,8 +23,40 @@
          (target_events + old_events * part) * std::log(scale);
 }
 
+/// Log likelihood of `hits` among `requests` at a rate.
+double LogChance(double hits, double requests, double rate) {
+  return hits * std::log(rate) + (requests - hits) * std::log(1 - rate);
+}
+
 }  // namespace
 
+LogRatios AbruptHitEvidence(const HitCounts& counts, const HitRates& rates) {
+  assert(counts.new_requests > 0);
+  assert(rates.usual_rate > 0 && rates.usual_rate < 1);
+  LogRatios ratios{};
+  const double part = counts.target_requests / counts.new_requests;
+  const auto of_target = [&counts](double rate) {
+    return LogChance(counts.target_hits, counts.target_requests, rate);
+  };
+  const auto of_old = [&counts, part](double rate) {
+    return part * LogChance(counts.old_hits, counts.old_requests, rate);
+  };
+  const double usual_old = of_old(rates.usual_rate);
+  const double null_rate = std::min(rates.tolerated_rate, kHighestRate);
+  const double as_usual = of_target(null_rate) + usual_old;
+  for (std::size_t size = 0; size < ratios.size(); ++size) {
+    const double rate = std::min(null_rate * kEffectSizes[size], kHighestRate);
+    if (rate / null_rate < kLeastEffect) continue;
+    const double bad = of_target(rate) + usual_old;
+    const double shared =
+        of_target(rate) + of_old(rate) + std::log(rates.shared_fault);
+    const double larger = std::max(as_usual, shared);
+    ratios[size] = bad - larger -
+                   std::log1p(std::exp(std::min(as_usual, shared) - larger));
+  }
+  return ratios;
+}
+
 LogRatios RareHitEvidence(const HitCounts& counts, double tolerated) {
   assert(counts.new_requests > 0 && counts.old_requests > 0);
   LogRatios ratios{};
--- a/core/rollout/hit_evidence.h
+++ b/core/rollout/hit_evidence.h
@@ -25,6 +25,24 @@
 /// safety: any thread.
 LogRatios RareHitEvidence(const HitCounts& counts, double tolerated);
 
+/// What is known before a block of the rates at which requests are hit.
+/// Immutable value type.
+struct HitRates {
+  double usual_rate = 0;      ///< of the old version, recently
+  double tolerated_rate = 0;  ///< of the new version at most
+  double shared_fault = 0;    ///< chance that a fault of both began since
+};
+
+/// Log likelihood ratios of "the new version hits at a multiple of the
+/// tolerated rate, the old one as usual" over "the new one hits as is
+/// tolerated, or a fault of both began".
+///
+/// Tells within a block or two, also where hardly any request is left to the
+/// old version, as long as faults of both are as rare as said. @pre the counts
+/// are above 0, and so are the rates, which are below 1. Thread safety: any
+/// thread.
+LogRatios AbruptHitEvidence(const HitCounts& counts, const HitRates& rates);
+
 /// The same where hits are frequent: requests without a hit count as well, for
 /// which the old version's usual rate is needed. @pre as above, and
 /// 0 < usual_rate < 1. Thread safety: any thread.
--- a/core/rollout/ramp_plan.cc
+++ b/core/rollout/ramp_plan.cc
@@ -92,6 +92,16 @@
       std::min<double>(wider, FullShareOf(options)));
 }
 
+std::uint32_t CanaryShareFor(const RampOptions& options, double request_rate) {
+  if (options.canary_rate <= 0 || request_rate <= 0)
+    return options.canary_share_ppm;
+  const double wanted = kWholeShare * options.canary_rate / request_rate;
+  const auto most =
+      std::max(options.most_canary_share_ppm, options.canary_share_ppm);
+  return static_cast<std::uint32_t>(
+      std::clamp<double>(wanted, options.canary_share_ppm, most));
+}
+
 std::uint32_t CanaryTargetsFor(const RampOptions& options,
                                std::uint32_t share_ppm, std::size_t old_targets,
                                std::size_t new_targets) {
--- a/core/rollout/ramp_plan.h
+++ b/core/rollout/ramp_plan.h
@@ -17,6 +17,10 @@
 struct RampOptions {
   std::uint32_t canary_share_ppm =
       7'000;  ///< share of the pool's requests while it is a canary
+  double canary_rate = 0;  ///< requests a second that the canary is to have at
+                           ///< least, within `most_canary_share_ppm`
+  std::uint32_t most_canary_share_ppm =
+      150'000;  ///< share that it takes at most for that
   std::uint32_t control_share_ppm =
       20'000;  ///< share that stays with the old version while it is watched at
                ///< full share, so that both can be compared
@@ -78,6 +82,11 @@
 std::optional<std::uint32_t> NextShare(const RampOptions& options,
                                        const RampState& state, WallTime now);
 
+/// Share of a canary on a pool of the given requests a second: a small pool
+/// gives more, so that there is something to judge by. Thread safety: any
+/// thread.
+std::uint32_t CanaryShareFor(const RampOptions& options, double request_rate);
+
 /// Targets that the new version's share is to be concentrated on, so that each
 /// meets about the load of an old one; 0 for all. Thread safety: any thread.
 std::uint32_t CanaryTargetsFor(const RampOptions& options,
--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -7,7 +7,6 @@
 
 #include "core/base/wall_time_text.h"
 #include "core/rollout/rollout_view.h"
-#include "core/rollout/sequential_judge.h"
 
 namespace camphor {
 namespace {
@@ -114,7 +113,8 @@
 
 std::unique_ptr<VersionJudge> RolloutTracker::MakeJudge(
     double false_alarm, WallTime wall_now) const {
-  SequentialJudge::Options options{.false_alarm = false_alarm};
+  SequentialJudge::Options options = options_.settings.judge;
+  options.false_alarm = false_alarm;
   // A cold start must not take up the time that there is to judge.
   const WallTime start =
       record_.stage == RolloutStage::kPending ? wall_now : record_.stage_since;
@@ -131,7 +131,7 @@
   if (!judge_) {
     const auto& make = options_.settings.make_judge;
     judge_ = make ? make()
-                  : MakeJudge(SequentialJudge::Options().false_alarm, wall_now);
+                  : MakeJudge(options_.settings.judge.false_alarm, wall_now);
     owned_since_ = now;
   }
   std::uint32_t hosts = 0;
@@ -198,7 +198,8 @@
   const bool late = wall_now >= CompleteBy();
   const bool out_of_time =
       record_.stage == RolloutStage::kBake
-          ? wall_now >= record_.stage_since + 2 * Bake()
+          ? options_.settings.doubt_ends_bake ||
+                wall_now >= record_.stage_since + 2 * Bake()
           : IsWidening(record_.stage) &&
                 !HasTimeToWait(options_.settings.ramp, StateOf(now), wall_now);
   if (out_of_time && judge_->evidence() >= options_.settings.last_doubt) {
@@ -260,7 +261,7 @@
 void RolloutTracker::DecidePending(MonoTime now, WallTime wall_now) {
   if (targets_.new_version.empty() || !MayBegin(now)) return;
   RolloutRecord next = record_;
-  next.share_ppm = options_.settings.ramp.canary_share_ppm;
+  next.share_ppm = CanaryShareFor(options_.settings.ramp, RequestRate(now));
   next.route_shares =
       RouteSharesFor(options_.settings.ramp, next.share_ppm, Weights());
   next.canary_targets = CanaryTargetsFor(options_.settings.ramp, next.share_ppm,
@@ -300,13 +301,9 @@
   RolloutRecord next = record_;
   next.share_ppm = kWholeShare;
   next.route_shares.clear();
-  next.reason = {.signal = "evidence",
-                 .sentence = "nothing spoke against the new version"};
-  for (const EvidenceView& view : judge_->View()) {
-    if (!view.route.empty() || view.signal != JudgeSignal::kFailures) continue;
-    next.reason.new_requests = view.new_requests;
-    next.reason.old_requests = view.old_requests;
-  }
+  // What spoke most against it did not suffice.
+  next.reason = judge_->Strongest();
+  next.reason.signal = "evidence";
   Enter(RolloutEvent::kBakePassed, std::move(next), wall_now);
 }
 
@@ -365,6 +362,13 @@
   if (options_.publish) options_.publish(published);
 }
 
+double RolloutTracker::RequestRate(MonoTime now) const {
+  double all = 0;
+  for (const auto& [route, requests] : route_requests_) all += requests;
+  const std::chrono::duration<double> span = now - owned_since_;
+  return span.count() > 0 ? all / span.count() : 0;
+}
+
 std::vector<RouteWeight> RolloutTracker::Weights() const {
   double all = 0;
   for (const auto& [route, requests] : route_requests_) all += requests;
--- a/core/rollout/rollout_tracker.h
+++ b/core/rollout/rollout_tracker.h
@@ -15,6 +15,7 @@
 #include "core/rollout/evidence_tree.h"
 #include "core/rollout/ramp_plan.h"
 #include "core/rollout/rollout_state_machine.h"
+#include "core/rollout/sequential_judge.h"
 #include "core/rollout/version_judge.h"
 
 namespace camphor {
@@ -35,6 +36,9 @@
   double last_doubt = 0.5;  ///< evidence that rolls the version back when there
                             ///< is no more time to wait for more: at the latest
                             ///< start of the ramp, and at the end of the bake
+  bool doubt_ends_bake = false;      ///< at full share there is no time to wait
+  SequentialJudge::Options judge{};  ///< of the owner's judge, and of that
+                                     ///< behind local ejection
   Milliseconds shortest_cold_start{
       3'000};  ///< a new target's latency does not count for so long at least
   double cold_start_part =
@@ -145,6 +149,7 @@
   void Enter(RolloutEvent event, RolloutRecord next, WallTime wall_now);
   void Publish(const RolloutRecord& next);
   std::vector<RouteWeight> Weights() const;
+  double RequestRate(MonoTime now) const;
 
   Options options_;
   EvidenceTree tree_;
--- a/core/rollout/route_comparison.cc
+++ b/core/rollout/route_comparison.cc
@@ -154,8 +154,16 @@
                            .new_requests = new_requests,
                            .old_requests = old_requests,
                            .old_hits = old_hits};
-      LogRatios ratios = FrequentHitEvidence(
-          hits, tolerated, std::min(old_rate, kHighestUsualRate));
+      const double rate = std::min(old_rate, kHighestUsualRate);
+      LogRatios ratios =
+          signal != JudgeSignal::kFailures
+              ? FrequentHitEvidence(hits, tolerated, rate)
+          : options_->shared_fault > 0
+              ? AbruptHitEvidence(hits,
+                                  {.usual_rate = rate,
+                                   .tolerated_rate = tolerated * rate,
+                                   .shared_fault = options_->shared_fault})
+              : RareHitEvidence(hits, tolerated);
       for (double& ratio : ratios) {
         ratio = std::min(ratio / dispersion, options_->block_limit);
       }
--- a/core/rollout/route_comparison.h
+++ b/core/rollout/route_comparison.h
@@ -38,6 +38,10 @@
   double new_half_life =
       1'000;  ///< requests after which the new version's rate weighs half
   double most_dispersion = 1.5;  ///< bound on the measured dispersion
+  double shared_fault =
+      0;  ///< chance that a fault of both versions begins in a block; 0: any
+          ///< rate is as likely, and failures count beside the old version's in
+          ///< the same block alone
 };
 
 /// What was counted on one signal so far.
--- a/core/rollout/sequential_judge.cc
+++ b/core/rollout/sequential_judge.cc
@@ -19,6 +19,7 @@
 void SequentialJudge::AddBlock(const EvidenceBlock& block) {
   if (!started_) started_ = block.end;
   lone_ = block.new_targets <= 1 || !options_.leave_one_out;
+  targets_ = block.new_targets;
   const std::vector<RouteBlock> routes = SplitByRoute(block);
   const BlockContext context = ContextOf(block, routes);
   for (const RouteBlock& route : routes) AddRoute(route, context);
@@ -151,7 +152,11 @@
 }
 
 StrengthRule SequentialJudge::Rule() const {
-  return {.lone = lone_, .target_limit = options_.target_limit * Threshold()};
+  return {.lone = lone_,
+          .version_targets = targets_,
+          .target_limit = options_.target_limit * Threshold(),
+          .outlier_share = options_.outlier_share,
+          .least_outliers = options_.least_outliers};
 }
 
 double SequentialJudge::Threshold() const {
--- a/core/rollout/sequential_judge.h
+++ b/core/rollout/sequential_judge.h
@@ -27,6 +27,9 @@
         true;  ///< the target that adds the most evidence does not count
     double target_limit =
         0.6;  ///< most that one target adds, of what is enough
+    double outlier_share =
+        0.2;  ///< targets that add the most evidence and do not count
+    std::size_t least_outliers = 1;  ///< at least so many of them
     ComparisonOptions comparison{};  ///< tolerances and discounts
   };
 
@@ -74,6 +77,7 @@
   std::optional<MonoTime> started_;
   std::optional<MonoTime> last_end_;
   bool lone_ = false;
+  std::size_t targets_ = 0;  ///< of the new version
   double evidence_ = 0;
 };
 
--- a/ctl/command_list.cc
+++ b/ctl/command_list.cc
@@ -4,6 +4,7 @@
 
 #include "ctl/commands/apply_command.h"
 #include "ctl/commands/get_command.h"
+#include "ctl/commands/log_commands.h"
 #include "ctl/commands/node_commands.h"
 #include "ctl/commands/rollout_command.h"
 #include "ctl/commands/watch_command.h"
@@ -18,6 +19,8 @@
   -t, --token-file FILE  file whose first line is the operator's token
                          (default: the environment's CAMPHOR_TOKEN)
   -j, --json             print JSON for programs
+      --logs DIR|FILE|-  where explain and logs read (default: -, standard
+                         input)
       --timeout SECONDS  longest wait of watch and apply --wait (default: 120)
   -h, --help             print this, or the help of a command
   -V, --version          print the version
@@ -36,8 +39,9 @@
 
 const std::vector<Command>& CommandList() {
   static const std::vector<Command> commands = {
-      GetCommand(),  ApplyCommand(), WatchCommand(),   RolloutCommand(),
-      DumpCommand(), DrainCommand(), LogLevelCommand()};
+      GetCommand(),      ApplyCommand(),   WatchCommand(),
+      RolloutCommand(),  DumpCommand(),    DrainCommand(),
+      LogLevelCommand(), ExplainCommand(), LogsCommand()};
   return commands;
 }
 
--- a/ctl/commands/command.h
+++ b/ctl/commands/command.h
@@ -26,6 +26,7 @@
   std::string summary;                    ///< one line for the list
   std::string help;                       ///< lines for its own help
   int (*run)(CommandContext&) = nullptr;  ///< returns an exit code
+  bool needs_node = true;                 ///< false: works without any node
 };
 
 /// Prints to standard error: "camphorctl: sentence". Thread safety: any thread.
--- a/ctl/ctl_options.cc
+++ b/ctl/ctl_options.cc
@@ -21,6 +21,7 @@
   char* token_file = nullptr;
   char* operation_id = nullptr;
   char* base = nullptr;
+  char* logs = nullptr;
   int timeout_s = 120;
   int json = 0;
   int dry_run = 0;
@@ -83,13 +84,14 @@
 std::optional<CtlOptions> CtlOptions::Parse(int argc, const char** argv,
                                             std::string& reason) {
   RawOptions raw;
-  const std::array<poptOption, 11> table = {{
+  const std::array<poptOption, 12> table = {{
       {"nodes", 'n', POPT_ARG_STRING, &raw.nodes, 0, nullptr, nullptr},
       {"token-file", 't', POPT_ARG_STRING, &raw.token_file, 0, nullptr,
        nullptr},
       {"operation-id", 0, POPT_ARG_STRING, &raw.operation_id, 0, nullptr,
        nullptr},
       {"base", 0, POPT_ARG_STRING, &raw.base, 0, nullptr, nullptr},
+      {"logs", 0, POPT_ARG_STRING, &raw.logs, 0, nullptr, nullptr},
       {"timeout", 0, POPT_ARG_INT, &raw.timeout_s, 0, nullptr, nullptr},
       {"json", 'j', POPT_ARG_NONE, &raw.json, 0, nullptr, nullptr},
       {"dry-run", 0, POPT_ARG_NONE, &raw.dry_run, 0, nullptr, nullptr},
@@ -108,6 +110,7 @@
   const std::string token_file = Take(raw.token_file);
   options.operation_id = Take(raw.operation_id);
   const std::string base = Take(raw.base);
+  if (raw.logs != nullptr) options.logs = Take(raw.logs);
   if (result < -1) {
     reason = std::string(poptBadOption(context.get(), 0)) + ": " +
              poptStrerror(result);
--- a/ctl/ctl_options.h
+++ b/ctl/ctl_options.h
@@ -28,6 +28,7 @@
   std::string token{};                   ///< operator's token
   std::string operation_id{};            ///< of an edit that is sent again
   std::optional<std::uint64_t> base{};   ///< version that the edit started from
+  std::string logs = "-";                ///< where logs are read; -: input
   Seconds timeout{120};                  ///< longest wait of watch
   bool json = false;                     ///< JSON for programs
   bool dry_run = false;                  ///< show what apply would change
--- a/ctl/main.cc
+++ b/ctl/main.cc
@@ -31,7 +31,7 @@
                               ? "a command is required"
                               : arguments[0] + " is not a command");
   }
-  if (options->nodes.empty()) {
+  if (command->needs_node && options->nodes.empty()) {
     return WrongArguments("--nodes or CAMPHOR_NODES must name a node");
   }
   NodeClient client({.nodes = options->nodes, .token = options->token});
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -221,7 +221,8 @@
       {"id", record.id.value()},
       {"stage", std::string(NameOf(record.stage))},
       {"share_ppm", record.share_ppm},
-      {"signal", record.reason.signal}};
+      {"signal", record.reason.signal},
+      {"evidence", record.reason.sentence}};
   options_.log->Log(LogLevel::kInfo, "rollout", "a rollout changed", fields);
   options_.log->History("rollout", fields);
   rollouts_->OnRecord(record);
--- a/node/log/log_sink.cc
+++ b/node/log/log_sink.cc
@@ -73,6 +73,10 @@
   if (level != LogLevel::kInfo) {
     AppendField(line, {"level", std::string(LogLevelName(level))});
   }
+  // Lines of several hosts are joined by these.
+  if (options_.now_ms)
+    AppendField(line, {"t_ms", std::to_string(options_.now_ms())});
+  if (!options_.host.empty()) AppendField(line, {"host", options_.host});
   Enqueue(std::move(line));
 }
 
--- a/node/log/log_sink.h
+++ b/node/log/log_sink.h
@@ -35,6 +35,9 @@
  public:
   struct Options {
     std::size_t capacity = 4096;  ///< lines that wait at most
+    std::string host{};           ///< stands on each line; empty: left out
+    std::function<std::int64_t()>
+        now_ms{};  ///< calendar time for each line; null: left out
     std::function<void(const std::string&)>
         write{};  ///< takes whole lines; standard output if not set
   };
--- a/node/main.cc
+++ b/node/main.cc
@@ -2,7 +2,9 @@
 #include <malloc.h>
 
 #include <boost/asio.hpp>
+#include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -58,6 +60,12 @@
   mallopt(M_TRIM_THRESHOLD, kTrimThreshold);
 }
 
+std::int64_t CalendarMs() {
+  return std::chrono::duration_cast<Milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 /// Reads the levels again; wrong settings leave everything as it is.
 void ReloadLogLevels(const std::string& file, LogSink& log) {
   const std::optional<Settings> settings = LoadSettings(file);
@@ -118,9 +126,11 @@
 
 int Run(const Settings& settings, const std::string& settings_file) {
   SignalLoop loop;
-  LogSink log({});
+  LogSink log({.host = settings.host.value(), .now_ms = &CalendarMs});
   log.SetLevels(settings.log.level, settings.log.parts);
   log.SetHistory(settings.log.history);
+  log.Log(LogLevel::kInfo, "node", "starting",
+          {{"program", CAMPHOR_VERSION}, {"settings", settings_file}});
   Node node({.settings = settings, .log = &log, .drain_requested = [&loop] {
                loop.End();
              }});
@@ -136,6 +146,8 @@
            });
   const bool drained = node.Drain();
   node.Stop();
+  log.Log(LogLevel::kInfo, "node", "stopped",
+          {{"drained", drained ? "yes" : "no"}});
   return drained ? kExitOk : kExitFailed;
 }
 
--- a/performance_test/rollout/rollout_trial.cc
+++ b/performance_test/rollout/rollout_trial.cc
@@ -14,7 +14,6 @@
 namespace camphor {
 namespace {
 
-constexpr double kStep = 2;  // seconds
 constexpr const char* kPool = "pool";
 constexpr WallTime kOrderedAt{Milliseconds(1'800'000'000'000)};
 
@@ -35,12 +34,14 @@
   TrialResult Run();
 
  private:
+  static RolloutOptions ShortSettings(const RolloutOptions& settings);
   static ConfigSnapshotPtr SnapshotOf(const Workload& workload);
   std::map<HostId, HostRecord> HostsAt(double now) const;
   HostId OwnerName() const;
   void UpdateShares();
   void Count(const ModelStep& step, double now);
   void Observe(const ModelStep& step, double now) const;
+  bool IsShort() const { return options_->workload.outcome_within_s > 0; }
   bool HasEnded() const { return in_force_.stage >= RolloutStage::kDone; }
   TrialResult Result(double now) const;
 
@@ -55,6 +56,7 @@
   ModelShares shares_;
   std::uint64_t period_ = 0;
   std::uint64_t pool_requests_ = 0;
+  std::uint64_t new_requests_ = 0;
   std::uint64_t bad_requests_ = 0;
   std::optional<double> bad_since_;
   double bake_since_ = -1;
@@ -72,18 +74,33 @@
       .host = owner_,
       .incarnation = 1,
       .publish = [this](const RolloutRecord& record) { published_ = record; },
-      .rollout = options.rollout});
+      .rollout = options.rollout,
+      .short_rollout = ShortSettings(options.rollout)});
   manager_->SetConfig(snapshot_);
+  if (IsShort()) {
+    const RolloutRecord begun{.id = id_, .ordered_at = kOrderedAt};
+    published_ = in_force_ = begun;
+    manager_->OnRecord(begun);
+  }
   UpdateShares();
 }
 
+RolloutOptions Trial::ShortSettings(const RolloutOptions& settings) {
+  RolloutOptions chosen = ShortRollout();
+  chosen.make_judge = settings.make_judge;
+  return chosen;
+}
+
 ConfigSnapshotPtr Trial::SnapshotOf(const Workload& workload) {
   auto snapshot = std::make_shared<ConfigSnapshot>();
+  const Milliseconds allowed(
+      static_cast<std::int64_t>(workload.outcome_within_s * 1000));
   snapshot->pools.push_back(
       {.name = PoolName(kPool),
        .version = TargetVersion(kOldVersion),
        .rollout = RolloutSpec{.version = TargetVersion(kNewVersion),
                               .complete_by = WallAt(workload.time_allowed_s),
+                              .allowed = allowed,
                               .bake = Seconds(workload.bake_s)},
        .slots_per_target = static_cast<std::uint32_t>(workload.slots)});
   return snapshot;
@@ -147,6 +164,7 @@
 
 void Trial::Count(const ModelStep& step, double now) {
   pool_requests_ += step.requests;
+  new_requests_ += step.new_requests;
   bad_requests_ += step.bad_requests;
   if (step.shows_bad && !bad_since_) bad_since_ = now;
 }
@@ -175,8 +193,15 @@
       .rolled_back = in_force_.stage == RolloutStage::kRolledBack,
       .bad_requests = bad_requests_,
       .reason = in_force_.reason};
-  result.in_time = in_force_.stage == RolloutStage::kDone && bake_since_ >= 0 &&
-                   bake_since_ <= options_->workload.time_allowed_s;
+  // Either the outcome, or full share, has its time.
+  const Workload& workload = options_->workload;
+  const double counts = IsShort() ? now : bake_since_;
+  result.in_time = in_force_.stage == RolloutStage::kDone && counts >= 0 &&
+                   counts <= workload.time_allowed_s;
+  const double left = std::max(0.0, workload.time_allowed_s - now);
+  result.new_share = static_cast<double>(new_requests_) /
+                     std::max(1.0, static_cast<double>(pool_requests_) +
+                                       left * workload.request_rate);
   if (pool_requests_ > 0) {
     result.bad_share = static_cast<double>(bad_requests_) /
                        static_cast<double>(pool_requests_);
@@ -194,9 +219,10 @@
     if (in_force_.stage == RolloutStage::kBake && bake_since_ < 0) {
       bake_since_ = now;
     }
-    const ModelStep step = model_.Advance(now, kStep, bake_since_, shares_);
-    now += kStep;
-    Count(step, now - kStep);
+    const double length = options_->workload.step_s;
+    const ModelStep step = model_.Advance(now, length, bake_since_, shares_);
+    now += length;
+    Count(step, now - length);
 
     // A record published now is in force everywhere one step later.
     const RolloutRecord next = published_;
--- a/performance_test/rollout/rollout_trial.h
+++ b/performance_test/rollout/rollout_trial.h
@@ -13,10 +13,12 @@
 
 /// How one rollout went.
 struct TrialResult {
-  bool ended = false;              ///< it ended as done or rolled back
-  bool rolled_back = false;        ///< as rolled back
-  bool in_time = false;            ///< full share by complete_by, and done
-  double bad_share = 0;            ///< requests it got while bad, of the pool's
+  bool ended = false;        ///< it ended as done or rolled back
+  bool rolled_back = false;  ///< as rolled back
+  bool in_time = false;      ///< full share by complete_by, and done
+  double bad_share = 0;      ///< requests it got while bad, of the pool's
+  double new_share = 0;  ///< requests it got, of those of the pool until the
+                         ///< time allowed is over
   std::uint64_t bad_requests = 0;  ///< requests it got while bad
   double take_back_s = 0;  ///< from when it showed bad to its end everywhere
   RolloutReason reason{};  ///< why it ended
--- a/performance_test/rollout/trial_summary.cc
+++ b/performance_test/rollout/trial_summary.cc
@@ -18,6 +18,7 @@
   std::size_t gross = 0;
   std::size_t gross_taken_back = 0;
   std::vector<double> shares{};
+  std::vector<double> new_shares{};
   std::vector<double> requests{};
   std::vector<double> seconds{};
 };
@@ -36,6 +37,7 @@
     totals.gross_taken_back += result.rolled_back ? 1 : 0;
   }
   totals.shares.push_back(result.bad_share);
+  totals.new_shares.push_back(result.new_share);
   totals.requests.push_back(static_cast<double>(result.bad_requests));
   if (result.rolled_back) totals.seconds.push_back(result.take_back_s);
 }
@@ -90,14 +92,16 @@
   }
   return fmt::format(
       "moves={} good={} good_in_time={:.4f} good_taken_back={:.4f} bad={} "
-      "bad_taken_back={:.4f} bad_share_p99={:.5f} bad_requests_p50={:.0f} "
+      "bad_taken_back={:.4f} bad_share_p99={:.5f} new_share_p50={:.5f} "
+      "new_share_p99={:.5f} bad_requests_p50={:.0f} "
       "take_back_s_p50={:.0f} take_back_s_p99={:.0f} "
       "gross_taken_back={:.4f} mild_taken_back={:.4f}",
       totals.good + totals.bad, totals.good,
       Ratio(totals.good_in_time, totals.good),
       totals.good == 0 ? 0 : Ratio(totals.good_taken_back, totals.good),
       totals.bad, Ratio(totals.bad_taken_back, totals.bad),
-      Quantile(totals.shares, 0.99), Quantile(totals.requests, 0.5),
+      Quantile(totals.shares, 0.99), Quantile(totals.new_shares, 0.5),
+      Quantile(totals.new_shares, 0.99), Quantile(totals.requests, 0.5),
       Quantile(totals.seconds, 0.5), Quantile(totals.seconds, 0.99),
       Ratio(totals.gross_taken_back, totals.gross),
       Ratio(totals.bad_taken_back - totals.gross_taken_back,
--- a/performance_test/rollout/workload.cc
+++ b/performance_test/rollout/workload.cc
@@ -101,6 +101,10 @@
   Read(fields, "slots", workload.slots, 1, 1000);
   Read(fields, "queue", workload.queue, 0, 10'000);
   Read(fields, "time_allowed_s", workload.time_allowed_s, 1);
+  Read(fields, "outcome_within_s", workload.outcome_within_s);
+  if (workload.outcome_within_s > 0)
+    workload.time_allowed_s = workload.outcome_within_s;
+  Read(fields, "step_s", workload.step_s, 0.05, 60);
   Read(fields, "bake_s", workload.bake_s, 0, 1'000'000);
   std::vector<RouteLoad> routes;
   fields.Objects("routes", [&routes](JsonFields& row) {
--- a/performance_test/rollout/workload.h
+++ b/performance_test/rollout/workload.h
@@ -73,7 +73,10 @@
   int slots = 10;                ///< requests that a target runs at a time
   int queue = 20;                ///< requests that wait at a target
   double time_allowed_s = 1800;  ///< from the order to complete_by
-  int bake_s = 600;              ///< watched at full share
+  double outcome_within_s = 0;   ///< set: the order allows so long until its
+                                 ///< outcome, in place of the line above
+  double step_s = 2;  ///< of the model; a record is in force one step later
+  int bake_s = 600;   ///< watched at full share
   std::vector<RouteLoad> routes{
       {.name = "list", .share = 0.55, .latency_ms = 30},
       {.name = "read", .share = 0.3, .latency_ms = 20},
--- a/unit_tests/core/rollout/ramp_plan_test.cc
+++ b/unit_tests/core/rollout/ramp_plan_test.cc
@@ -127,5 +127,15 @@
   }));
 }
 
+TEST(CanaryShareFor, SmallPool_GivesMoreWithinABound) {
+  const RampOptions options{.canary_share_ppm = 50'000,
+                            .canary_rate = 10,
+                            .most_canary_share_ppm = 150'000};
+  EXPECT_EQ(CanaryShareFor(options, 400), 50'000U);
+  EXPECT_EQ(CanaryShareFor(options, 100), 100'000U);
+  EXPECT_EQ(CanaryShareFor(options, 10), 150'000U);
+  EXPECT_EQ(CanaryShareFor(options, 0), 50'000U);
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/core/rollout/short_rollout_test.cc
+++ b/unit_tests/core/rollout/short_rollout_test.cc
@@ -41,7 +41,6 @@
     EXPECT_LE(static_cast<double>(new_requests_), kMostExposed * all + kSpared);
   }
 
- private:
   std::mt19937 random_{7};
 };
 
@@ -70,6 +69,32 @@
   ExpectWithinExposure();
 }
 
+TEST_F(ShortRolloutTest, DependencyOfBothFailsFirst_BadVersionIsStillFound) {
+  const MonoTime until = now_ + Seconds(7);
+  RunToTheEnd([this, until](bool is_new, const std::string&) {
+    const bool dependency_fails = now_ < until && random_() % 100 < 55;
+    return dependency_fails || (is_new && random_() % 100 < 40);
+  });
+  EXPECT_EQ(Stage(), RolloutStage::kRolledBack);
+  ExpectWithinExposure();
+}
+
+TEST_F(ShortRolloutTest, DependencyOfBothFailsForAWhile_GoodVersionIsDone) {
+  const MonoTime from = now_ + Seconds(4);
+  const MonoTime until = now_ + Seconds(8);
+  Run(13, [this, from, until](bool, const std::string&) {
+    return now_ >= from && now_ < until && random_() % 100 < 55;
+  });
+  EXPECT_EQ(Stage(), RolloutStage::kDone);
+}
+
+TEST_F(ShortRolloutTest, OneBadTarget_DoesNotCondemnTheVersion) {
+  Run(13, [this](bool is_new, const std::string& host) {
+    return is_new && host == "h1" && random_() % 2 == 0;
+  });
+  EXPECT_EQ(Stage(), RolloutStage::kDone);
+}
+
 TEST_F(ShortRolloutTest, OwnerDiesInTheCanary_AnotherOneEndsItInTime) {
   Run(6, Good);
   ASSERT_EQ(Stage(), RolloutStage::kCanary);
