--- a/node/node.cc
+++ b/node/node.cc
@@ -368,10 +368,13 @@
   std::this_thread::sleep_for(state.settings.drain.notice);
   state.proxy.BeginDrain();
   const MonoTime deadline = Now() + DrainLimit(state.settings.drain);
-  while (state.proxy.in_flight() > 0 && Now() < deadline) {
+  // A request that began after a look at the number would be cut off.
+  bool idle = state.proxy.StopIfIdle();
+  while (!idle && Now() < deadline) {
     std::this_thread::sleep_for(kDrainPoll);
+    idle = state.proxy.StopIfIdle();
   }
-  const std::uint64_t left = state.proxy.in_flight();
+  const std::uint64_t left = idle ? 0 : state.proxy.in_flight();
   state.log.Log(left == 0 ? LogLevel::kInfo : LogLevel::kWarning, "node",
                 "drained", {{"in_flight", left}});
   state.log.History("drained", {{"in_flight", left}});
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -79,6 +79,8 @@
   auto [error, bytes] =
       co_await http::async_read_header(socket_, buffer_, parser, kAsTuple);
   progress_.Clear();
+  // What was read as everything closed could not be answered any more.
+  if (context_.stopping) co_return false;
   if (!error) {
     ++context_.in_flight;
     const bool more = co_await Serve(parser);
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -213,6 +213,20 @@
   state_->thread.join();
 }
 
+bool ProxyServer::StopIfIdle() {
+  if (!state_->thread.joinable()) return true;
+  std::promise<bool> stopped;
+  std::future<bool> idle = stopped.get_future();
+  asio::post(*state_->context.io, [state = state_.get(), &stopped] {
+    const bool none = state->context.in_flight == 0;
+    if (none) state->CloseAll();
+    stopped.set_value(none);
+  });
+  if (!idle.get()) return false;
+  state_->thread.join();
+  return true;
+}
+
 Endpoint ProxyServer::caller_endpoint() const {
   return state_->caller_endpoint;
 }
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -80,6 +80,11 @@
   /// Closes everything and joins the thread.
   void Stop();
 
+  /// The same if no request is in flight. Returns false, and changes nothing,
+  /// when there is one. No request can begin between the look and the end.
+  /// Thread safety: the thread that stops.
+  bool StopIfIdle();
+
   /// Addresses in use after Start. Thread safety: any thread.
   Endpoint caller_endpoint() const;
   Endpoint forward_endpoint() const;
--- a/unit_tests/proxy/proxy_faults_test.cc
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -246,6 +246,28 @@
   EXPECT_EQ(Samples(RequestOutcome::kCancelled), 0U);
 }
 
+TEST_F(ProxyFaultsTest, StopWhenIdle_CutsOffNoRequestThatATargetHas) {
+  std::atomic<int> run{0};
+  AddTarget("h1", "t1", [&run](const HttpExchange& exchange) {
+    ++run;
+    exchange.Respond({.status = 200});
+  });
+  StartHosts();
+  std::atomic<int> answered{0};
+  std::thread caller([this, &answered] {
+    HttpConnection connection(proxies_["h1"]->caller_endpoint());
+    const HttpRequest request{.method = "GET", .target = "/get"};
+    while (const auto answer = connection.Call(request, Milliseconds(5'000))) {
+      EXPECT_EQ(answer->status, 200) << answer->body;
+      ++answered;
+    }
+  });
+  while (answered < 20) std::this_thread::yield();
+  while (!proxies_["h1"]->StopIfIdle()) std::this_thread::yield();
+  caller.join();
+  EXPECT_EQ(run, answered);
+}
+
 TEST_F(ProxyFaultsTest, Drain_FinishesWhatIsInFlight) {
   AddHoldingTarget("h2", "t1");
   StartHosts();
