--- a/core/rollout/rollout_manager.cc
+++ b/core/rollout/rollout_manager.cc
@@ -72,7 +72,6 @@
         targets.new_slots += target.slots;
       } else if (pool.version.empty() || target.version == pool.version) {
         targets.old_version[target.id] = id;
-        targets.old_slots += target.slots;
       }
     }
   }
--- a/core/rollout/rollout_tracker.h
+++ b/core/rollout/rollout_tracker.h
@@ -59,7 +59,6 @@
 struct RolloutTargets {
   std::map<TargetId, HostId> old_version{};  ///< targets that serve now
   std::map<TargetId, HostId> new_version{};  ///< targets that are to take over
-  std::uint32_t old_slots = 0;  ///< slots of the old version's targets together
   std::uint32_t new_slots = 0;  ///< slots of the new version's targets together
 };
 
--- a/unit_tests/node/settings/examples_test.cc
+++ b/unit_tests/node/settings/examples_test.cc
@@ -11,12 +11,15 @@
 namespace camphor {
 namespace {
 
-std::string ReadExample(const std::string& name) {
-  std::ifstream input(std::filesystem::path(CAMPHOR_SOURCE_DIR) / "examples" /
-                      name);
+std::string ReadFile(const std::filesystem::path& path) {
+  std::ifstream input(std::filesystem::path(CAMPHOR_SOURCE_DIR) / path);
   return {std::istreambuf_iterator<char>(input), {}};
 }
 
+std::string ReadExample(const std::string& name) {
+  return ReadFile(std::filesystem::path("examples") / name);
+}
+
 TEST(Examples, Settings_AreAccepted) {
   SettingsReader reader;
   EXPECT_TRUE(reader.Read(ReadExample("camphord.json")).has_value());
@@ -29,5 +32,14 @@
       << codec.last_reason().ToString();
 }
 
+TEST(DeployTemplate, FeedersOfAFailureDomain_AreTwoAtLeast) {
+  // The platform may turn one of them away while it serves the operator.
+  const std::string text = ReadFile("deploy/settings.json.template");
+  const std::string key = "\"pollers_per_domain\": ";
+  const std::size_t at = text.find(key);
+  ASSERT_NE(at, std::string::npos);
+  EXPECT_GE(std::stoi(text.substr(at + key.size())), 2);
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/proxy/proxy_faults_test.cc
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -132,6 +132,18 @@
 
 class ProxyFaultsTest : public TwoHosts {
  protected:
+  /// Sends a request to h1 that a target holds. @pre it is the first one.
+  boost::asio::ip::tcp::socket SendHeldRequest(boost::asio::io_context& io) {
+    const Endpoint proxy = proxies_["h1"]->caller_endpoint();
+    boost::asio::ip::tcp::socket caller(io);
+    caller.connect({boost::asio::ip::make_address(proxy.address), proxy.port});
+    const std::string request =
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    holding_.AwaitHeld(1);
+    return caller;
+  }
+
   void TearDown() override {
     holding_.Clear();
     TwoHosts::TearDown();
@@ -213,14 +225,8 @@
 TEST_F(ProxyFaultsTest, CallerGoesAway_TargetIsCancelled) {
   AddHoldingTarget("h2", "t1");
   StartHosts();
-  const Endpoint proxy = proxies_["h1"]->caller_endpoint();
   boost::asio::io_context io;
-  boost::asio::ip::tcp::socket caller(io);
-  caller.connect({boost::asio::ip::make_address(proxy.address), proxy.port});
-  const std::string request =
-      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
-  boost::asio::write(caller, boost::asio::buffer(request));
-  holding_.AwaitHeld(1);
+  boost::asio::ip::tcp::socket caller = SendHeldRequest(io);
   caller.close();
   AwaitDump("h2", R"("running":0)");
   AwaitDump("h1", R"("in_flight":0)");
@@ -231,14 +237,8 @@
   for (RouteRule& route : routes_) route.target_latency = Milliseconds(30);
   AddHoldingTarget("h2", "t1");
   StartHosts();
-  const Endpoint proxy = proxies_["h1"]->caller_endpoint();
   boost::asio::io_context io;
-  boost::asio::ip::tcp::socket caller(io);
-  caller.connect({boost::asio::ip::make_address(proxy.address), proxy.port});
-  const std::string request =
-      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
-  boost::asio::write(caller, boost::asio::buffer(request));
-  holding_.AwaitHeld(1);
+  boost::asio::ip::tcp::socket caller = SendHeldRequest(io);
   boost::asio::steady_timer(io, Milliseconds(60)).wait();
   caller.close();
   AwaitDump("h1", R"("in_flight":0)");
