--- a/node/platform_sync/rollout_archive.cc
+++ b/node/platform_sync/rollout_archive.cc
@@ -93,12 +93,11 @@
     const std::map<RolloutId, RolloutRecord>& records) {
   if (entry.pending) return false;
   if (!entry.known_since) entry.known_since = now_;
-  const bool timed = entry.pool && entry.pool->rollout->allowed.count() > 0;
   const auto record = records.find(id);
   const bool begun =
       record != records.end() && record->second.ordered_at > WallTime{};
   // The writers record the beginning and spread it; others wait for that.
-  if (timed && !entry.read && !begun &&
+  if (HasBeginning(entry) && !entry.read && !begun &&
       (writer || now_ - *entry.known_since >= options_.unknown)) {
     entry.read_wanted = true;
   }
@@ -114,9 +113,13 @@
   return now_ - *entry.done_since >= options_.handover + entry.longest_request;
 }
 
+bool RolloutArchive::HasBeginning(const Entry& entry) {
+  return entry.pool && entry.pool->rollout->allowed.count() > 0;
+}
+
 bool RolloutArchive::MustBegin(const Entry& entry) {
-  return entry.pool && entry.pool->rollout->allowed.count() > 0 && entry.read &&
-         !entry.read_wanted && !entry.pending && entry.revision == 0;
+  return HasBeginning(entry) && entry.read && !entry.read_wanted &&
+         !entry.pending && entry.revision == 0;
 }
 
 void RolloutArchive::Read(const RolloutId& id) {
--- a/node/platform_sync/rollout_archive.h
+++ b/node/platform_sync/rollout_archive.h
@@ -75,6 +75,7 @@
   bool MustRead(const RolloutId& id, Entry& entry, bool writer,
                 const std::map<RolloutId, RolloutRecord>& records);
   bool MayEnd(Entry& entry, const RolloutRecord& record);
+  static bool HasBeginning(const Entry& entry);
   static bool MustBegin(const Entry& entry);
   void Read(const RolloutId& id);
   void Write(const RolloutRecord& record);
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -364,10 +364,8 @@
         TraitsOf(error).reason,
         HeaderValue(*options_.header, kIdempotencyKeyHeader));
   });
-  Report(error == ProxyError::kCallerGone ? RequestDecision::Kind::kCancelled
-         : not_run                        ? RequestDecision::Kind::kRefused
-                                          : RequestDecision::Kind::kFailed,
-         TraitsOf(error).reason, static_cast<unsigned>(TraitsOf(error).status));
+  Report(KindOfEnd(error), TraitsOf(error).reason,
+         static_cast<unsigned>(TraitsOf(error).status));
   return {.error = error};
 }
 
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -165,10 +165,7 @@
   const ProxyErrorTraits& traits = TraitsOf(error);
   const SlotGate* gate = run.gate();
   context_.options.on_decision(
-      {.kind = error == ProxyError::kCallerGone
-                   ? RequestDecision::Kind::kCancelled
-               : traits.not_run ? RequestDecision::Kind::kRefused
-                                : RequestDecision::Kind::kFailed,
+      {.kind = KindOfEnd(error),
        .hop = RequestDecision::Hop::kTarget,
        .request_id = run.request_id(),
        .target = run.request().target.value(),
--- a/proxy/request_decision.h
+++ b/proxy/request_decision.h
@@ -9,6 +9,8 @@
 
 namespace camphor {
 
+enum class ProxyError : std::uint8_t;
+
 /// What a proxy decided about one request, and what it decided by. Holds views:
 /// use it at once.
 struct RequestDecision {
@@ -43,6 +45,9 @@
   Microseconds usual_latency{0};  ///< the target's, as this proxy saw it
 };
 
+/// What the end of a request by an error comes to. Thread safety: any thread.
+RequestDecision::Kind KindOfEnd(ProxyError error);
+
 }  // namespace camphor
 
 #endif  // CAMPHORHILL_PROXY_REQUEST_DECISION_H_
