Replace pollers that the platform turns away

Cause: two pollers a failure domain were fixed by the ring; with all of them turned away no change reached any host, though the platform served the others. A host whose calls fail for 300 ms says so in its record, and the next ones of the ring ask in its place; with more than three times the pollers turned away the platform is taken to be out for all, and the first go on asking. Tests: OverlayPollersOf.*, ReplicatorSetPlatformLost.*, OperatorFeedTest.CallsFailForAWhile_*.

--- a/core/membership/overlay.cc
+++ b/core/membership/overlay.cc
@@ -11,6 +11,10 @@
 // Rings over all hosts are numbered apart from those within a failure domain.
 constexpr std::uint32_t kFirstGlobalRing = 100;
 
+// Pollers of a failure domain are replaced so many times over at most: with
+// more of its hosts turned away the platform is taken to be out for all.
+constexpr std::size_t kMostReplacements = 3;
+
 bool ComesBefore(const HostId& left, const HostId& right, std::uint32_t ring) {
   return std::pair(RingPosition(left, ring), left) <
          std::pair(RingPosition(right, ring), right);
@@ -40,6 +44,7 @@
     all.push_back(id);
     by_domain[record.domain].push_back(id);
     domain_of_.emplace(id, record.domain);
+    if (record.platform_lost) platform_lost_.insert(id);
   }
   domains_ = by_domain.size();
   for (std::uint32_t ring = 0; ring < settings.global_rings; ++ring)
@@ -68,6 +73,20 @@
   const auto rings = domain_rings_.find(domain);
   if (rings == domain_rings_.end() || rings->second.empty()) return {};
   const Ring& ring = rings->second.front();
+  std::vector<HostId> pollers;
+  const std::size_t lost_at_most = pollers_per_domain_ * kMostReplacements;
+  std::size_t lost = 0;
+  for (const HostId& host : ring) {
+    if (pollers.size() >= pollers_per_domain_) return pollers;
+    if (!platform_lost_.contains(host)) {
+      pollers.push_back(host);
+    } else if (++lost > lost_at_most) {
+      break;
+    }
+  }
+  if (pollers.size() >= pollers_per_domain_) return pollers;
+
+  // The first ones go on asking, so that the end of an outage is noticed.
   const std::size_t count =
       std::min<std::size_t>(pollers_per_domain_, ring.size());
   return {ring.begin(), ring.begin() + static_cast<std::ptrdiff_t>(count)};
--- a/core/membership/overlay.h
+++ b/core/membership/overlay.h
@@ -30,8 +30,9 @@
   /// safety: any thread.
   std::set<HostId> NeighboursOf(const HostId& host) const;
 
-  /// Hosts of a failure domain that poll the platform. Thread safety: any
-  /// thread.
+  /// Hosts of a failure domain that poll the platform. Those that it does not
+  /// answer are replaced by others, unless so many are that it must be out for
+  /// all. Thread safety: any thread.
   std::vector<HostId> PollersOf(const FailureDomain& domain) const;
 
   /// Failure domains that have a host. Thread safety: any thread.
@@ -45,6 +46,7 @@
   std::vector<Ring> global_rings_;
   std::map<FailureDomain, std::vector<Ring>> domain_rings_;
   std::map<HostId, FailureDomain> domain_of_;
+  std::set<HostId> platform_lost_;  ///< hosts that the platform does not answer
   std::size_t domains_ = 0;
   std::uint32_t pollers_per_domain_ = 0;
 };
--- a/core/replication/host_record.h
+++ b/core/replication/host_record.h
@@ -54,6 +54,7 @@
       forward{};  ///< where other hosts' proxies send requests for its targets
   ConfigVersion config_version = 0;   ///< version that it serves
   std::vector<TargetInfo> targets{};  ///< its targets, sorted by id
+  bool platform_lost = false;  ///< the platform does not answer its calls
 
   /// The record that both words agree on: the higher in the order above.
   /// Commutative, associative, idempotent. @pre both are of one host. Thread
--- a/core/replication/record_hash.cc
+++ b/core/replication/record_hash.cc
@@ -59,7 +59,8 @@
       .Add(static_cast<unsigned>(record.status))
       .Add(record.domain.value())
       .Add(record.mesh.ToString())
-      .Add(record.forward.ToString());
+      .Add(record.forward.ToString())
+      .Add(record.platform_lost);
   for (const TargetInfo& target : record.targets) {
     text.Add(target.id.value())
         .Add(target.pool.value())
--- a/core/replication/replicator.cc
+++ b/core/replication/replicator.cc
@@ -42,6 +42,16 @@
   state_->Settle();
 }
 
+void Replicator::SetPlatformLost(bool lost, MonoTime now) {
+  state_->now = now;
+  HostRecord own = state_->Self();
+  if (own.platform_lost == lost) return;
+  own.platform_lost = lost;
+  ++own.sequence;
+  state_->WriteSelf(own);
+  state_->Settle();
+}
+
 void Replicator::Leave(MonoTime now) {
   state_->now = now;
   HostRecord own = state_->Self();
--- a/core/replication/replicator.h
+++ b/core/replication/replicator.h
@@ -94,6 +94,10 @@
   /// start.
   bool ready() const;
 
+  /// Tells the others whether the platform answers this host; its place among
+  /// the pollers is taken by another while it does not.
+  void SetPlatformLost(bool lost, MonoTime now);
+
   /// True when this host is one of its failure domain's pollers of the
   /// platform.
   bool is_platform_poller() const;
--- a/mesh/mesh.capnp
+++ b/mesh/mesh.capnp
@@ -33,6 +33,7 @@
   forward @6 :Address;
   configVersion @7 :UInt64;
   targets @8 :List(Target);
+  platformLost @9 :Bool;
 }
 
 struct Rollout {
--- a/mesh/mesh.capnp.h
+++ b/mesh/mesh.capnp.h
@@ -806,6 +806,8 @@
   inline bool hasTargets() const;
   inline  ::capnp::List< ::camphor::wire::Target,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
 
+  inline bool getPlatformLost() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -881,6 +883,9 @@
   inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::camphor::wire::Target,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::Target,  ::capnp::Kind::STRUCT>> disownTargets();
 
+  inline bool getPlatformLost();
+  inline void setPlatformLost(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3635,6 +3640,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Host::Reader::getPlatformLost() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+
+inline bool Host::Builder::getPlatformLost() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS);
+}
+inline void Host::Builder::setPlatformLost(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Rollout::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -70,6 +70,7 @@
   Write(record.mesh, out.initMesh());
   Write(record.forward, out.initForward());
   out.setConfigVersion(record.config_version);
+  out.setPlatformLost(record.platform_lost);
   auto targets = out.initTargets(record.targets.size());
   for (unsigned index = 0; index < targets.size(); ++index)
     Write(record.targets[index], targets[index]);
@@ -83,7 +84,8 @@
                     .domain = FailureDomain(ToString(in.getDomain())),
                     .mesh = Read(in.getMesh()),
                     .forward = Read(in.getForward()),
-                    .config_version = in.getConfigVersion()};
+                    .config_version = in.getConfigVersion(),
+                    .platform_lost = in.getPlatformLost()};
   for (auto target : in.getTargets()) record.targets.push_back(Read(target));
   return record;
 }
--- a/node/json/record_json.cc
+++ b/node/json/record_json.cc
@@ -88,6 +88,7 @@
           {"failure_domain", host.domain.value()},
           {"status", Text(HostStatusName(host.status))},
           {"config_version", host.config_version},
+          {"platform_lost", host.platform_lost},
           {"mesh", host.mesh.ToString()},
           {"forward", host.forward.ToString()},
           {"incarnation", host.incarnation},
--- a/node/platform_sync/operator_feed.cc
+++ b/node/platform_sync/operator_feed.cc
@@ -68,11 +68,18 @@
                       "the platform does not answer; serving goes on",
                       {{"reason", answer.reason}, {"revision", revision_}});
   }
+  if (failures_ == 0) failing_since_ = now_;
+  last_failure_ = now_;
   ++failures_;
   last_reason_ = answer.reason;
   next_ = now_ + retry_.Next(random_);
 }
 
+bool OperatorFeed::lost(MonoTime now) const {
+  return failures_ > 0 && now - failing_since_ >= options_.lost_after &&
+         now - last_failure_ < options_.lost_for;
+}
+
 void OperatorFeed::Merge(bool whole, const PlatformAnswer& answer) {
   if (whole) rows_.clear();
   for (const TableRow& row : answer.rows) {
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -32,6 +32,8 @@
     Milliseconds watch{20'000};          ///< a watch without changes is renewed
     Milliseconds gather{200};  ///< pause after a change, so that several that
                                ///< follow closely are read together
+    Milliseconds lost_after{300};   ///< of failed calls
+    Milliseconds lost_for{10'000};  ///< after the last failed call
     Backoff::Options retry{.most = Milliseconds(2000)};  ///< after failed calls
     std::uint64_t random_seed = 1;  ///< makes the jitter repeatable
     std::function<std::optional<ConfigSnapshot>(
@@ -56,6 +58,10 @@
   /// True when the last call was answered. Thread safety: the decisions thread.
   bool reachable() const { return failures_ == 0; }
 
+  /// True when calls failed for so long, and so lately, that another host had
+  /// better follow the table. Thread safety: the decisions thread.
+  bool lost(MonoTime now) const;
+
   /// State for the dump. Thread safety: the decisions thread.
   boost::json::object Dump() const;
 
@@ -71,6 +77,8 @@
   Backoff retry_;
   std::mt19937_64 random_;
   std::uint64_t failures_ = 0;  ///< since the last answer
+  MonoTime failing_since_{};    ///< first of them
+  MonoTime last_failure_{};     ///< last of them
   std::map<std::string, TableRow> rows_;
   std::uint64_t revision_ = 0;  ///< every change up to it is in rows_
   bool read_whole_ = true;      ///< the rows must be read anew
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -72,10 +72,18 @@
 }
 
 void PlatformSync::Tick(MonoTime now, WallTime wall_now) {
-  const Replicator& replicator = options_.controller->replicator();
+  Replicator& replicator = options_.controller->replicator();
   const bool poller = replicator.is_platform_poller();
+  if (std::exchange(poller_, poller) != poller) {
+    options_.log->Log(LogLevel::kInfo, "platform",
+                      poller
+                          ? "this host asks for its failure domain"
+                          : "this host no longer asks for its failure domain",
+                      {{"reachable", reachable() ? "yes" : "no"}});
+  }
   if (feed_) {
     feed_->Tick(poller, now);
+    replicator.SetPlatformLost(feed_->lost(now), now);
     directory_->Tick(replicator.alone(), now);
   } else if (schedule_.Due(now,
                            {.ready = replicator.ready(), .poller = poller})) {
--- a/node/platform_sync/platform_sync.h
+++ b/node/platform_sync/platform_sync.h
@@ -100,6 +100,7 @@
   std::optional<HostDirectory> directory_;  ///< set beside feed_
   std::optional<ConfigHead> fetching_;      ///< snapshot that is being fetched
   std::string last_reason_;                 ///< of the last failed read
+  bool poller_ = false;  ///< this host asks for its failure domain
 };
 
 }  // namespace camphor
--- a/unit_tests/core/membership/overlay_test.cc
+++ b/unit_tests/core/membership/overlay_test.cc
@@ -76,5 +76,36 @@
   }
 }
 
+TEST(OverlayPollersOf, PollersThatThePlatformTurnsAway_AreReplaced) {
+  auto hosts = Hosts(30, 3);
+  const FailureDomain domain("d0");
+  const auto first = Overlay(hosts, {}).PollersOf(domain);
+  for (const HostId& host : first) hosts.at(host).platform_lost = true;
+  const auto second = Overlay(hosts, {}).PollersOf(domain);
+  EXPECT_EQ(second.size(), 2U);
+  for (const HostId& host : second) {
+    EXPECT_FALSE(hosts.at(host).platform_lost);
+    EXPECT_EQ(hosts.at(host).domain, domain);
+  }
+}
+
+TEST(OverlayPollersOf, PlatformOutForAll_FewHostsAskAndTheFirstGoOn) {
+  auto hosts = Hosts(600, 3);
+  const FailureDomain domain("d0");
+  const auto first = Overlay(hosts, {}).PollersOf(domain);
+  // Each host that is asked is turned away in its turn.
+  std::size_t asked = 0;
+  for (bool changed = true; changed;) {
+    changed = false;
+    for (const HostId& host : Overlay(hosts, {}).PollersOf(domain)) {
+      if (hosts.at(host).platform_lost) continue;
+      hosts.at(host).platform_lost = changed = true;
+      ++asked;
+    }
+  }
+  EXPECT_LE(asked, 8U);
+  EXPECT_EQ(Overlay(hosts, {}).PollersOf(domain), first);
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/core/replication/replicator_test.cc
+++ b/unit_tests/core/replication/replicator_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <set>
+
 #include "core/config/config_codec.h"
 #include "unit_tests/core/replication/fake_mesh.h"
 
@@ -294,5 +296,25 @@
   EXPECT_EQ(pollers, 6);
 }
 
+TEST(ReplicatorSetPlatformLost, AllPollersTurnedAway_OthersTakeOver) {
+  FakeMesh mesh({.hosts = 30});
+  ASSERT_TRUE(mesh.RunUntil([&] { return mesh.AllServeNewest(); }, 30s));
+  mesh.RunUntil([&] { return mesh.AllAgree(); }, 30s);
+  mesh.Run(1s);
+  std::set<int> turned_away;
+  for (int host = 0; host < 30; ++host)
+    if (mesh.at(host).is_platform_poller()) turned_away.insert(host);
+  for (const int host : turned_away)
+    mesh.at(host).SetPlatformLost(true, mesh.now());
+  mesh.Run(1s);
+  int pollers = 0;
+  for (int host = 0; host < 30; ++host) {
+    if (!mesh.at(host).is_platform_poller()) continue;
+    ++pollers;
+    EXPECT_FALSE(turned_away.contains(host));
+  }
+  EXPECT_EQ(pollers, 6);
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/node/platform_sync/operator_feed_test.cc
+++ b/unit_tests/node/platform_sync/operator_feed_test.cc
@@ -114,6 +114,21 @@
   EXPECT_EQ(taken_, std::vector<std::uint64_t>{1});
 }
 
+TEST_F(OperatorFeedTest, CallsFailForAWhile_CountsAsLostUntilAnswered) {
+  Tick(true);
+  platform_.Step(Fault::kRefused);
+  EXPECT_FALSE(feed_.lost(now_));
+  Tick(true, Milliseconds(400));
+  platform_.Step(Fault::kRefused);
+  EXPECT_TRUE(feed_.lost(now_));
+  // A host that asks no more is worth a try again after a while.
+  EXPECT_FALSE(feed_.lost(now_ + Seconds(10)));
+  platform_.Put("op", "config", "a");
+  Tick(true, Seconds(3));
+  platform_.Run();
+  EXPECT_FALSE(feed_.lost(now_));
+}
+
 TEST_F(OperatorFeedTest, MalformedRow_LeavesTheLastSnapshotInForce) {
   platform_.Put("op", "config", "a");
   Tick(true);
