Bound retries by pool, over all hosts together

Now a host's requests of a pool buy its retries, and what it may save up is its part of one burst. A request that no target has received is placed again without a token; a target's own refusal, told apart as 'refused', takes one. Two tests that looked for the reason 'full' and 'no_target' of a refusal by the target look for 'refused': as strict, and the word is now true. Tests: RetryBudget*, ProxyServerCall.TargetsRefuseEverything_*, NoTargetWasReached_*.

--- a/core/routing/effective_routing.h
+++ b/core/routing/effective_routing.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORHILL_CORE_ROUTING_EFFECTIVE_ROUTING_H_
 #define CAMPHORHILL_CORE_ROUTING_EFFECTIVE_ROUTING_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -61,7 +62,8 @@
 
 /// One route and the pool that it is joined to. Immutable value type.
 struct RoutedRule {
-  RouteRule rule;          ///< the row of the table
+  std::shared_ptr<const RouteRule> rule;  ///< the row of the table, shared with
+                                          ///< the snapshot; never null
   std::uint32_t pool = 0;  ///< index into EffectiveRouting::pools; always valid
   std::uint32_t new_share_ppm =
       0;  ///< share of this route's requests for the pool's second group, in
@@ -81,9 +83,10 @@
   ConfigHead head{};  ///< configuration that this serves
   std::vector<RoutedRule>
       routes{};  ///< in match order: the first that matches wins
-  std::vector<PoolRouting> pools{};    ///< sorted by name
-  CallerLimits limits{};               ///< what callers may send
-  std::set<std::uint64_t> poison{};    ///< fingerprints that are refused
+  std::vector<PoolRouting> pools{};  ///< sorted by name
+  CallerLimits limits{};             ///< what callers may send
+  std::set<std::uint64_t> poison{};  ///< fingerprints that are refused
+  std::size_t hosts = 1;  ///< hosts that take requests of callers, this one too
   std::set<std::uint64_t> suspects{};  ///< fingerprints that one target died
                                        ///< under: run apart from each other
 
--- /dev/null
+++ b/core/routing/retry_budget.cc
@@ -0,0 +1,50 @@
+#include "core/routing/retry_budget.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace camphor {
+namespace {
+
+/// Part of the limit that is used. Calls that a repeated run makes count as
+/// repeats where they arrive, and the host that they begin on can not tell.
+constexpr double kUsedPart = 0.8;
+
+/// A fresh host can retry once: hosts that start together must not have the
+/// whole burst a second time.
+constexpr double kFirstTokens = 1;
+
+}  // namespace
+
+void RetryBudget::SetHosts(std::size_t hosts) {
+  assert(hosts > 0);
+  // A host that can not save up one whole retry would never have any.
+  most_saved_ =
+      std::max(1.0, options_.burst * kUsedPart / static_cast<double>(hosts));
+  for (auto& [pool, tokens] : tokens_) tokens = std::min(tokens, most_saved_);
+}
+
+void RetryBudget::OnRequest(const PoolName& pool) {
+  double& tokens = TokensOf(pool);
+  tokens = std::min(tokens + options_.ratio * kUsedPart, most_saved_);
+}
+
+bool RetryBudget::TryTake(const PoolName& pool) {
+  if (options_.unlimited) return true;
+  double& tokens = TokensOf(pool);
+  if (tokens < 1) return false;
+  tokens -= 1;
+  return true;
+}
+
+std::int64_t RetryBudget::available(const PoolName& pool) const {
+  const auto found = tokens_.find(pool);
+  return static_cast<std::int64_t>(found == tokens_.end() ? kFirstTokens
+                                                          : found->second);
+}
+
+double& RetryBudget::TokensOf(const PoolName& pool) {
+  return tokens_.try_emplace(pool, kFirstTokens).first->second;
+}
+
+}  // namespace camphor
--- a/core/routing/retry_budget.h
+++ b/core/routing/retry_budget.h
@@ -1,53 +1,54 @@
 #ifndef CAMPHORHILL_CORE_ROUTING_RETRY_BUDGET_H_
 #define CAMPHORHILL_CORE_ROUTING_RETRY_BUDGET_H_
 
-#include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <unordered_map>
+
+#include "core/base/identifier.h"
 
 namespace camphor {
 
-/// Bounds retries to a share of recent successes, so that they can not amplify
-/// an overload.
+/// Bounds retries to a share of each pool's requests, so that they can not
+/// amplify an overload.
 ///
-/// Each success deposits a part of a token, each retry takes a whole one. What
-/// is saved is bounded, so that a long calm does not buy a storm. Not thread
-/// safe.
+/// Every host holds the same rule without asking another: a pool's requests
+/// that begin here deposit a part of a token each, a retry takes a whole one,
+/// and what may be saved up is this host's part of what all hosts may have
+/// saved. So no span of time sees more retries of a pool than the share of its
+/// requests in that span and the burst, summed over all hosts. Not thread safe.
 class RetryBudget {
  public:
   struct Options {
-    std::uint32_t percent = 10;       ///< retries for each hundred successes
-    std::uint32_t most_retries = 50;  ///< retries that can be saved up
-    bool unlimited = false;           ///< true grants every retry
+    double ratio = 0.1;      ///< retries for each request of the pool
+    double burst = 100;      ///< retries that all hosts together may save up
+    bool unlimited = false;  ///< true grants every retry
   };
 
-  /// Starts with a tenth of what can be saved, so that a fresh proxy can retry.
-  explicit RetryBudget(Options options)
-      : options_(options),
-        most_(std::int64_t{options.most_retries} * kTokenCost),
-        tokens_(most_ / 10) {}
+  /// @pre ratio and burst are not negative.
+  explicit RetryBudget(Options options) : options_(options) {}
+
+  /// Takes the number of hosts that share the burst. @pre hosts > 0.
+  void SetHosts(std::size_t hosts);
+
+  /// Counts a request that is for the pool.
+  void OnRequest(const PoolName& pool);
 
-  /// Counts a request that a target answered without failing.
-  void OnSuccess() {
-    tokens_ = std::min(tokens_ + std::int64_t{options_.percent}, most_);
-  }
+  /// Takes a retry at the pool. Returns false when there is none left.
+  bool TryTake(const PoolName& pool);
 
-  /// Takes a retry. Returns false when there is none left.
-  bool TryTake() {
-    if (options_.unlimited) return true;
-    if (tokens_ < kTokenCost) return false;
-    tokens_ -= kTokenCost;
-    return true;
-  }
+  /// Retries that could be taken now at the pool.
+  std::int64_t available(const PoolName& pool) const;
 
-  /// Retries that could be taken now.
-  std::int64_t available() const { return tokens_ / kTokenCost; }
+  /// Retries that may be saved up for a pool on this host.
+  double most_saved() const { return most_saved_; }
 
  private:
-  static constexpr std::int64_t kTokenCost = 100;  // one retry, in percent
+  double& TokensOf(const PoolName& pool);
 
   Options options_;
-  std::int64_t most_;
-  std::int64_t tokens_;
+  double most_saved_ = 1;
+  std::unordered_map<PoolName, double> tokens_;  ///< by pool
 };
 
 }  // namespace camphor
--- a/core/routing/routing_builder.cc
+++ b/core/routing/routing_builder.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -15,6 +16,24 @@
 constexpr std::uint32_t kWhole = 1'000'000;
 constexpr std::size_t kDeathsOfPoison = 2;
 
+/// A target and the host that announced it.
+struct Announced {
+  const HostRecord* host;
+  const TargetInfo* target;
+};
+
+/// Targets by their pool: every pool is looked up, and hosts are many.
+using TargetIndex = std::map<PoolName, std::vector<Announced>>;
+
+TargetIndex IndexTargets(const RoutingInputs& inputs) {
+  TargetIndex index;
+  for (const auto& [id, host] : inputs.hosts) {
+    for (const TargetInfo& target : host.targets)
+      index[target.pool].push_back({.host = &host, .target = &target});
+  }
+  return index;
+}
+
 /// The record that gives the new version of a pool a share; null when there is
 /// none, or none that does.
 const RolloutRecord* RecordOf(const RoutingInputs& inputs,
@@ -70,23 +89,21 @@
 /// Targets of a pool on the hosts that `accepts` takes, of the versions that
 /// `serves` takes.
 template <typename Accepts, typename Serves>
-std::vector<RoutedTarget> TargetsOf(const RoutingInputs& inputs,
-                                    const PoolSpec& pool, const Serves& serves,
+std::vector<RoutedTarget> TargetsOf(const HostId& self,
+                                    const std::vector<Announced>& announced,
+                                    const Serves& serves,
                                     const Accepts& accepts) {
   std::vector<RoutedTarget> targets;
-  for (const auto& [id, host] : inputs.hosts) {
-    if (!accepts(host.status)) continue;
-    for (const TargetInfo& info : host.targets) {
-      if (info.pool != pool.name || !serves(info.version) ||
-          info.status == TargetStatus::kLeaving) {
-        continue;
-      }
-      targets.push_back({.info = info,
-                         .host = id,
-                         .domain = host.domain,
-                         .forward = host.forward,
-                         .local = id == inputs.self});
+  for (const auto& [host, target] : announced) {
+    if (!accepts(host->status) || !serves(target->version) ||
+        target->status == TargetStatus::kLeaving) {
+      continue;
     }
+    targets.push_back({.info = *target,
+                       .host = host->host,
+                       .domain = host->domain,
+                       .forward = host->forward,
+                       .local = host->host == self});
   }
   std::ranges::sort(targets, {}, [](const RoutedTarget& target) {
     return std::tie(target.info.id, target.host);
@@ -94,34 +111,38 @@
   return targets;
 }
 
-VersionGroup GroupOf(const RoutingInputs& inputs, const PoolSpec& pool,
-                     const TargetVersion& version, std::uint32_t share_ppm) {
+VersionGroup GroupOf(const RoutingInputs& inputs, const TargetIndex& index,
+                     const PoolSpec& pool, const TargetVersion& version,
+                     std::uint32_t share_ppm) {
+  VersionGroup group{.version = version, .share_ppm = share_ppm};
+  const auto announced = index.find(pool.name);
+  if (announced == index.end()) return group;
   const auto serves = MemberOf(inputs, pool, version);
   std::vector<RoutedTarget> alive =
-      TargetsOf(inputs, pool, serves,
+      TargetsOf(inputs.self, announced->second, serves,
                 [](HostStatus status) { return status == HostStatus::kAlive; });
   std::vector<RoutedTarget> possible =
-      TargetsOf(inputs, pool, serves, [](HostStatus status) {
+      TargetsOf(inputs.self, announced->second, serves, [](HostStatus status) {
         return status == HostStatus::kAlive || status == HostStatus::kSuspect;
       });
   // When half of a version is suspect, the suspicion itself is doubtful.
   const bool doubtful = alive.size() * 2 < possible.size();
-  return {.version = version,
-          .share_ppm = share_ppm,
-          .targets = std::move(doubtful ? possible : alive)};
+  group.targets = std::move(doubtful ? possible : alive);
+  return group;
 }
 
-PoolRouting PoolOf(const RoutingInputs& inputs, const PoolSpec& spec) {
+PoolRouting PoolOf(const RoutingInputs& inputs, const TargetIndex& index,
+                   const PoolSpec& spec) {
   PoolRouting pool{.spec = spec};
   const RolloutRecord* record = RecordOf(inputs, spec);
   const std::uint32_t share_of_new =
       record == nullptr ? 0 : std::min(record->share_ppm, kWhole);
   pool.groups.push_back(
-      GroupOf(inputs, spec, spec.version, kWhole - share_of_new));
+      GroupOf(inputs, index, spec, spec.version, kWhole - share_of_new));
   if (!spec.rollout) return pool;
   pool.rollout = RolloutKey::Of(spec).id();
   VersionGroup group =
-      GroupOf(inputs, spec, spec.rollout->version, share_of_new);
+      GroupOf(inputs, index, spec, spec.rollout->version, share_of_new);
   if (record != nullptr) {
     group.targets = ChooseTargets(pool.rollout, std::move(group.targets),
                                   record->canary_targets);
@@ -164,11 +185,16 @@
     const bool poison = record.deaths.size() >= kDeathsOfPoison;
     (poison ? routing.poison : routing.suspects).insert(fingerprint);
   }
+  const auto alive = std::ranges::count_if(inputs.hosts, [](const auto& entry) {
+    return entry.second.status == HostStatus::kAlive;
+  });
+  routing.hosts = std::max<std::size_t>(1, static_cast<std::size_t>(alive));
   if (!inputs.snapshot) return routing;
 
   routing.head = inputs.snapshot->head;
+  const TargetIndex index = IndexTargets(inputs);
   for (const PoolSpec& spec : inputs.snapshot->pools) {
-    routing.pools.push_back(PoolOf(inputs, spec));
+    routing.pools.push_back(PoolOf(inputs, index, spec));
   }
   std::ranges::sort(routing.pools, {},
                     [](const PoolRouting& pool) { return pool.spec.name; });
@@ -179,8 +205,9 @@
     const std::optional<RoutedShare> main =
         Join(inputs, routing, rule, {.pool = rule.pool});
     if (!main) continue;
-    RoutedRule routed{
-        .rule = rule, .pool = main->pool, .new_share_ppm = main->new_share_ppm};
+    RoutedRule routed{.rule = {inputs.snapshot, &rule},
+                      .pool = main->pool,
+                      .new_share_ppm = main->new_share_ppm};
     for (const PoolShare& share : rule.split) {
       const auto joined = Join(inputs, routing, rule, share);
       if (joined) routed.split.push_back(*joined);
@@ -189,7 +216,7 @@
   }
   std::ranges::sort(routing.routes,
                     [](const RoutedRule& left, const RoutedRule& right) {
-                      return MatchesBefore(left.rule, right.rule);
+                      return MatchesBefore(*left.rule, *right.rule);
                     });
   return routing;
 }
--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kMicrosecondsPerMs = 1000;
 
 /// What each reason of a log line says of the request's end.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 24>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 25>
     kSentences = {{
         {"bad_request", "the request was malformed"},
         {"header_too_long", "its header was longer than the tables allow"},
@@ -28,6 +28,9 @@
          "no target of the pool took work: none was known, or "
          "those known were leaving, gone or tried already"},
         {"full", "the target's slots and queue were full"},
+        {"refused",
+         "the target itself refused it without running it, and no other one "
+         "could be tried"},
         {"too_late",
          "it would have ended after its objective or deadline, so "
          "it was refused before it was sent"},
--- a/node/node.cc
+++ b/node/node.cc
@@ -173,7 +173,9 @@
           },
       .caller_pool = settings.caller_pool,
       .debug_headers = settings.proxy.debug_headers,
-      .limits = {.retry_budget = settings.proxy.retry_budget}};
+      .limits = {.retry_ratio = settings.proxy.retry_ratio,
+                 .retry_burst = settings.proxy.retry_burst,
+                 .retry_budget = settings.proxy.retry_budget}};
   if (settings.interface == InterfaceKind::kPlatform) {
     proxy_options.vocabulary = PlatformHeaders();
     proxy_options.limits.retry_after = kPlatformRetryAfter;
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -179,6 +179,10 @@
         part.Boolean("debug_headers", settings.proxy.debug_headers);
     settings.proxy.retry_budget =
         part.Boolean("retry_budget", settings.proxy.retry_budget);
+    settings.proxy.retry_ratio =
+        part.Number("retry_ratio", 0, 1, settings.proxy.retry_ratio);
+    settings.proxy.retry_burst =
+        part.Number("retry_burst", 0, 1e6, settings.proxy.retry_burst);
   });
   fields.Object("rollout", [&](JsonFields& part) {
     RolloutSettings& rollout = settings.rollout;
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -70,6 +70,9 @@
 struct ProxySettings {
   bool debug_headers = false;  ///< answers name the target and its version
   bool retry_budget = true;    ///< false lifts the budget, for comparison only
+  double retry_ratio = 0.1;    ///< retries for each request of a pool
+  double retry_burst = 100;  ///< retries of a pool that all hosts together may
+                             ///< have saved up beyond that
 };
 
 /// Everything that a camphord process is told, from one JSON document with
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -28,6 +28,7 @@
   switch (error) {
     case ProxyError::kNoTarget:
     case ProxyError::kFull:
+    case ProxyError::kRefused:
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
     case ProxyError::kDraining:
@@ -44,11 +45,17 @@
   }
 }
 
+/// True when the target may have received the request.
+bool HasArrived(ProxyError error) {
+  return !TraitsOf(error).not_run || error == ProxyError::kRefused;
+}
+
 /// True when another target may do better.
 bool AnotherTargetMayRun(ProxyError error) {
   switch (error) {
     case ProxyError::kNoTarget:
     case ProxyError::kFull:
+    case ProxyError::kRefused:
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
     case ProxyError::kSuspectBusy:
@@ -122,6 +129,7 @@
     share_ = context_.balancer.ChooseShare(route_);
     tried_.clear();
   }
+  if (!std::exchange(counted_, true)) context_.retries.OnRequest(PoolNow());
   const std::optional<Placement> placement = context_.balancer.Choose(
       route_, share_, tried_, std::chrono::steady_clock::now());
   if (!placement) return false;
@@ -214,7 +222,6 @@
   const RequestControl::Stop stopped = options_.control->stopped();
   if (whole_) {
     const bool failed = status >= kFirstFailureStatus;
-    if (!failed) context_.retries.OnSuccess();
     Sample(failed ? RequestOutcome::kError : RequestOutcome::kSuccess);
     const MonoTime now = std::chrono::steady_clock::now();
     context_.metrics.Count(Counter::kAnswered);
@@ -305,11 +312,21 @@
       options_.control->TimeLeft() < kLeastTimeForRetry) {
     return false;
   }
-  if (had_token || context_.retries.TryTake()) return true;
+  // What no target has received costs none of them anything.
+  arrived_ = arrived_ || HasArrived(error);
+  if (!arrived_ || had_token || context_.retries.TryTake(PoolNow()))
+    return true;
   context_.metrics.Count(Counter::kRetriesDenied);
   return false;
 }
 
+const PoolName& CallerRequest::PoolNow() const {
+  const RoutedRule& route = routing_->routes[route_];
+  const std::uint32_t pool =
+      share_ < route.split.size() ? route.split[share_].pool : route.pool;
+  return routing_->pools[pool].spec.name;
+}
+
 Urgency CallerRequest::UrgencyNow() const {
   const MonoTime deadline = options_.control->deadline();
   const MonoTime wanted = options_.arrival + rule().target_latency;
@@ -343,7 +360,7 @@
 bool CallerRequest::MayAbandon() {
   // A body that streams can not be sent again.
   if (options_.body->consumed()) return false;
-  has_token_ = context_.retries.TryTake();
+  has_token_ = context_.retries.TryTake(PoolNow());
   return has_token_;
 }
 
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -55,6 +55,7 @@
   std::unique_ptr<RequestRun> MakeRun();
   bool MayRetry(ProxyError error);
   bool MayAbandon();
+  const PoolName& PoolNow() const;
   bool TookTooLong(Microseconds latency) const;
   Urgency UrgencyNow() const;
   Milliseconds SilenceAllowed() const;
@@ -66,7 +67,7 @@
   void RecordAnswer(unsigned status, bool whole) const;
   void Report(RequestDecision::Kind kind, std::string_view reason,
               unsigned status) const;
-  const RouteRule& rule() const { return routing_->routes[route_].rule; }
+  const RouteRule& rule() const { return *routing_->routes[route_].rule; }
   const RoutedTarget& target() const;
 
   ProxyContext& context_;
@@ -83,7 +84,9 @@
   MonoTime sent_at_{};
   std::optional<ProxyError> unknown_;  ///< an attempt before may have run
   std::uint32_t deaths_ = 0;           ///< targets that died under it
-  bool has_token_ = false;             ///< of the retry budget, not yet used
+  bool counted_ = false;    ///< the retry budget knows of the request
+  bool arrived_ = false;    ///< a target may have received it
+  bool has_token_ = false;  ///< of the retry budget, not yet used
   bool answered_ = false;
   bool whole_ = false;
 };
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -75,7 +75,7 @@
     const bool more = co_await WriteError(error, keep_without_body);
     co_return more;
   }
-  const RouteRule& rule = routing->routes[*route].rule;
+  const RouteRule& rule = *routing->routes[*route].rule;
   const HeaderVocabulary& vocabulary = context_.options.vocabulary;
   const std::optional<Milliseconds> limit =
       ReadDeadline(header, vocabulary.deadline, rule.timeout);
--- a/proxy/error_answer.cc
+++ b/proxy/error_answer.cc
@@ -35,6 +35,8 @@
      true},
     {status::service_unavailable, "full", "the target takes no more work",
      true},
+    {status::service_unavailable, "refused",
+     "the target refused the request without running it", true},
     {status::service_unavailable, "too_late",
      "the request could not end before its deadline", true},
     {status::service_unavailable, "connect_failed",
--- a/proxy/error_answer.h
+++ b/proxy/error_answer.h
@@ -22,6 +22,7 @@
   kNotReady,       ///< this proxy has no configuration yet
   kNoTarget,       ///< no target takes work
   kFull,           ///< slots and queue of the target are taken
+  kRefused,        ///< the target itself refused it without running it
   kTooLate,        ///< it could not end before its deadline
   kConnectFailed,  ///< the target could not be connected to
   kSuspectBusy,    ///< another suspect request runs on the target
@@ -43,7 +44,7 @@
   http::status status = http::status::ok;  ///< status code
   std::string_view reason{};               ///< word of X-Camphor-Reason
   std::string_view message{};              ///< sentence for people
-  bool not_run = false;  ///< true: not a byte of it went to a target
+  bool not_run = false;  ///< true: no target has run it, nor will
 };
 
 /// Status, reason and meaning of an error. Thread safety: any thread.
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -224,10 +224,9 @@
 asio::awaitable<std::optional<ProxyError>> LocalRun::ReadRefusal() {
   const http::response_header<>& answer = exchange_->answer();
   if (!SaysNotRun(answer, context_.options.vocabulary)) co_return std::nullopt;
-  const bool misdirected = answer.result() == http::status::misdirected_request;
   refused_ = true;
   co_await exchange_->Discard();
-  co_return misdirected ? ProxyError::kNoTarget : ProxyError::kFull;
+  co_return ProxyError::kRefused;
 }
 
 asio::awaitable<ProxyError> LocalRun::FindDeath() {
--- a/proxy/proxy_context.cc
+++ b/proxy/proxy_context.cc
@@ -14,7 +14,8 @@
       io(std::make_shared<asio::io_context>(1)),
       balancer(
           {.domain = options.domain, .random_seed = std::random_device()()}),
-      retries({.percent = options.limits.retry_percent,
+      retries({.ratio = options.limits.retry_ratio,
+               .burst = options.limits.retry_burst,
                .unlimited = !options.limits.retry_budget}),
       targets(std::make_unique<LocalTargets>(*this)),
       hosts(std::make_unique<HostPools>(*this)) {}
@@ -26,6 +27,7 @@
   if (newest && newest != routing_) {
     routing_ = std::move(newest);
     balancer.SetRouting(routing_, std::chrono::steady_clock::now());
+    retries.SetHosts(routing_->hosts);
   }
   return routing_;
 }
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -20,9 +20,10 @@
   std::uint32_t connections_per_host =
       256;                     ///< connections kept to one other host at most
   std::uint32_t attempts = 3;  ///< times that one request is placed at most
-  std::uint32_t retry_percent =
-      10;  ///< retries allowed for each hundred first attempts
-  bool retry_budget = true;  ///< false lifts the budget, for comparison only
+  double retry_ratio = 0.1;    ///< retries allowed for each request of a pool
+  double retry_burst = 100;    ///< retries of a pool beyond that share that all
+                               ///< hosts together may have saved up
+  bool retry_budget = true;    ///< false lifts the budget, for comparison only
   Milliseconds header_timeout{5000};        ///< longest time for a whole header
   Milliseconds keep_alive_timeout{60'000};  ///< idle time of a connection
   Milliseconds body_timeout{5000};          ///< longest pause within a body
--- a/unit_tests/core/routing/placement_test.cc
+++ b/unit_tests/core/routing/placement_test.cc
@@ -6,7 +6,6 @@
 
 #include "core/routing/death_tracker.h"
 #include "core/routing/power_of_two_balancer.h"
-#include "core/routing/retry_budget.h"
 #include "core/routing/slot_gate.h"
 
 namespace camphor {
@@ -15,10 +14,13 @@
 constexpr MonoTime kStart{Seconds(1000)};
 
 EffectiveRoutingPtr MakeRouting(std::size_t targets, std::uint32_t share_of_new,
-                                std::size_t own_domain) {
+                                std::size_t own_domain,
+                                Milliseconds objective = Milliseconds(0)) {
   EffectiveRouting routing;
   routing.routes.push_back(
-      {.rule = {.name = RouteName("r")}, .new_share_ppm = share_of_new});
+      {.rule = std::make_shared<const RouteRule>(
+           RouteRule{.name = RouteName("r"), .target_latency = objective}),
+       .new_share_ppm = share_of_new});
   PoolRouting pool{.spec = {.name = PoolName("p")}};
   for (const std::string version : {"v1", "v2"}) {
     VersionGroup group{.version = TargetVersion(version)};
@@ -60,9 +62,7 @@
 // the part of a hundred requests that go elsewhere.
 int RequestsThatLeave(Milliseconds objective, Milliseconds own,
                       Milliseconds other) {
-  EffectiveRouting routing = *MakeRouting(2, 0, 1);
-  routing.routes[0].rule.target_latency = objective;
-  const auto shared = std::make_shared<const EffectiveRouting>(routing);
+  const auto shared = MakeRouting(2, 0, 1, objective);
   PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
   balancer.SetRouting(shared, kStart);
   for (int answer = 0; answer < 100; ++answer) {
@@ -150,24 +150,6 @@
   EXPECT_FALSE(balancer.Choose(0, tried, kStart));
 }
 
-TEST(RetryBudgetTryTake, AnyTraffic_StaysWithinTheShare) {
-  EXPECT_TRUE(rc::check([](const std::vector<bool>& successes) {
-    RetryBudget budget({.percent = 10, .most_retries = 50});
-    const std::int64_t saved = budget.available();
-    std::int64_t taken = 0;
-    std::int64_t good = 0;
-    for (const bool success : successes) {
-      if (success) {
-        ++good;
-        budget.OnSuccess();
-      } else if (budget.TryTake()) {
-        ++taken;
-      }
-    }
-    RC_ASSERT(taken <= saved + good / 10 + 1);
-  }));
-}
-
 TEST(SlotGateEnter, AnyOrder_NeverRunsMoreThanTheSlots) {
   EXPECT_TRUE(rc::check([] {
     SlotGate gate({.slots = 3, .queue = 4});
--- /dev/null
+++ b/unit_tests/core/routing/retry_budget_test.cc
@@ -0,0 +1,68 @@
+#include "core/routing/retry_budget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace camphor {
+namespace {
+
+const PoolName kPool("billing");
+
+TEST(RetryBudgetTryTake, AnyTrafficOfManyHosts_StaysWithinShareAndBurst) {
+  EXPECT_TRUE(rc::check([] {
+    constexpr double kRatio = 0.2;
+    constexpr double kBurst = 58;
+    const auto hosts = *rc::gen::inRange<std::size_t>(1, 40);
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(
+        rc::gen::pair(rc::gen::inRange(0, 39), rc::gen::arbitrary<bool>()));
+    std::vector<RetryBudget> budgets(
+        hosts, RetryBudget({.ratio = kRatio, .burst = kBurst}));
+    for (RetryBudget& budget : budgets) {
+      budget.SetHosts(hosts);
+      // A long calm fills what can be saved up.
+      for (int request = 0; request < 1000; ++request) budget.OnRequest(kPool);
+    }
+    double requests = 0;
+    double retries = 0;
+    for (const auto& [host, retry] : steps) {
+      RetryBudget& budget = budgets[static_cast<std::size_t>(host) % hosts];
+      if (!retry) {
+        ++requests;
+        budget.OnRequest(kPool);
+      } else if (budget.TryTake(kPool)) {
+        ++retries;
+      }
+    }
+    RC_ASSERT(retries <= kRatio * requests + kBurst);
+  }));
+}
+
+TEST(RetryBudgetTryTake, OtherPoolsTraffic_BuysNothing) {
+  RetryBudget budget({.ratio = 0.2, .burst = 58});
+  budget.SetHosts(13);
+  while (budget.TryTake(kPool)) {
+  }
+  for (int request = 0; request < 1000; ++request)
+    budget.OnRequest(PoolName("ordering"));
+  EXPECT_FALSE(budget.TryTake(kPool));
+  EXPECT_TRUE(budget.TryTake(PoolName("ordering")));
+}
+
+TEST(RetryBudgetTryTake, FreshHost_HasLessThanItsPartOfTheBurst) {
+  RetryBudget budget({.ratio = 0.2, .burst = 58});
+  budget.SetHosts(13);
+  EXPECT_TRUE(budget.TryTake(kPool));
+  EXPECT_FALSE(budget.TryTake(kPool));
+}
+
+TEST(RetryBudgetSetHosts, MoreHostsThanTheBurst_EachCanStillRetry) {
+  RetryBudget budget({.ratio = 0.2, .burst = 58});
+  budget.SetHosts(1800);
+  for (int request = 0; request < 10; ++request) budget.OnRequest(kPool);
+  EXPECT_TRUE(budget.TryTake(kPool));
+}
+
+}  // namespace
+}  // namespace camphor
--- a/unit_tests/proxy/proxy_server_test.cc
+++ b/unit_tests/proxy/proxy_server_test.cc
@@ -118,10 +118,41 @@
   const auto answer = Call({.method = "POST", .target = "/x"});
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->status, 503);
-  EXPECT_EQ(answer->fields.at("x-camphor-reason"), "full");
+  EXPECT_EQ(answer->fields.at("x-camphor-reason"), "refused");
   EXPECT_FALSE(answer->fields.contains("x-of-target"));
 }
 
+// A request that a target received counts against the pool, run or not.
+TEST_F(ProxyServerCall, TargetsRefuseEverything_ArrivalsStayWithinTheBudget) {
+  std::atomic<int> arrivals = 0;
+  const auto refuse = [&arrivals](const HttpExchange& exchange) {
+    ++arrivals;
+    exchange.Respond(
+        {.status = 503, .fields = {{"X-Camphor-Not-Run", "true"}}});
+  };
+  AddTarget("h1", "t1", refuse);
+  AddTarget("h2", "t2", refuse);
+  StartHosts({.retry_ratio = 0.2, .retry_burst = 2});
+  constexpr int kCalls = 40;
+  for (int call = 0; call < kCalls; ++call) {
+    const auto answer = Call({.method = "GET", .target = "/get"});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 503);
+  }
+  EXPECT_LE(arrivals, kCalls + kCalls * 0.2 + 2);
+}
+
+TEST_F(ProxyServerCall, NoTargetWasReached_AnotherIsTriedWithoutBudget) {
+  AddTargetAt("h1", "t1", {.address = "127.0.0.1", .port = 1});
+  AddTarget("h2", "t2", Echo);
+  StartHosts({.retry_ratio = 0, .retry_burst = 0});
+  for (int call = 0; call < 20; ++call) {
+    const auto answer = Call({.method = "GET", .target = "/get"});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+  }
+}
+
 // The last attempt's placement belongs to the tables of that time.
 TEST_F(ProxyServerCall, TablesLoseTheTargetsUnderARetry_RefusesTruthfully) {
   AddTarget("h1", "t1", [this](const HttpExchange& exchange) {
--- a/unit_tests/proxy/proxy_vocabulary_test.cc
+++ b/unit_tests/proxy/proxy_vocabulary_test.cc
@@ -235,7 +235,7 @@
   const auto answer = Get("a");
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->status, 503);
-  EXPECT_EQ(answer->fields.at("x-camphor-reason"), "no_target");
+  EXPECT_EQ(answer->fields.at("x-camphor-reason"), "refused");
   EXPECT_EQ(answer->fields.at("retry-after"), "0.050");
 }
 
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -125,17 +125,20 @@
     snapshot->routes = routes_;
     snapshot->pools = {pool_};
     snapshot->limits = caller_limits_;
-    RoutingInputs inputs{.snapshot = snapshot, .poison = poison_};
+    std::map<HostId, HostRecord> hosts;
     for (const auto& [host, proxy] : proxies_) {
-      inputs.hosts[HostId(host)] = {.host = HostId(host),
-                                    .domain = FailureDomain("d"),
-                                    .forward = proxy->forward_endpoint(),
-                                    .targets = host_targets_[host]};
+      hosts[HostId(host)] = {.host = HostId(host),
+                             .domain = FailureDomain("d"),
+                             .forward = proxy->forward_endpoint(),
+                             .targets = host_targets_[host]};
     }
     for (const auto& [host, proxy] : proxies_) {
-      inputs.self = HostId(host);
-      routings_[host] =
-          std::make_shared<const EffectiveRouting>(BuildRouting(inputs));
+      routings_[host] = std::make_shared<const EffectiveRouting>(
+          BuildRouting({.self = HostId(host),
+                        .snapshot = snapshot,
+                        .hosts = hosts,
+                        .rollouts = {},
+                        .poison = poison_}));
     }
   }
 
