--- a/core/base/digest.h
+++ b/core/base/digest.h
@@ -2,6 +2,7 @@
 #define CAMPHORHILL_CORE_BASE_DIGEST_H_
 
 #include <compare>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,24 @@
   /// Computes the digest of the given bytes. Thread safety: any thread.
   static Digest Of(std::string_view bytes);
 
+  /// Computes the digest of bytes that come in pieces. Not thread safe.
+  class Stream {
+   public:
+    Stream();
+    ~Stream();
+    Stream(const Stream&) = delete;
+    Stream& operator=(const Stream&) = delete;
+
+    void Add(std::string_view bytes);
+
+    /// The digest of all that was added. @pre not called before.
+    Digest Finish();
+
+   private:
+    struct State;
+    std::unique_ptr<State> state_;
+  };
+
   /// Wraps a digest that was read from elsewhere. @pre none: a malformed one
   /// simply never matches.
   static Digest FromHex(std::string hex);
--- a/core/config/config_codec.cc
+++ b/core/config/config_codec.cc
@@ -42,6 +42,38 @@
   }
 }
 
+/// Order makes the encoding canonical, and puts equal names side by side.
+void Arrange(ConfigSnapshot& snapshot, std::vector<ConfigError>& errors) {
+  std::ranges::sort(snapshot.routes, {}, &RouteRule::name);
+  std::ranges::sort(snapshot.pools, {}, &PoolSpec::name);
+  CheckUnique(snapshot.routes, "routes", errors);
+  CheckUnique(snapshot.pools, "pools", errors);
+  CheckJoins(snapshot, errors);
+}
+
+/// Hands the canonical encoding to `write` row by row: the whole of it as one
+/// document would cost more memory than the tables themselves.
+template <typename Write>
+void WritePieces(const ConfigSnapshot& snapshot, const Write& write) {
+  const auto write_rows = [&write](const auto& rows, const auto& to_json) {
+    bool first = true;
+    for (const auto& row : rows) {
+      if (!std::exchange(first, false)) write(",");
+      write(boost::json::serialize(to_json(row)));
+    }
+  };
+  write(R"({"routes":[)");
+  write_rows(snapshot.routes, WriteRoute);
+  write(R"(],"pools":[)");
+  write_rows(snapshot.pools, WritePool);
+  write("]");
+  if (snapshot.limits != CallerLimits{}) {
+    write(R"(,"limits":)");
+    write(boost::json::serialize(snapshot.limits.Write()));
+  }
+  write("}");
+}
+
 }  // namespace
 
 std::optional<ConfigSnapshot> ConfigCodec::Decode(std::string_view text,
@@ -79,42 +111,52 @@
                        .message = std::move(error.message)});
   }
 
-  // Order makes the encoding canonical, and puts equal names side by side.
-  std::ranges::sort(snapshot.routes, {}, &RouteRule::name);
-  std::ranges::sort(snapshot.pools, {}, &PoolSpec::name);
-  CheckUnique(snapshot.routes, "routes", errors_);
-  CheckUnique(snapshot.pools, "pools", errors_);
-  CheckJoins(snapshot, errors_);
+  Arrange(snapshot, errors_);
   if (!errors_.empty()) return Fail();
-  snapshot.head = {.version = version, .digest = Digest::Of(Encode(snapshot))};
+  snapshot.head = {.version = version, .digest = DigestOf(snapshot)};
   return snapshot;
 }
 
+std::optional<ConfigSnapshot> ConfigCodec::Finish(ConfigSnapshot tables,
+                                                  ConfigVersion version) {
+  errors_.clear();
+  Arrange(tables, errors_);
+  if (!errors_.empty()) return Fail();
+  tables.head = {.version = version, .digest = DigestOf(tables)};
+  return tables;
+}
+
 std::optional<ConfigSnapshot> ConfigCodec::DecodeVerified(
     std::string_view text, const ConfigHead& head) {
-  std::optional<ConfigSnapshot> snapshot = Decode(text, head.version);
-  if (!snapshot) return std::nullopt;
-  if (snapshot->head.digest != head.digest) {
-    errors_.push_back({.kind = ConfigError::Kind::kDigestMismatch,
-                       .message = fmt::format(
-                           "version {} has another digest than its head says",
-                           head.version)});
-    return Fail();
-  }
-  return snapshot;
+  return Verify(Decode(text, head.version), head);
+}
+
+std::optional<ConfigSnapshot> ConfigCodec::FinishVerified(
+    ConfigSnapshot tables, const ConfigHead& head) {
+  return Verify(Finish(std::move(tables), head.version), head);
+}
+
+std::optional<ConfigSnapshot> ConfigCodec::Verify(
+    std::optional<ConfigSnapshot> snapshot, const ConfigHead& head) {
+  if (!snapshot || snapshot->head.digest == head.digest) return snapshot;
+  errors_.push_back(
+      {.kind = ConfigError::Kind::kDigestMismatch,
+       .message = fmt::format(
+           "version {} has another digest than its head says", head.version)});
+  return Fail();
 }
 
 std::string ConfigCodec::Encode(const ConfigSnapshot& snapshot) {
-  boost::json::array routes;
-  for (const RouteRule& rule : snapshot.routes)
-    routes.push_back(WriteRoute(rule));
-  boost::json::array pools;
-  for (const PoolSpec& pool : snapshot.pools) pools.push_back(WritePool(pool));
-  boost::json::object document{{"routes", std::move(routes)},
-                               {"pools", std::move(pools)}};
-  if (snapshot.limits != CallerLimits{})
-    document["limits"] = snapshot.limits.Write();
-  return boost::json::serialize(document);
+  std::string text;
+  WritePieces(snapshot, [&text](std::string_view piece) { text += piece; });
+  return text;
+}
+
+Digest ConfigCodec::DigestOf(const ConfigSnapshot& snapshot) {
+  Digest::Stream stream;
+  WritePieces(snapshot,
+              [&stream](std::string_view piece) { stream.Add(piece); });
+  return stream.Finish();
 }
 
 std::optional<ConfigSnapshot> ConfigCodec::Fail() {
--- a/core/config/config_codec.h
+++ b/core/config/config_codec.h
@@ -33,6 +33,18 @@
   std::optional<ConfigSnapshot> DecodeVerified(std::string_view text,
                                                const ConfigHead& head);
 
+  /// Checks rows that were read elsewhere, puts them in order and gives them a
+  /// head of the version. Thread safety: one thread per codec. Errors:
+  /// duplicates, missing pools.
+  std::optional<ConfigSnapshot> Finish(ConfigSnapshot tables,
+                                       ConfigVersion version);
+
+  /// The same, and checks that the result has the digest of the head. Thread
+  /// safety: one thread per codec. Errors: those of Finish, and a digest
+  /// mismatch.
+  std::optional<ConfigSnapshot> FinishVerified(ConfigSnapshot tables,
+                                               const ConfigHead& head);
+
   /// Writes the canonical encoding, without the version. Thread safety: any
   /// thread.
   static std::string Encode(const ConfigSnapshot& snapshot);
@@ -43,8 +55,13 @@
   /// Every fault of the last call.
   const std::vector<ConfigError>& errors() const { return errors_; }
 
+  /// Digest of the canonical encoding. Thread safety: any thread.
+  static Digest DigestOf(const ConfigSnapshot& snapshot);
+
  private:
   std::optional<ConfigSnapshot> Fail();
+  std::optional<ConfigSnapshot> Verify(std::optional<ConfigSnapshot> snapshot,
+                                       const ConfigHead& head);
 
   ConfigError last_reason_;
   std::vector<ConfigError> errors_;
--- a/core/config/config_delta.cc
+++ b/core/config/config_delta.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <map>
 #include <utility>
 
 #include "core/base/json_fields.h"
@@ -27,17 +26,25 @@
   for (; old != from.end(); ++old) removed.push_back(old->name);
 }
 
+/// Rows of `from` with those that changed put in and those removed left out.
+/// @pre `from` and `changed` are sorted by name.
 template <typename Row, typename Name>
 std::vector<Row> Replace(const std::vector<Row>& from,
                          const std::vector<Row>& changed,
                          const std::vector<Name>& removed) {
-  std::map<Name, Row> rows;
-  for (const Row& row : from) rows.insert_or_assign(row.name, row);
-  for (const Name& name : removed) rows.erase(name);
-  for (const Row& row : changed) rows.insert_or_assign(row.name, row);
   std::vector<Row> out;
-  out.reserve(rows.size());
-  for (auto& [name, row] : rows) out.push_back(std::move(row));
+  out.reserve(from.size() + changed.size());
+  auto next = changed.begin();
+  for (const Row& row : from) {
+    while (next != changed.end() && next->name < row.name)
+      out.push_back(*next++);
+    if (next != changed.end() && next->name == row.name) {
+      out.push_back(*next++);
+    } else if (!std::ranges::binary_search(removed, row.name)) {
+      out.push_back(row);
+    }
+  }
+  out.insert(out.end(), next, changed.end());
   return out;
 }
 
@@ -70,18 +77,14 @@
               .message = "the delta starts from another snapshot"};
     return std::nullopt;
   }
-  const ConfigSnapshot result{
-      .head = head,
-      .routes = Replace(from.routes, routes, removed_routes),
-      .pools = Replace(from.pools, pools, removed_pools),
-      .limits = limits};
-
-  // The codec checks the whole result as if it had come whole.
   ConfigCodec codec;
-  std::optional<ConfigSnapshot> verified =
-      codec.DecodeVerified(ConfigCodec::Encode(result), head);
-  if (!verified) reason = codec.last_reason();
-  return verified;
+  std::optional<ConfigSnapshot> result = codec.FinishVerified(
+      {.routes = Replace(from.routes, routes, removed_routes),
+       .pools = Replace(from.pools, pools, removed_pools),
+       .limits = limits},
+      head);
+  if (!result) reason = codec.last_reason();
+  return result;
 }
 
 std::string ConfigDelta::Encode() const {
--- a/core/replication/replicator_settings.h
+++ b/core/replication/replicator_settings.h
@@ -50,7 +50,7 @@
   std::uint32_t fetch_attempts = 3;    ///< peers asked before the platform
   std::size_t largest_pushed_delta = 4096;  ///< bytes of a delta that is pushed
                                             ///< unasked
-  std::size_t snapshots_kept = 8;           ///< newest ones, as bases of deltas
+  std::size_t snapshots_kept = 3;           ///< newest ones, as bases of deltas
   std::uint32_t pollers_per_domain = 2;     ///< hosts that poll the head often
   std::uint32_t cold_start_domains = 2;  ///< failure domains whose hosts must
                                          ///< name a head while the platform is
--- a/core/rollout/evidence_collector.cc
+++ b/core/rollout/evidence_collector.cc
@@ -93,9 +93,9 @@
   if (cell != nullptr) return *cell;
 
   const TargetId& target = group.targets[sample.target].info.id;
-  Key key(rule.rule.name, group.version, target);
+  Key key(rule.rule->name, group.version, target);
   cell =
-      &own_.try_emplace(std::move(key), EvidenceCell{.route = rule.rule.name,
+      &own_.try_emplace(std::move(key), EvidenceCell{.route = rule.rule->name,
                                                      .version = group.version,
                                                      .target = target})
            .first->second;
--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -32,7 +32,7 @@
 
   // Credits go on by the route's name, since indices change.
   for (std::size_t route = 0; route < new_version_credit_.size(); ++route) {
-    saved_credit_[routing_->routes[route].rule.name] =
+    saved_credit_[routing_->routes[route].rule->name] =
         new_version_credit_[route];
   }
   routing_ = routing;
@@ -40,7 +40,7 @@
   std::uniform_real_distribution<double> phase(0, 1);
   for (const RoutedRule& route : routing->routes) {
     // A random phase keeps a thousand proxies from starting in step.
-    const auto saved = saved_credit_.find(route.rule.name);
+    const auto saved = saved_credit_.find(route.rule->name);
     new_version_credit_.push_back(saved == saved_credit_.end() ? phase(random_)
                                                                : saved->second);
   }
@@ -110,7 +110,7 @@
   assert(routing_ && route < routing_->routes.size());
   const RoutedShare part = ShareOf(route, share);
   const std::uint32_t pool = part.pool;
-  const Milliseconds objective = routing_->routes[route].rule.target_latency;
+  const Milliseconds objective = routing_->routes[route].rule->target_latency;
   const std::optional<std::uint32_t> group = ChooseGroup(route, part);
   if (!group) return std::nullopt;
   const std::optional<Placement> chosen =
--- a/core/routing/route_matcher.cc
+++ b/core/routing/route_matcher.cc
@@ -32,7 +32,7 @@
                                         const RouteQuery& query) {
   const std::string_view host = WithoutPort(query.host);
   for (std::uint32_t index = 0; index < routing.routes.size(); ++index) {
-    const RouteRule& rule = routing.routes[index].rule;
+    const RouteRule& rule = *routing.routes[index].rule;
     if (query.path.starts_with(rule.path_prefix) &&
         (TakesHost(rule, host) || TakesHost(rule, query.host)) &&
         TakesMethod(rule, query.method)) {
--- a/core/routing/routing_builder.h
+++ b/core/routing/routing_builder.h
@@ -14,17 +14,18 @@
 
 namespace camphor {
 
-/// Everything that the effective routing is derived from.
+/// Everything that the effective routing is derived from; what is given by
+/// reference outlives the call.
 struct RoutingInputs {
   HostId self;  ///< this host: its targets are local
   ConfigSnapshotPtr
       snapshot{};  ///< configuration in force; null gives no routes
-  std::map<HostId, HostRecord>
-      hosts{};  ///< host records as this host sees them
-  std::map<RolloutId, RolloutRecord>
-      rollouts{};  ///< rollout records as this host sees them
-  std::map<std::uint64_t, PoisonRecord>
-      poison{};  ///< poison records that have not expired
+  const std::map<HostId, HostRecord>&
+      hosts;  ///< host records as this host sees them
+  const std::map<RolloutId, RolloutRecord>&
+      rollouts;  ///< rollout records as this host sees them
+  const std::map<std::uint64_t, PoisonRecord>&
+      poison;  ///< poison records that have not expired
   std::set<std::pair<PoolName, TargetVersion>>
       locally_ejected{};  ///< versions this host itself stopped using
 };
--- a/node/decisions/decision_thread.h
+++ b/node/decisions/decision_thread.h
@@ -37,7 +37,7 @@
     Milliseconds tick{100};  ///< between two calls of on_tick
     std::size_t task_capacity =
         1024;  ///< tasks of one source that wait at most
-    std::size_t sample_capacity = 8192;  ///< samples that wait at most
+    std::size_t sample_capacity = 1024;  ///< samples that wait at most
     std::function<void()> on_tick{};     ///< runs once a tick
     std::function<void(const RequestSample&)>
         on_sample{};                  ///< takes one sample
--- a/unit_tests/core/rollout/evidence_collector_test.cc
+++ b/unit_tests/core/rollout/evidence_collector_test.cc
@@ -63,7 +63,8 @@
 
 TEST(EvidenceCollectorAddSample, EachOutcome_IsCountedWhereItBelongs) {
   auto routing = std::make_shared<EffectiveRouting>();
-  routing->routes.push_back({.rule = {.name = RouteName("a")}});
+  routing->routes.push_back({.rule = std::make_shared<const RouteRule>(
+                                 RouteRule{.name = RouteName("a")})});
   PoolRouting& pool = routing->pools.emplace_back();
   VersionGroup& group = pool.groups.emplace_back();
   group.version = TargetVersion("v1");
--- a/unit_tests/core/rollout/rollout_fixture.h
+++ b/unit_tests/core/rollout/rollout_fixture.h
@@ -156,6 +156,7 @@
                       .snapshot = snapshot_,
                       .hosts = Records(),
                       .rollouts = host.records,
+                      .poison = {},
                       .locally_ejected = host.manager->locally_ejected()}));
     if (!host.routing || *host.routing != *routing) host.routing = routing;
   }
@@ -164,7 +165,7 @@
     for (std::uint32_t route = 0; route < host.routing->routes.size();
          ++route) {
       const RoutedRule& rule = host.routing->routes[route];
-      double& credit = host.credit[rule.rule.name.value()];
+      double& credit = host.credit[rule.rule->name.value()];
       for (int request = 0; request < requests_; ++request) {
         credit += rule.new_share_ppm / 1e6;
         const std::uint32_t group = credit >= 1 ? 1 : 0;
--- a/unit_tests/core/routing/routing_builder_test.cc
+++ b/unit_tests/core/routing/routing_builder_test.cc
@@ -85,7 +85,7 @@
   rollouts_.begin()->second.route_shares = {
       {.route = RouteName("orders"), .share_ppm = 90'000}};
   for (const RoutedRule& route : Build().routes) {
-    const bool rare = route.rule.name == RouteName("orders");
+    const bool rare = route.rule->name == RouteName("orders");
     EXPECT_EQ(route.new_share_ppm, rare ? 90'000U : 7'000U);
   }
 }
@@ -138,7 +138,7 @@
       {.name = RouteName("z"), .pool = PoolName("missing")});
   for (const RoutedRule& route : Build().routes) {
     EXPECT_LT(route.pool, 1U);
-    EXPECT_NE(route.rule.name, RouteName("z"));
+    EXPECT_NE(route.rule->name, RouteName("z"));
   }
 }
 
@@ -147,7 +147,7 @@
   const auto name = [&](std::string_view method, std::string_view path) {
     const auto route =
         MatchRoute(routing, {.host = "a:1", .method = method, .path = path});
-    return routing.routes.at(route.value()).rule.name.value();
+    return routing.routes.at(route.value()).rule->name.value();
   };
   EXPECT_EQ(name("POST", "/orders/1"), "orders-post");
   EXPECT_EQ(name("GET", "/orders/1"), "orders");
