--- a/core/routing/retry_budget.cc
+++ b/core/routing/retry_budget.cc
@@ -10,9 +10,9 @@
 /// repeats where they arrive, and the host that they begin on can not tell.
 constexpr double kUsedPart = 0.8;
 
-/// A fresh host can retry once: hosts that start together must not have the
-/// whole burst a second time.
-constexpr double kFirstTokens = 1;
+/// Part of what may be saved up that a fresh host has: hosts that start
+/// together must not have the whole burst a second time.
+constexpr double kFirstPart = 0.1;
 
 }  // namespace
 
@@ -39,12 +39,16 @@
 
 std::int64_t RetryBudget::available(const PoolName& pool) const {
   const auto found = tokens_.find(pool);
-  return static_cast<std::int64_t>(found == tokens_.end() ? kFirstTokens
+  return static_cast<std::int64_t>(found == tokens_.end() ? FirstTokens()
                                                           : found->second);
 }
 
 double& RetryBudget::TokensOf(const PoolName& pool) {
-  return tokens_.try_emplace(pool, kFirstTokens).first->second;
+  return tokens_.try_emplace(pool, FirstTokens()).first->second;
+}
+
+double RetryBudget::FirstTokens() const {
+  return std::max(1.0, most_saved_ * kFirstPart);
 }
 
 }  // namespace camphor
--- a/core/routing/retry_budget.h
+++ b/core/routing/retry_budget.h
@@ -45,6 +45,7 @@
 
  private:
   double& TokensOf(const PoolName& pool);
+  double FirstTokens() const;
 
   Options options_;
   double most_saved_ = 1;
