Expect a request's time by its route, and a target's by how it compares

Cause: one average a target mixed requests of 200 ms with calls of 20 ms, so that short calls with an objective of 80 ms seemed to miss it in the own failure domain, and about half of them crossed; one failure in a hundred tripled the estimate for a while. A route has a usual time, a target a multiple of it; failures alone cross from a rate of 0.2 on. Tests: PowerOfTwoBalancerChoose.OtherRouteOfThePoolIsSlow_ShortOneStays (failed before), OwnTargetFailsOften_SomeRequestsLeave.

--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -8,12 +8,13 @@
 namespace {
 
 constexpr double kWhole = 1'000'000;
-constexpr double kLatencyWeight = 0.1;  // of the newest sample
 constexpr double kFailureWeight = 0.1;  // of the newest sample
 constexpr double kFailurePenalty = 20;  // factor of the cost at only failures
 constexpr double kColdestPart = 0.1;    // of a target that was just announced
 constexpr double kUnknownLatencyUs = 1000;
-constexpr double kPartOfObjective = 0.6;   // of it may pass in the own domain
+constexpr double kPartOfObjective = 0.6;  // of it may pass in the own domain
+constexpr double kFailuresThatCross =
+    0.2;                                   // rate worth the bytes of a crossing
 constexpr double kCrossingUs = 8000;       // to another domain and back
 constexpr Milliseconds kFirstBackoff{20};  // after one refusal
 constexpr Milliseconds kLongestBackoff{1000};
@@ -110,11 +111,15 @@
   assert(routing_ && route < routing_->routes.size());
   const RoutedShare part = ShareOf(route, share);
   const std::uint32_t pool = part.pool;
-  const Milliseconds objective = routing_->routes[route].rule->target_latency;
+  const RouteRule& rule = *routing_->routes[route].rule;
+  const Wish wish{.tried = tried,
+                  .objective = rule.target_latency,
+                  .usual_us = latency_.UsualUs(rule.name),
+                  .now = now};
   const std::optional<std::uint32_t> group = ChooseGroup(route, part);
   if (!group) return std::nullopt;
   const std::optional<Placement> chosen =
-      ChooseTarget({.pool = pool, .group = *group}, tried, objective, now);
+      ChooseTarget({.pool = pool, .group = *group}, wish);
   if (chosen) return chosen;
 
   // A version without a usable target leaves its share to the other one, if
@@ -123,7 +128,7 @@
   for (std::uint32_t other = 0; other < groups.size(); ++other) {
     if (other == *group || groups[other].share_ppm == 0) continue;
     if (other == 1 && part.new_share_ppm == 0) continue;
-    return ChooseTarget({.pool = pool, .group = other}, tried, objective, now);
+    return ChooseTarget({.pool = pool, .group = other}, wish);
   }
   return std::nullopt;
 }
@@ -143,38 +148,39 @@
 }
 
 std::optional<Placement> PowerOfTwoBalancer::ChooseTarget(
-    const Placement& group, std::span<const Placement> tried,
-    Milliseconds objective, MonoTime now) {
+    const Placement& group, const Wish& wish) {
   const GroupView& view = pools_[group.pool].groups[group.group];
   // Own failure domain with room, any with room, then whatever is not ejected.
   std::optional<std::uint32_t> target =
-      BetterOfTwo(view.own_domain, group, tried, true, now);
+      BetterOfTwo(view.own_domain, group, wish, true);
   if (!target) {
-    target = BetterOfTwo(view.others, group, tried, true, now);
-  } else if (MissesObjective(*view.stats[*target], objective)) {
-    const auto other = BetterOfTwo(view.others, group, tried, true, now);
-    if (other && Crosses(*view.stats[*target], *view.stats[*other]))
+    target = BetterOfTwo(view.others, group, wish, true);
+  } else if (MissesObjective(*view.stats[*target], wish)) {
+    const auto other = BetterOfTwo(view.others, group, wish, true);
+    if (other && Crosses(*view.stats[*target], *view.stats[*other], wish))
       target = other;
   }
-  if (!target) target = BetterOfTwo(view.own_domain, group, tried, false, now);
-  if (!target) target = BetterOfTwo(view.others, group, tried, false, now);
+  if (!target) target = BetterOfTwo(view.own_domain, group, wish, false);
+  if (!target) target = BetterOfTwo(view.others, group, wish, false);
   if (!target) return std::nullopt;
   return Placement{.pool = group.pool, .group = group.group, .target = *target};
 }
 
 bool PowerOfTwoBalancer::MissesObjective(const TargetStats& stats,
-                                         Milliseconds objective) {
+                                         const Wish& wish) {
+  if (wish.objective.count() == 0) return false;
+  if (stats.failure_rate > kFailuresThatCross) return true;
   const double bound_us =
       kPartOfObjective *
-      static_cast<double>(std::chrono::microseconds(objective).count());
-  return objective.count() > 0 && ExpectedLatency(stats) > bound_us;
+      static_cast<double>(std::chrono::microseconds(wish.objective).count());
+  return LatencyModel::ExpectedUs(wish.usual_us, stats) > bound_us;
 }
 
 bool PowerOfTwoBalancer::Crosses(const TargetStats& own,
-                                 const TargetStats& other) {
+                                 const TargetStats& other, const Wish& wish) {
   // Crossing costs bytes and time.
-  const double own_us = ExpectedLatency(own);
-  const double other_us = ExpectedLatency(other) + kCrossingUs;
+  const double own_us = ExpectedLatency(own, wish.usual_us);
+  const double other_us = ExpectedLatency(other, wish.usual_us) + kCrossingUs;
   if (other_us >= own_us) return false;
   // The faster gets more, not all: the slower one is looked at again, and not
   // every proxy runs to the same target.
@@ -182,15 +188,16 @@
   return draw(random_) < own_us;
 }
 
-double PowerOfTwoBalancer::ExpectedLatency(const TargetStats& stats) {
-  const double latency =
-      stats.latency_us > 0 ? stats.latency_us : kUnknownLatencyUs;
+double PowerOfTwoBalancer::ExpectedLatency(const TargetStats& stats,
+                                           double usual_us) {
+  const double known = LatencyModel::ExpectedUs(usual_us, stats);
+  const double latency = known > 0 ? known : kUnknownLatencyUs;
   return latency * (1 + kFailurePenalty * stats.failure_rate);
 }
 
 std::optional<std::uint32_t> PowerOfTwoBalancer::BetterOfTwo(
     const std::vector<std::uint32_t>& candidates, const Placement& group,
-    std::span<const Placement> tried, bool with_room, MonoTime now) {
+    const Wish& wish, bool with_room) {
   if (candidates.empty()) return std::nullopt;
   const GroupView& view = pools_[group.pool].groups[group.group];
   const std::vector<RoutedTarget>& targets =
@@ -200,11 +207,11 @@
   // random choices when most are usable.
   const auto usable = [&](std::uint32_t index) {
     const TargetStats& stats = *view.stats[index];
-    if (stats.ejected_until > now) return false;
-    if (with_room && !HasRoom(targets[index], stats, now)) return false;
+    if (stats.ejected_until > wish.now) return false;
+    if (with_room && !HasRoom(targets[index], stats, wish.now)) return false;
     const Placement placement{
         .pool = group.pool, .group = group.group, .target = index};
-    return std::ranges::find(tried, placement) == tried.end();
+    return std::ranges::find(wish.tried, placement) == wish.tried.end();
   };
   const std::size_t count = candidates.size();
   const auto first_usable = [&](std::size_t start, std::size_t skip) {
@@ -220,19 +227,21 @@
   if (second == count) return candidates[first];
   const std::uint32_t left = candidates[first];
   const std::uint32_t right = candidates[second];
-  const bool keep_left = Cost(targets[left], *view.stats[left], now) <=
-                         Cost(targets[right], *view.stats[right], now);
+  const bool keep_left = Cost(targets[left], *view.stats[left], wish) <=
+                         Cost(targets[right], *view.stats[right], wish);
   return keep_left ? left : right;
 }
 
 double PowerOfTwoBalancer::Cost(const RoutedTarget& target,
-                                const TargetStats& stats, MonoTime now) const {
+                                const TargetStats& stats,
+                                const Wish& wish) const {
   const double slots = std::max<double>(target.info.slots, 1);
   const double queue = (stats.in_flight + 1) / slots;
-  const double age = std::chrono::duration<double>(now - stats.first_seen) /
-                     std::chrono::duration<double>(options_.slow_start);
+  const double age =
+      std::chrono::duration<double>(wish.now - stats.first_seen) /
+      std::chrono::duration<double>(options_.slow_start);
   const double part = std::clamp(age, kColdestPart, 1.0);
-  return queue * ExpectedLatency(stats) / part;
+  return queue * ExpectedLatency(stats, wish.usual_us) / part;
 }
 
 bool PowerOfTwoBalancer::HasRoom(const RoutedTarget& target,
@@ -245,10 +254,12 @@
   return found == stats_.end() ? nullptr : &found->second;
 }
 
-Microseconds PowerOfTwoBalancer::LatencyOf(const TargetId& target) const {
+Microseconds PowerOfTwoBalancer::LatencyOf(const RouteName& route,
+                                           const TargetId& target) const {
   const TargetStats* stats = StatsOf(target);
   if (stats == nullptr) return Microseconds(0);
-  return Microseconds(static_cast<std::int64_t>(stats->latency_us));
+  return Microseconds(static_cast<std::int64_t>(
+      LatencyModel::ExpectedUs(latency_.UsualUs(route), *stats)));
 }
 
 void PowerOfTwoBalancer::OnSent(const TargetId& target) {
@@ -256,10 +267,9 @@
   if (found != stats_.end()) ++found->second.in_flight;
 }
 
-void PowerOfTwoBalancer::OnEnded(const TargetId& target, const PoolName& pool,
-                                 RequestOutcome outcome, Microseconds latency,
-                                 MonoTime now) {
-  const auto found = stats_.find(target);
+void PowerOfTwoBalancer::OnEnded(const Place& place, RequestOutcome outcome,
+                                 Microseconds latency, MonoTime now) {
+  const auto found = stats_.find(*place.target);
   if (found == stats_.end()) return;
   TargetStats& stats = found->second;
   if (stats.in_flight > 0) --stats.in_flight;
@@ -274,12 +284,7 @@
       return;
     }
     case RequestOutcome::kSuccess:
-      stats.latency_us =
-          stats.latency_us == 0
-              ? static_cast<double>(latency.count())
-              : stats.latency_us +
-                    kLatencyWeight * (static_cast<double>(latency.count()) -
-                                      stats.latency_us);
+      latency_.Learn(*place.route, stats, latency);
       stats.failure_rate -= kFailureWeight * stats.failure_rate;
       stats.failures_in_row = 0;
       stats.refusals_in_row = 0;
@@ -290,7 +295,7 @@
     case RequestOutcome::kTargetDied:
       stats.failure_rate += kFailureWeight * (1 - stats.failure_rate);
       ++stats.failures_in_row;
-      outliers_.OnFailure(stats, CountPool(pool, now), now);
+      outliers_.OnFailure(stats, CountPool(*place.pool, now), now);
       return;
   }
 }
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -11,6 +11,7 @@
 
 #include "core/base/time.h"
 #include "core/routing/effective_routing.h"
+#include "core/routing/latency_model.h"
 #include "core/routing/outlier_detector.h"
 #include "core/routing/request_sample.h"
 #include "core/routing/target_stats.h"
@@ -71,12 +72,20 @@
   /// Counts a request as under way at the target.
   void OnSent(const TargetId& target);
 
-  /// Takes a request's end as evidence. `pool` is the row of the target's pool.
-  void OnEnded(const TargetId& target, const PoolName& pool,
-               RequestOutcome outcome, Microseconds latency, MonoTime now);
+  /// Where a request ran. @pre every pointer is set.
+  struct Place {
+    const RouteName* route = nullptr;  ///< route that it came by
+    const PoolName* pool = nullptr;    ///< pool of the target
+    const TargetId* target = nullptr;  ///< target that it was sent to
+  };
+
+  /// Takes a request's end as evidence.
+  void OnEnded(const Place& place, RequestOutcome outcome, Microseconds latency,
+               MonoTime now);
 
-  /// Moving average of the target's successes; 0 when there were none.
-  Microseconds LatencyOf(const TargetId& target) const;
+  /// Expected time of a request of the route at the target; 0 when that is not
+  /// known.
+  Microseconds LatencyOf(const RouteName& route, const TargetId& target) const;
 
   /// Evidence of one target; null when it is not known.
   const TargetStats* StatsOf(const TargetId& target) const;
@@ -101,17 +110,25 @@
   RoutedShare ShareOf(std::uint32_t route, std::uint32_t share) const;
   std::optional<std::uint32_t> ChooseGroup(std::uint32_t route,
                                            const RoutedShare& part);
+  /// What the choice of a target depends on besides the targets.
+  struct Wish {
+    std::span<const Placement> tried;  ///< not wanted again
+    Milliseconds objective{0};         ///< of the route; 0: none
+    double usual_us = 0;               ///< usual time on the route; 0: unknown
+    MonoTime now{};
+  };
+
   std::optional<Placement> ChooseTarget(const Placement& group,
-                                        std::span<const Placement> tried,
-                                        Milliseconds objective, MonoTime now);
-  static bool MissesObjective(const TargetStats& stats, Milliseconds objective);
-  bool Crosses(const TargetStats& own, const TargetStats& other);
-  static double ExpectedLatency(const TargetStats& stats);
+                                        const Wish& wish);
+  static bool MissesObjective(const TargetStats& stats, const Wish& wish);
+  bool Crosses(const TargetStats& own, const TargetStats& other,
+               const Wish& wish);
+  static double ExpectedLatency(const TargetStats& stats, double usual_us);
   std::optional<std::uint32_t> BetterOfTwo(
       const std::vector<std::uint32_t>& candidates, const Placement& group,
-      std::span<const Placement> tried, bool with_room, MonoTime now);
+      const Wish& wish, bool with_room);
   double Cost(const RoutedTarget& target, const TargetStats& stats,
-              MonoTime now) const;
+              const Wish& wish) const;
   bool HasRoom(const RoutedTarget& target, const TargetStats& stats,
                MonoTime now) const;
   OutlierDetector::PoolCount CountPool(const PoolName& pool,
@@ -125,6 +142,7 @@
   std::vector<double> new_version_credit_;  ///< by route, in requests
   std::unordered_map<RouteName, double> saved_credit_;
   std::unordered_map<TargetId, TargetStats> stats_;
+  LatencyModel latency_;
 };
 
 }  // namespace camphor
--- a/core/routing/target_stats.h
+++ b/core/routing/target_stats.h
@@ -10,8 +10,9 @@
 /// What this proxy itself saw of one target: its own evidence, which outranks
 /// what the target or its host report. Not thread safe.
 struct TargetStats {
-  std::uint32_t in_flight = 0;        ///< requests of this proxy under way
-  double latency_us = 0;              ///< moving average of successes; 0: none
+  std::uint32_t in_flight = 0;  ///< requests of this proxy under way
+  double slowness = 0;  ///< time of successes as a multiple of what is usual on
+                        ///< their routes, moving average; 0: none
   double failure_rate = 0;            ///< moving average of 0 and 1
   std::uint32_t failures_in_row = 0;  ///< failures since the last success
   std::uint32_t refusals_in_row = 0;  ///< refusals since the last answer
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -271,7 +271,8 @@
     decision.target = target().info.id.value();
     const TargetStats* stats = context_.balancer.StatsOf(target().info.id);
     if (stats != nullptr) decision.in_flight = stats->in_flight;
-    decision.usual_latency = context_.balancer.LatencyOf(target().info.id);
+    decision.usual_latency =
+        context_.balancer.LatencyOf(rule().name, target().info.id);
   }
   context_.options.on_decision(decision);
 }
@@ -281,9 +282,11 @@
   const auto latency = std::chrono::duration_cast<Microseconds>(now - sent_at_);
   if (outcome == RequestOutcome::kCancelled && TookTooLong(latency))
     outcome = RequestOutcome::kTimeout;
-  context_.balancer.OnEnded(target().info.id,
-                            routing_->pools[placement_.pool].spec.name, outcome,
-                            latency, now);
+  context_.balancer.OnEnded(
+      {.route = &rule().name,
+       .pool = &routing_->pools[placement_.pool].spec.name,
+       .target = &target().info.id},
+      outcome, latency, now);
   context_.metrics.OnOutcome(outcome);
   if (!context_.options.on_sample) return;
   context_.options.on_sample({.routing = routing_,
@@ -346,7 +349,8 @@
   if (!target().local) return std::chrono::duration_cast<Milliseconds>(half);
   // A target gives no sign of life, so that a slow one must not be taken for
   // silent.
-  const Microseconds usual = context_.balancer.LatencyOf(target().info.id);
+  const Microseconds usual =
+      context_.balancer.LatencyOf(rule().name, target().info.id);
   const Microseconds silence = std::max(half, usual * kLatenciesOfSilence);
   if (silence >= left) return Milliseconds(0);
   return std::chrono::duration_cast<Milliseconds>(silence);
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -143,7 +143,7 @@
   boost::json::object balancing;
   for (const auto& [id, stats] : context.balancer.stats()) {
     balancing[id.value()] = {{"in_flight", stats.in_flight},
-                             {"latency_us", stats.latency_us},
+                             {"slowness", stats.slowness},
                              {"failure_rate", stats.failure_rate},
                              {"full", stats.full_until > now},
                              {"ejected", stats.ejected_until > now}};
--- a/unit_tests/core/routing/placement_test.cc
+++ b/unit_tests/core/routing/placement_test.cc
@@ -44,6 +44,16 @@
       .info.id;
 }
 
+void End(PowerOfTwoBalancer& balancer, const std::string& route,
+         const std::string& target, RequestOutcome outcome,
+         Microseconds latency) {
+  const RouteName route_name(route);
+  const PoolName pool("p");
+  const TargetId id(target);
+  balancer.OnEnded({.route = &route_name, .pool = &pool, .target = &id},
+                   outcome, latency, kStart);
+}
+
 TEST(PowerOfTwoBalancerChoose, AnyShare_IsKeptToOneRequest) {
   EXPECT_TRUE(rc::check([] {
     const auto share = *rc::gen::inRange<std::uint32_t>(0, 1'000'001);
@@ -66,10 +76,8 @@
   PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
   balancer.SetRouting(shared, kStart);
   for (int answer = 0; answer < 100; ++answer) {
-    balancer.OnEnded(TargetId("v1-0"), PoolName("p"), RequestOutcome::kSuccess,
-                     own, kStart);
-    balancer.OnEnded(TargetId("v1-1"), PoolName("p"), RequestOutcome::kSuccess,
-                     other, kStart);
+    End(balancer, "r", "v1-0", RequestOutcome::kSuccess, own);
+    End(balancer, "r", "v1-1", RequestOutcome::kSuccess, other);
   }
   int left = 0;
   for (int request = 0; request < 100; ++request)
@@ -96,6 +104,44 @@
             0);
 }
 
+// Long requests of one route say nothing of a short one's objective.
+TEST(PowerOfTwoBalancerChoose, OtherRouteOfThePoolIsSlow_ShortOneStays) {
+  EffectiveRouting routing = *MakeRouting(2, 0, 1, Milliseconds(80));
+  routing.routes.push_back(
+      {.rule = std::make_shared<const RouteRule>(RouteRule{
+           .name = RouteName("long"), .target_latency = Milliseconds(600)})});
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(std::make_shared<const EffectiveRouting>(routing),
+                      kStart);
+  for (int answer = 0; answer < 100; ++answer) {
+    for (const std::string target : {"v1-0", "v1-1"}) {
+      End(balancer, "long", target, RequestOutcome::kSuccess,
+          Milliseconds(200));
+      End(balancer, "r", target, RequestOutcome::kSuccess, Milliseconds(20));
+    }
+    // One failure in a hundred is no reason to leave.
+    if (answer == 90)
+      End(balancer, "r", "v1-0", RequestOutcome::kError, Milliseconds(20));
+  }
+  for (int request = 0; request < 100; ++request)
+    EXPECT_EQ(balancer.Choose(0, {}, kStart)->target, 0U);
+}
+
+TEST(PowerOfTwoBalancerChoose, OwnTargetFailsOften_SomeRequestsLeave) {
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(MakeRouting(2, 0, 1, Milliseconds(80)), kStart);
+  for (int answer = 0; answer < 100; ++answer) {
+    End(balancer, "r", "v1-0",
+        answer % 2 == 0 ? RequestOutcome::kSuccess : RequestOutcome::kError,
+        Milliseconds(20));
+    End(balancer, "r", "v1-1", RequestOutcome::kSuccess, Milliseconds(20));
+  }
+  int left = 0;
+  for (int request = 0; request < 100; ++request)
+    left += balancer.Choose(0, {}, kStart)->target == 1 ? 1 : 0;
+  EXPECT_GT(left, 50);
+}
+
 TEST(PowerOfTwoBalancerChooseShare, Weights_AreKeptToOverManyRequests) {
   EffectiveRouting routing = *MakeRouting(3, 0, 1);
   routing.routes[0].split = {{.pool = 0, .weight = 90},
@@ -133,8 +179,8 @@
     const auto placement = balancer.Choose(0, {}, kStart);
     ASSERT_TRUE(placement);
     balancer.OnSent(IdOf(routing, *placement));
-    balancer.OnEnded(IdOf(routing, *placement), PoolName("p"),
-                     RequestOutcome::kError, Microseconds(100), kStart);
+    End(balancer, "r", IdOf(routing, *placement).value(),
+        RequestOutcome::kError, Microseconds(100));
   }
   std::size_t ejected = 0;
   for (const auto& [id, stats] : balancer.stats()) {
