Ask the store less: gather changes for 400 ms, and read no second page of hosts once four are found

The host with the highest name still reads from the table's beginning, which keeps all joined; a host whose peers are gone reads both pages again.

--- a/node/platform_sync/host_directory.cc
+++ b/node/platform_sync/host_directory.cc
@@ -28,7 +28,10 @@
     case Step::kReadFirst:
       return Read("");
     case Step::kDone:
-      if (alone) step_ = Step::kReadNext;
+      if (alone) {
+        step_ = Step::kReadNext;
+        found_dead_ = true;
+      }
       next_ = now + options_.read_again;
       return;
   }
@@ -80,8 +83,9 @@
                       "a row of the table of hosts is malformed",
                       {{"host", row.key}});
   }
-  // The ring goes on at the table's beginning.
-  const bool wrap = step_ == Step::kReadNext && !answer.more;
+  // The ring goes on at the table's beginning; the mesh knows the others.
+  const bool few = found_dead_ || meshes.size() < options_.enough;
+  const bool wrap = step_ == Step::kReadNext && !answer.more && few;
   step_ = wrap ? Step::kReadFirst : Step::kDone;
   if (!wrap) next_ = now_ + options_.read_again;
   options_.log->Log(LogLevel::kInfo, "platform", "the table of hosts was read",
--- a/node/platform_sync/host_directory.h
+++ b/node/platform_sync/host_directory.h
@@ -29,7 +29,8 @@
     PlatformClient* platform = nullptr;  ///< outlives this
     LogSink* log = nullptr;              ///< outlives this
     std::size_t rows = 32;               ///< rows that one read asks for
-    Milliseconds read_again{1000};       ///< between two reads of a lone host
+    std::size_t enough = 4;  ///< other hosts that suffice to join the mesh
+    Milliseconds read_again{1000};  ///< between two reads of a lone host
     Backoff::Options retry{.most = Milliseconds(2000)};  ///< after failed calls
     std::uint64_t random_seed = 1;  ///< makes the jitter repeatable
     std::function<void(const std::vector<Endpoint>&)>
@@ -60,6 +61,7 @@
   std::uint64_t failures_ = 0;  ///< since the last answer
   Step step_ = Step::kWrite;
   bool under_way_ = false;
+  bool found_dead_ = false;  ///< hosts found before did not answer
   MonoTime now_{};
   MonoTime next_{};
 };
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -30,7 +30,7 @@
     PlatformClient* platform = nullptr;  ///< outlives this
     LogSink* log = nullptr;              ///< outlives this
     Milliseconds watch{20'000};          ///< a watch without changes is renewed
-    Milliseconds gather{200};  ///< pause after a change, so that several that
+    Milliseconds gather{400};  ///< pause after a change, so that several that
                                ///< follow closely are read together
     Milliseconds lost_after{300};   ///< of failed calls
     Milliseconds lost_for{10'000};  ///< after the last failed call
--- a/unit_tests/node/platform_sync/operator_feed_test.cc
+++ b/unit_tests/node/platform_sync/operator_feed_test.cc
@@ -28,6 +28,7 @@
       {.table = "op",
        .platform = &platform_,
        .log = &log_,
+       .gather = Milliseconds(200),
        .decode = [](const std::map<std::string, TableRow>& rows,
                     std::string& reason) -> std::optional<ConfigSnapshot> {
          ConfigSnapshot snapshot;
