--- a/core/routing/slot_gate.cc
+++ b/core/routing/slot_gate.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace camphor {
 namespace {
@@ -10,6 +11,10 @@
 
 constexpr double kNewestWeight = 0.1;
 
+Microseconds Us(double microseconds) {
+  return Microseconds(static_cast<std::int64_t>(microseconds));
+}
+
 }  // namespace
 
 SlotGate::SlotGate(Options options) : options_(options) {
@@ -50,11 +55,14 @@
 
   // Work that would miss its deadline anyway is not begun; of the rest, what
   // still has its full value goes before what is late already.
+  const auto end_of = [&](const UrgencyQueue::Entry& entry) {
+    return now + Us(ServiceOf(entry.urgency.work_class).mean_us);
+  };
   const auto expired = [&](const UrgencyQueue::Entry& entry) {
-    return now + ServiceOf(entry.urgency.work_class) > entry.urgency.deadline;
+    return end_of(entry) > entry.urgency.deadline;
   };
   const auto in_time = [&](const UrgencyQueue::Entry& entry) {
-    return now + ServiceOf(entry.urgency.work_class) <= entry.urgency.wanted;
+    return end_of(entry) <= entry.urgency.wanted;
   };
   while (const auto entry = queue_.PopFirst(expired))
     handover.expired.push_back(entry->id);
@@ -71,39 +79,49 @@
 
 void SlotGate::Learn(const Ended& ended) {
   const auto sample = static_cast<double>(ended.took.count());
-  const auto learn = [sample](double& average) {
-    average =
-        average == 0 ? sample : average + kNewestWeight * (sample - average);
-  };
-  learn(service_us_);
+  service_.Learn(sample);
   const auto found =
-      std::ranges::find(service_of_class_us_, ended.work_class,
-                        &std::pair<std::uint32_t, double>::first);
-  if (found != service_of_class_us_.end()) return learn(found->second);
-  if (service_of_class_us_.size() < kMostClasses)
-    service_of_class_us_.emplace_back(ended.work_class, sample);
+      std::ranges::find(by_class_, ended.work_class, &ServiceTime::work_class);
+  if (found != by_class_.end()) return found->Learn(sample);
+  if (by_class_.size() < kMostClasses)
+    by_class_.push_back({.work_class = ended.work_class, .mean_us = sample});
+}
+
+void SlotGate::ServiceTime::Learn(double sample_us) {
+  if (mean_us == 0) {
+    mean_us = sample_us;
+    return;
+  }
+  deviation_us +=
+      kNewestWeight * (std::abs(sample_us - mean_us) - deviation_us);
+  mean_us += kNewestWeight * (sample_us - mean_us);
 }
 
-Microseconds SlotGate::ServiceOf(std::uint32_t work_class) const {
+const SlotGate::ServiceTime& SlotGate::ServiceOf(
+    std::uint32_t work_class) const {
   const auto found =
-      std::ranges::find(service_of_class_us_, work_class,
-                        &std::pair<std::uint32_t, double>::first);
-  return Microseconds(static_cast<std::int64_t>(
-      found == service_of_class_us_.end() ? service_us_ : found->second));
+      std::ranges::find(by_class_, work_class, &ServiceTime::work_class);
+  return found == by_class_.end() ? service_ : *found;
 }
 
 bool SlotGate::EndsInTime(const Urgency& urgency, MonoTime now) const {
-  const Microseconds wait = ExpectedWait(queue_.PositionOf(urgency));
-  const Microseconds service = ServiceOf(urgency.work_class);
+  const MonoTime begin = now + ExpectedWait(queue_.PositionOf(urgency));
+  const ServiceTime& service = ServiceOf(urgency.work_class);
+  const Microseconds usual = Us(service.mean_us);
   // A target that is too slow for the wanted time may still serve late.
-  const bool possible = now + service <= urgency.wanted;
-  return now + wait + service <= (possible ? urgency.wanted : urgency.deadline);
+  if (now + usual > urgency.wanted) return begin + usual <= urgency.deadline;
+  // Half of the requests take longer than usual, but no more than a request
+  // that begins at once may be asked for.
+  const Microseconds most =
+      std::min(Us(service.mean_us + service.deviation_us),
+               std::chrono::duration_cast<Microseconds>(urgency.wanted - now));
+  return begin + most <= urgency.wanted;
 }
 
 Microseconds SlotGate::ExpectedWait(std::size_t position) const {
   const double rounds =
       static_cast<double>(position + 1) / static_cast<double>(options_.slots);
-  return Microseconds(static_cast<std::int64_t>(rounds * service_us_));
+  return Us(rounds * service_.mean_us);
 }
 
 }  // namespace camphor
--- a/core/routing/slot_gate.h
+++ b/core/routing/slot_gate.h
@@ -14,11 +14,11 @@
 /// Admits requests to one target: so many run at a time, a few wait in the
 /// order of their urgency, the others are refused before they cost anything.
 ///
-/// A request that could not end in the time it is wanted by is refused at once,
-/// by the running average of the time that requests of its class take: while
-/// more is asked than the target can do, an answer in time is worth more than
-/// two late ones. A more urgent request takes the place of the least urgent one
-/// in a full queue. Not thread safe; time is passed in.
+/// A request that would likely not end in the time it is wanted by is refused
+/// at once, by the running average and deviation of the time that requests of
+/// its class take: while more is asked than the target can do, an answer in
+/// time is worth more than two late ones. A more urgent request takes the place
+/// of the least urgent one in a full queue. Not thread safe; time is passed in.
 class SlotGate {
  public:
   struct Options {
@@ -69,8 +69,17 @@
   std::size_t waiting() const { return queue_.size(); }
 
  private:
+  /// Running averages of the time that requests take.
+  struct ServiceTime {
+    std::uint32_t work_class = 0;
+    double mean_us = 0;       ///< 0 until the first
+    double deviation_us = 0;  ///< mean distance from the mean
+
+    void Learn(double sample_us);
+  };
+
   Microseconds ExpectedWait(std::size_t position) const;
-  Microseconds ServiceOf(std::uint32_t work_class) const;
+  const ServiceTime& ServiceOf(std::uint32_t work_class) const;
   bool EndsInTime(const Urgency& urgency, MonoTime now) const;
   void Learn(const Ended& ended);
 
@@ -78,9 +87,8 @@
   UrgencyQueue queue_;
   std::uint32_t running_ = 0;
   std::optional<std::uint64_t> displaced_;
-  double service_us_ = 0;  ///< running average of all; 0 until the first
-  std::vector<std::pair<std::uint32_t, double>>
-      service_of_class_us_;  ///< the same for each class
+  ServiceTime service_;                  ///< of all requests
+  std::vector<ServiceTime> by_class_{};  ///< the same for each class
 };
 
 }  // namespace camphor
--- a/unit_tests/core/routing/placement_test.cc
+++ b/unit_tests/core/routing/placement_test.cc
@@ -321,6 +321,24 @@
   EXPECT_EQ(gate.Enter(3, slow, kStart), SlotGate::Verdict::kTooLate);
 }
 
+TEST(SlotGateEnter, WorkVaries_IsRefusedWhenItWouldLikelyBeLate) {
+  SlotGate gate({.slots = 1, .queue = 4});
+  const MonoTime deadline = kStart + Seconds(1);
+  for (int request = 0; request < 100; ++request) {
+    gate.Enter(1, Urgency::Of(deadline), kStart);
+    gate.Leave(SlotGate::Ended{.took = Milliseconds(50 + request % 2 * 100)},
+               kStart);
+  }
+  gate.Enter(1, Urgency::Of(deadline), kStart);
+  // 100 ms to wait, and 50 to 150 ms to run.
+  const Urgency tight{.wanted = kStart + Milliseconds(210),
+                      .deadline = deadline};
+  const Urgency easy{.wanted = kStart + Milliseconds(270),
+                     .deadline = deadline};
+  EXPECT_EQ(gate.Enter(2, tight, kStart), SlotGate::Verdict::kTooLate);
+  EXPECT_EQ(gate.Enter(3, easy, kStart), SlotGate::Verdict::kWait);
+}
+
 TEST(SlotGateEnter, DeadlineCanNotBeKept_IsRefusedAtOnce) {
   SlotGate gate({.slots = 1, .queue = 4});
   gate.Enter(1, Urgency::Of(kStart + Seconds(1)), kStart);
