Judge a new version while a fault of both goes on, and when it has just ended

The dependency of the pool sheds half of its calls until 7 s after the order; the old version's usual rate of failures was forgotten by its own requests alone, of which few are left at full share, and 1.5 times a half tolerates what a bad version fails. Now the usual rate is at most what the last some sixty requests allow, the new version must answer nine tenths of what the old one does, and effects beside a high rate are ones on the requests that succeed.

--- a/core/rollout/hit_evidence.cc
+++ b/core/rollout/hit_evidence.cc
@@ -45,7 +45,10 @@
   const double null_rate = std::min(rates.tolerated_rate, kHighestRate);
   const double as_usual = of_target(null_rate) + usual_old;
   for (std::size_t size = 0; size < ratios.size(); ++size) {
-    const double rate = std::min(null_rate * kEffectSizes[size], kHighestRate);
+    // Beside a high rate the effect is one on the requests that succeed.
+    const double rate =
+        std::min({null_rate * kEffectSizes[size],
+                  1 - (1 - null_rate) / kEffectSizes[size], kHighestRate});
     if (rate / null_rate < kLeastEffect) continue;
     const double bad = of_target(rate) + usual_old;
     const double shared =
--- a/core/rollout/route_comparison.cc
+++ b/core/rollout/route_comparison.cc
@@ -16,6 +16,7 @@
 constexpr double kPriorRequests = 100;
 constexpr double kPriorHits = 0.3;
 constexpr double kHighestUsualRate = 0.95;
+constexpr double kRecentRequests = 60;  // after which recent rates weigh half
 
 std::size_t IndexOf(JudgeSignal signal) {
   return static_cast<std::size_t>(signal);
@@ -132,8 +133,7 @@
   // Compare before learning, so that a block is not its own yardstick.
   if (new_requests > 0 && old_requests > 0) {
     const Tolerance& tolerance = options_->tolerance[IndexOf(signal)];
-    const double old_rate =
-        (baseline.hits + kPriorHits) / (baseline.requests + kPriorRequests);
+    const double old_rate = UsualRate(baseline);
     const double new_rate =
         baseline.new_hits / (baseline.new_requests + kPriorRequests);
     const double dispersion = DispersionOf(baseline);
@@ -159,10 +159,11 @@
           signal != JudgeSignal::kFailures
               ? FrequentHitEvidence(hits, tolerated, rate)
           : options_->shared_fault > 0
-              ? AbruptHitEvidence(hits,
-                                  {.usual_rate = rate,
-                                   .tolerated_rate = tolerated * rate,
-                                   .shared_fault = options_->shared_fault})
+              ? AbruptHitEvidence(
+                    hits, {.usual_rate = rate,
+                           .tolerated_rate = std::min(tolerated * rate,
+                                                      HighestTolerated(rate)),
+                           .shared_fault = options_->shared_fault})
               : RareHitEvidence(hits, tolerated);
       for (double& ratio : ratios) {
         ratio = std::min(ratio / dispersion, options_->block_limit);
@@ -177,6 +178,22 @@
   baseline.new_hits = baseline.new_hits * keep + new_hits;
 }
 
+double RouteComparison::UsualRate(const Baseline& baseline) const {
+  const double usual =
+      (baseline.hits + kPriorHits) / (baseline.requests + kPriorRequests);
+  if (options_->shared_fault == 0 || baseline.recent_requests < 1) return usual;
+  // A fault of both versions that is over must not excuse the new one for as
+  // long as the old version's few requests take to forget it.
+  const double recent_at_most =
+      (baseline.recent_hits + 2 * std::sqrt(baseline.recent_hits + 1)) /
+      baseline.recent_requests;
+  return std::min(usual, std::max(recent_at_most, kPriorHits / kPriorRequests));
+}
+
+double RouteComparison::HighestTolerated(double usual_rate) const {
+  return 1 - options_->least_success * (1 - usual_rate);
+}
+
 void RouteComparison::Learn(Baseline& baseline,
                             const std::vector<Sample>& samples,
                             double half_life) {
@@ -192,6 +209,9 @@
   const double keep = std::exp2(-requests / half_life);
   baseline.requests = baseline.requests * keep + requests;
   baseline.hits = baseline.hits * keep + hits;
+  const double keep_recent = std::exp2(-requests / kRecentRequests);
+  baseline.recent_requests = baseline.recent_requests * keep_recent + requests;
+  baseline.recent_hits = baseline.recent_hits * keep_recent + hits;
 
   // Targets of one version in one block differ by chance alone, or by more.
   if (targets < 2) return;
--- a/core/rollout/route_comparison.h
+++ b/core/rollout/route_comparison.h
@@ -38,6 +38,9 @@
   double new_half_life =
       1'000;  ///< requests after which the new version's rate weighs half
   double most_dispersion = 1.5;  ///< bound on the measured dispersion
+  double least_success =
+      0.9;  ///< the new version must answer this part of what the old one does,
+            ///< also while both fail often; used with shared_fault
   double shared_fault =
       0;  ///< chance that a fault of both versions begins in a block; 0: any
           ///< rate is as likely, and failures count beside the old version's in
@@ -91,12 +94,14 @@
   };
   /// What is known on one signal: of the old version, if not said otherwise.
   struct Baseline {
-    double requests = 0;      ///< decayed count
-    double hits = 0;          ///< decayed count
-    double deviation = 0;     ///< decayed sum of squared deviations
-    double expected = 0;      ///< decayed sum of expected variances
-    double new_requests = 0;  ///< decayed count of the new version
-    double new_hits = 0;      ///< decayed count of the new version
+    double requests = 0;         ///< decayed count
+    double hits = 0;             ///< decayed count
+    double deviation = 0;        ///< decayed sum of squared deviations
+    double expected = 0;         ///< decayed sum of expected variances
+    double recent_requests = 0;  ///< as requests, sooner forgotten
+    double recent_hits = 0;      ///< as hits, sooner forgotten
+    double new_requests = 0;     ///< decayed count of the new version
+    double new_hits = 0;         ///< decayed count of the new version
   };
 
   void LearnHistogram(const VersionCells& old_version);
@@ -105,6 +110,8 @@
                      const std::vector<Sample>& new_samples,
                      const BlockContext& context, SignalCounts& counts,
                      const Sink& sink);
+  double UsualRate(const Baseline& baseline) const;
+  double HighestTolerated(double usual_rate) const;
   static void Learn(Baseline& baseline, const std::vector<Sample>& samples,
                     double half_life);
   double DispersionOf(const Baseline& baseline) const;
--- a/unit_tests/core/rollout/short_rollout_test.cc
+++ b/unit_tests/core/rollout/short_rollout_test.cc
@@ -79,6 +79,23 @@
   ExpectWithinExposure();
 }
 
+/// A fault of both versions that ends so many seconds after the order.
+class ShortRolloutSharedFault : public ShortRolloutTest,
+                                public testing::WithParamInterface<int> {};
+
+TEST_P(ShortRolloutSharedFault, BadVersion_IsRolledBack) {
+  const MonoTime until = now_ + Seconds(GetParam());
+  RunToTheEnd([this, until](bool is_new, const std::string&) {
+    const bool dependency_fails = now_ < until && random_() % 100 < 55;
+    return dependency_fails || (is_new && random_() % 100 < 37);
+  });
+  EXPECT_EQ(Stage(), RolloutStage::kRolledBack);
+  ExpectWithinExposure();
+}
+
+INSTANTIATE_TEST_SUITE_P(EndsAtAnyMoment, ShortRolloutSharedFault,
+                         testing::Values(5, 6, 7, 8, 9, 10, 12, 16));
+
 TEST_F(ShortRolloutTest, DependencyOfBothFailsForAWhile_GoodVersionIsDone) {
   const MonoTime from = now_ + Seconds(4);
   const MonoTime until = now_ + Seconds(8);
