--- a/core/routing/retry_budget.cc
+++ b/core/routing/retry_budget.cc
@@ -37,12 +37,6 @@
   return true;
 }
 
-std::int64_t RetryBudget::available(const PoolName& pool) const {
-  const auto found = tokens_.find(pool);
-  return static_cast<std::int64_t>(found == tokens_.end() ? FirstTokens()
-                                                          : found->second);
-}
-
 double& RetryBudget::TokensOf(const PoolName& pool) {
   return tokens_.try_emplace(pool, FirstTokens()).first->second;
 }
--- a/core/routing/retry_budget.h
+++ b/core/routing/retry_budget.h
@@ -2,7 +2,6 @@
 #define CAMPHORHILL_CORE_ROUTING_RETRY_BUDGET_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <unordered_map>
 
 #include "core/base/identifier.h"
@@ -37,9 +36,6 @@
   /// Takes a retry at the pool. Returns false when there is none left.
   bool TryTake(const PoolName& pool);
 
-  /// Retries that could be taken now at the pool.
-  std::int64_t available(const PoolName& pool) const;
-
   /// Retries that may be saved up for a pool on this host.
   double most_saved() const { return most_saved_; }
 
