--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -133,6 +133,26 @@
   return std::nullopt;
 }
 
+bool PowerOfTwoBalancer::HasAnother(std::uint32_t route, std::uint32_t share,
+                                    std::span<const Placement> tried,
+                                    MonoTime now) const {
+  const RoutedShare part = ShareOf(route, share);
+  for (const GroupView& view : pools_[part.pool].groups) {
+    const VersionGroup& group = routing_->pools[part.pool].groups[view.group];
+    if (group.share_ppm == 0) continue;
+    if (view.group == 1 && part.new_share_ppm == 0) continue;
+    for (std::uint32_t target = 0; target < view.stats.size(); ++target) {
+      const Placement placement{
+          .pool = part.pool, .group = view.group, .target = target};
+      if (view.stats[target]->ejected_until <= now &&
+          std::ranges::find(tried, placement) == tried.end()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 std::optional<std::uint32_t> PowerOfTwoBalancer::ChooseGroup(
     std::uint32_t route, const RoutedShare& part) {
   const PoolRouting& pool = routing_->pools[part.pool];
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -65,6 +65,11 @@
                                   std::span<const Placement> tried,
                                   MonoTime now);
 
+  /// True when Choose could still give a target that was not tried. @pre as for
+  /// Choose.
+  bool HasAnother(std::uint32_t route, std::uint32_t share,
+                  std::span<const Placement> tried, MonoTime now) const;
+
   /// Draws the part of the route that a request belongs to, by the weights: an
   /// index into RoutedRule::split; 0 when the route is not divided.
   std::uint32_t ChooseShare(std::uint32_t route);
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -364,6 +364,11 @@
 bool CallerRequest::MayAbandon() {
   // A body that streams can not be sent again.
   if (options_.body->consumed()) return false;
+  // A target that is slow is better than none: an answer may be on its way. A
+  // host that leaves breaks nothing off.
+  const bool another = context_.balancer.HasAnother(
+      route_, share_, tried_, std::chrono::steady_clock::now());
+  if (!another || context_.draining) return false;
   has_token_ = context_.retries.TryTake(PoolNow());
   return has_token_;
 }
--- a/unit_tests/core/routing/retry_budget_test.cc
+++ b/unit_tests/core/routing/retry_budget_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <utility>
 #include <vector>
 
 namespace camphor {
--- a/unit_tests/proxy/proxy_server_test.cc
+++ b/unit_tests/proxy/proxy_server_test.cc
@@ -207,6 +207,25 @@
   EXPECT_EQ(runs, 1);
 }
 
+// Without another target there is nothing to keep the time for.
+TEST_F(ProxyServerCall, OnlyTargetIsSlow_ItsAnswerIsAwaited) {
+  std::atomic<int> runs = 0;
+  HttpServer* server = nullptr;
+  AddTarget("h1", "t1", [&](const HttpExchange& exchange) {
+    ++runs;
+    server->After(Milliseconds(700),
+                  [exchange] { exchange.Respond({.body = "slow"}); });
+  });
+  server = targets_["t1"].get();
+  StartHosts();
+  const auto answer = Call({.method = "GET",
+                            .target = "/get",
+                            .fields = {{"x-camphor-deadline-ms", "1000"}}});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(runs, 1);
+}
+
 TEST_F(ProxyServerCall, DeadlinePasses_TellsSoAndCancelsTheTarget) {
   std::atomic<bool> cancelled = false;
   HttpServer* server = nullptr;
