Look for another target only while the tables are those of the request

A request in flight keeps the index of its route; the balancer may know newer tables with fewer routes when the request asks whether another target could be tried, and read past their end. Test: ProxyServerCall.TablesLoseTheRouteOfASlowRequest_ItsAnswerIsAwaited: three of three runs ended with a segmentation fault before.

--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -366,9 +366,11 @@
   if (options_.body->consumed()) return false;
   // A target that is slow is better than none: an answer may be on its way. A
   // host that leaves breaks nothing off.
+  // The balancer knows this request's route only while the tables are the same.
+  if (context_.draining || context_.Routing() != routing_) return false;
   const bool another = context_.balancer.HasAnother(
       route_, share_, tried_, std::chrono::steady_clock::now());
-  if (!another || context_.draining) return false;
+  if (!another) return false;
   has_token_ = context_.retries.TryTake(PoolNow());
   return has_token_;
 }
--- a/unit_tests/proxy/proxy_server_test.cc
+++ b/unit_tests/proxy/proxy_server_test.cc
@@ -1,5 +1,6 @@
 #include "proxy/proxy_server.h"
 
+#include <future>
 #include <string>
 #include <thread>
 
@@ -226,6 +227,39 @@
   EXPECT_EQ(runs, 1);
 }
 
+// A request in flight belongs to the tables of its time: those in force may
+// have fewer routes when it asks for another target.
+TEST_F(ProxyServerCall, TablesLoseTheRouteOfASlowRequest_ItsAnswerIsAwaited) {
+  routes_.back().repeatable = true;
+  std::promise<void> arrived;
+  HttpServer* server = nullptr;
+  AddTarget("h1", "t1", [&](const HttpExchange& exchange) {
+    if (exchange.request().target != "/slow")
+      return exchange.Respond({.body = "ok"});
+    arrived.set_value();
+    server->After(Milliseconds(700),
+                  [exchange] { exchange.Respond({.body = "slow"}); });
+  });
+  server = targets_["t1"].get();
+  StartHosts();
+  auto slow = std::async(std::launch::async, [this] {
+    return Call({.method = "GET",
+                 .target = "/slow",
+                 .fields = {{"x-camphor-deadline-ms", "1000"}}});
+  });
+  arrived.get_future().wait();
+  {
+    const std::scoped_lock lock(mutex_);
+    routes_.resize(1);
+    RebuildLocked();
+  }
+  ASSERT_TRUE(Call({.method = "GET", .target = "/get"}));
+  const auto answer = slow.get();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_EQ(answer->body, "slow");
+}
+
 TEST_F(ProxyServerCall, DeadlinePasses_TellsSoAndCancelsTheTarget) {
   std::atomic<bool> cancelled = false;
   HttpServer* server = nullptr;
