Log what a rollout's owner knows once a second, and how old the platform's last answer is

A platform call that hangs wrote nothing at all; the failed call now carries how long it took and the age of the last answer, and the dump shows a call that is pending.

--- a/core/rollout/rollout_manager.cc
+++ b/core/rollout/rollout_manager.cc
@@ -45,7 +45,8 @@
       .settings = pool.rollout->allowed.count() > 0 ? options.short_rollout
                                                     : options.rollout,
       .publish = options.publish,
-      .send_evidence = options.send_evidence});
+      .send_evidence = options.send_evidence,
+      .evaluated = options.evaluated});
   Update(*tracker);
   const auto unmatched = unmatched_records.find(id);
   if (unmatched != unmatched_records.end()) {
--- a/core/rollout/rollout_manager.h
+++ b/core/rollout/rollout_manager.h
@@ -35,6 +35,9 @@
         publish{};  ///< merges a record into the replicated state
     std::function<void(const HostId&, const EvidenceReport&)>
         send_evidence{};  ///< sends a report to the parent host
+    std::function<void(const RolloutEvaluation&)>
+        evaluated{};  ///< optional; called about once per second for each
+                      ///< rollout that this host owns
     std::function<void()> routing_changed{};  ///< called when a local ejection
                                               ///< changes the routing
     RolloutOptions rollout{};  ///< settings of rollouts that are ordered with a
--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -15,6 +15,8 @@
 // false-alarm probability than the owner.
 constexpr double kLocalFalseAlarmProbability = 1e-9;
 
+constexpr Seconds kEvaluationReportPeriod{1};
+
 bool IsInProgress(RolloutStage stage) {
   return stage > RolloutStage::kPending && stage < RolloutStage::kDone;
 }
@@ -147,6 +149,23 @@
   }
   judge_->AddBlock(block);
   Decide(now, wall_now);
+  ReportEvaluation(hosts, now, wall_now);
+}
+
+void RolloutTracker::ReportEvaluation(std::uint32_t hosts, MonoTime now,
+                                      WallTime wall_now) {
+  if (!options_.evaluated || now < next_evaluation_report_) return;
+  next_evaluation_report_ = now + kEvaluationReportPeriod;
+  options_.evaluated({.id = options_.id,
+                      .stage = record_.stage,
+                      .share_ppm = record_.share_ppm,
+                      .hosts = hosts,
+                      .evidence = judge_->evidence(),
+                      .strongest = judge_->StrongestReason(),
+                      .time_left = Deadline() - wall_now,
+                      .in_stage_for = record_.stage == RolloutStage::kPending
+                                          ? Milliseconds(0)
+                                          : wall_now - record_.stage_since});
 }
 
 void RolloutTracker::SendReport() {
--- a/core/rollout/rollout_tracker.h
+++ b/core/rollout/rollout_tracker.h
@@ -14,6 +14,7 @@
 #include "core/rollout/evidence_collector.h"
 #include "core/rollout/evidence_tree.h"
 #include "core/rollout/ramp_plan.h"
+#include "core/rollout/rollout_evaluation.h"
 #include "core/rollout/rollout_state_machine.h"
 #include "core/rollout/sequential_judge.h"
 #include "core/rollout/version_judge.h"
@@ -90,6 +91,8 @@
         publish{};  ///< merges a record into the replicated state
     std::function<void(const HostId&, const EvidenceReport&)>
         send_evidence{};  ///< sends a report to the parent host
+    std::function<void(const RolloutEvaluation&)>
+        evaluated{};  ///< optional; called about once per second by the owner
   };
 
   explicit RolloutTracker(Options options);
@@ -146,6 +149,7 @@
   std::unique_ptr<VersionJudge> MakeJudge(double false_alarm_probability,
                                           WallTime wall_now) const;
   void EvaluateTotalEvidence(MonoTime now, WallTime wall_now);
+  void ReportEvaluation(std::uint32_t hosts, MonoTime now, WallTime wall_now);
   void SendReport();
   EvidenceBlock MakeBlock(std::vector<EvidenceCell> cells, MonoTime now) const;
   void Decide(MonoTime now, WallTime wall_now);
@@ -179,6 +183,7 @@
   MonoTime block_end_{};
   MonoTime owned_since_{};
   MonoTime last_step_{};
+  MonoTime next_evaluation_report_{};
   std::optional<MonoTime> no_targets_since_;
   std::optional<MonoTime> ejected_until_;
   std::optional<WallTime> canary_since_;
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -1,5 +1,7 @@
 #include "node/decisions/host_controller.h"
 
+#include <fmt/format.h>
+
 #include <string>
 #include <utility>
 
@@ -75,6 +77,10 @@
           [this](const HostId& to, const EvidenceReport& report) {
             replicator_->SendEvidence(to, report, now_);
           },
+      .evaluated =
+          [this](const RolloutEvaluation& evaluation) {
+            LogEvaluation(evaluation);
+          },
       .routing_changed = [this] { routing_changed_ = true; },
       .rollout = {.ramp = {.min_canary_duration = rollout.min_canary_duration,
                            .min_step_duration = rollout.min_step_duration},
@@ -230,6 +236,20 @@
   rollouts_->OnRecord(record);
 }
 
+void HostController::LogEvaluation(const RolloutEvaluation& evaluation) {
+  options_.log->Log(
+      LogLevel::kInfo, "rollout", "rollout evaluated",
+      {{"id", evaluation.id.value()},
+       {"stage", std::string(RolloutStageName(evaluation.stage))},
+       {"share_ppm", evaluation.share_ppm},
+       {"hosts", evaluation.hosts},
+       {"against_percent", fmt::format("{:.0f}", 100 * evaluation.evidence)},
+       {"signal", evaluation.strongest.signal},
+       {"evidence", evaluation.strongest.sentence},
+       {"in_stage_ms", fmt::format("{}", evaluation.in_stage_for.count())},
+       {"left_ms", fmt::format("{}", evaluation.time_left.count())}});
+}
+
 void HostController::OnTargetsChanged(MonoTime now) {
   options_.addresses->Store(
       std::make_shared<TargetAddresses>(registry_.addresses()));
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -95,6 +95,7 @@
   void OnRolloutChanged(const RolloutRecord& record);
   void OnTargetsChanged(MonoTime now);
   void LogRouting(const EffectiveRouting& routing);
+  void LogEvaluation(const RolloutEvaluation& evaluation);
 
   Options options_;
   TargetRegistry registry_;
--- a/node/platform_sync/operator_feed.cc
+++ b/node/platform_sync/operator_feed.cc
@@ -26,6 +26,7 @@
 
 void OperatorFeed::ReadTable() {
   call_pending_ = true;
+  call_started_ = now_;
   options_.platform->Scan(
       options_.table, "", [this](const PlatformResponse& answer) {
         options_.post([this, answer] { OnAnswer(true, answer); });
@@ -34,6 +35,7 @@
 
 void OperatorFeed::Watch() {
   call_pending_ = true;
+  call_started_ = now_;
   options_.platform->Watch(
       options_.table, revision_, options_.watch_timeout,
       [this](const PlatformResponse& answer) {
@@ -57,6 +59,7 @@
   }
   retry_.Reset();
   failures_ = 0;
+  last_answer_ = now_;
   if (full_read) full_read_due_ = false;
   Merge(full_read, answer);
 }
@@ -65,7 +68,10 @@
   if (reachable()) {
     options_.log->Log(LogLevel::kWarning, "platform",
                       "platform unreachable; continuing to serve",
-                      {{"reason", answer.reason}, {"revision", revision_}});
+                      {{"reason", answer.reason},
+                       {"revision", revision_},
+                       {"call_ms", AgeMs(call_started_)},
+                       {"answer_age_ms", AgeMs(last_answer_)}});
   }
   if (failures_ == 0) failing_since_ = now_;
   last_failure_ = now_;
@@ -74,6 +80,11 @@
   next_call_ = now_ + retry_.Next(random_);
 }
 
+std::uint64_t OperatorFeed::AgeMs(MonoTime since) const {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Milliseconds>(now_ - since).count());
+}
+
 bool OperatorFeed::lost(MonoTime now) const {
   return failures_ > 0 && now - failing_since_ >= options_.lost_after &&
          now - last_failure_ < options_.lost_for;
@@ -111,6 +122,9 @@
   return {{"reachable", reachable()},
           {"failures", failures_},
           {"last_reason", last_reason_},
+          {"call_pending", call_pending_},
+          {"call_started_ms_ago", AgeMs(call_started_)},
+          {"answered_ms_ago", AgeMs(last_answer_)},
           {"rows", rows_.size()},
           {"revision", revision_}};
 }
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -81,6 +81,7 @@
   void OnFailure(const PlatformResponse& answer);
   void Merge(bool full_read, const PlatformResponse& answer);
   void Apply();
+  std::uint64_t AgeMs(MonoTime since) const;
 
   Options options_;
   Backoff retry_;
@@ -88,6 +89,8 @@
   std::uint64_t failures_ = 0;  ///< consecutive failed calls
   MonoTime failing_since_{};    ///< time of the first of these failures
   MonoTime last_failure_{};     ///< time of the last failure
+  MonoTime call_started_{};     ///< start of the last call
+  MonoTime last_answer_{};      ///< time of the last successful answer
   std::map<std::string, TableRow> rows_;
   std::uint64_t revision_ = 0;  ///< table revision that rows_ reflects
   bool full_read_due_ = true;   ///< the next call reads the whole table
