Tests that fail on the current code: rollouts beside clock steps, hosts cut off, silent platform

FakeMesh polls at once when a host becomes a poller, as the node does; FakePlatform records how long a watch may wait and can answer reads with older rows.

--- a/unit_tests/core/replication/fake_mesh.cc
+++ b/unit_tests/core/replication/fake_mesh.cc
@@ -28,7 +28,7 @@
   ++host.incarnation;
   host.frozen = false;
   host.deferred.clear();
-  host.next_poll = now_;
+  host.last_poll = MonoTime{};
   std::vector<Endpoint> seeds;
   for (int seed = 0; seed < std::min(3, options_.hosts); ++seed)
     seeds.push_back(GetEndpoint(seed));
@@ -192,9 +192,10 @@
 
 void FakeMesh::Poll(int index) {
   Host& host = hosts_[index];
-  if (now_ < host.next_poll) return;
   const bool polls_often = host.replicator->is_platform_poller();
-  host.next_poll = now_ + (polls_often ? kPollPeriod : kRarePollPeriod);
+  if (now_ < host.last_poll + (polls_often ? kPollPeriod : kRarePollPeriod))
+    return;
+  host.last_poll = now_;
   if (platform_out_) return;
   const ConfigHead head = accepted_.rbegin()->second.head;
   const std::uint64_t incarnation = host.incarnation;
--- a/unit_tests/core/replication/replicator_test.cc
+++ b/unit_tests/core/replication/replicator_test.cc
@@ -301,6 +301,39 @@
   EXPECT_EQ(pollers, 6);
 }
 
+// The bound within which a host that reaches the platform serves a change.
+constexpr Milliseconds kConfigBound{2000};
+
+TEST(ReplicatorIsPlatformPoller, HostCutOffFromMesh_ServesChangeWithinBound) {
+  constexpr int kHosts = 12;
+  for (int cut = 0; cut < kHosts; ++cut) {
+    FakeMesh mesh({.hosts = kHosts, .seed = 7});
+    ASSERT_TRUE(mesh.RunUntil([&] { return mesh.AllAgree(); }, 30s));
+    mesh.Run(5s);
+    mesh.Partition(
+        [cut](int from, int to) { return from == cut || to == cut; });
+    mesh.Run(Milliseconds(100));
+    mesh.Accept(-1);
+    const bool served =
+        mesh.RunUntil([&] { return mesh.AllServeNewest(); }, kConfigBound);
+    EXPECT_TRUE(served) << "host cut off: " << cut;
+  }
+}
+
+TEST(ReplicatorIsPlatformPoller, HostReconnectedToMesh_StopsPolling) {
+  FakeMesh mesh({.hosts = 30});
+  ASSERT_TRUE(mesh.RunUntil([&] { return mesh.AllAgree(); }, 30s));
+  mesh.Run(5s);
+  int cut = 0;
+  while (mesh.at(cut).is_platform_poller()) ++cut;
+  mesh.Partition([cut](int from, int to) { return from == cut || to == cut; });
+  mesh.Run(3s);
+  EXPECT_TRUE(mesh.at(cut).is_platform_poller());
+  mesh.Heal();
+  mesh.Run(20s);
+  EXPECT_FALSE(mesh.at(cut).is_platform_poller());
+}
+
 TEST(ReplicatorSetPlatformLost,
      PlatformLostByAllPollers_OtherHostsReplaceThem) {
   FakeMesh mesh({.hosts = 30});
--- a/unit_tests/core/rollout/rollout_fixture.h
+++ b/unit_tests/core/rollout/rollout_fixture.h
@@ -36,8 +36,9 @@
   struct Host {
     std::unique_ptr<RolloutManager> manager;
     std::map<RolloutId, RolloutRecord> records;
-    bool disconnected = false;  ///< neither sends nor receives
-    bool paused = false;        ///< the process does not run
+    bool disconnected = false;    ///< neither sends nor receives
+    bool paused = false;          ///< the process does not run
+    Milliseconds clock_error{0};  ///< added to the calendar time of this host
     int routing_changes = 0;
     EffectiveRoutingPtr routing;
     std::map<std::string, double> credit;
@@ -147,7 +148,7 @@
         if (host.paused) continue;
         UpdateRouting(name, host);
         SendRequests(host, fails);
-        host.manager->Tick(now_, wall_);
+        host.manager->Tick(now_, wall_ + host.clock_error);
       }
     }
   }
@@ -195,6 +196,11 @@
         now_);
   }
 
+  /// Steps the calendar clock of all hosts by the same amount.
+  void SetClockError(Milliseconds error) {
+    for (auto& [name, host] : hosts_) host.clock_error = error;
+  }
+
   std::string Owner() const {
     std::vector<HostId> hosts;
     for (const auto& [name, host] : hosts_) hosts.emplace_back(name);
--- a/unit_tests/core/rollout/short_rollout_test.cc
+++ b/unit_tests/core/rollout/short_rollout_test.cc
@@ -131,6 +131,48 @@
   EXPECT_EQ(RecordOf(other).stage, RolloutStage::kDone);
 }
 
+TEST_F(ShortRolloutTest, ClockStepsBackInRamp_BadVersionHasLimitedExposure) {
+  SetClockError(Seconds(5));
+  RunTicks(100, NeverFails);
+  ASSERT_EQ(Stage(), RolloutStage::kRamp);
+  SetClockError(Seconds(0));
+  RunTicks(60, HalfFailWhen([this] { return Share() >= 500'000; }));
+  ExpectWithinExposure();
+}
+
+TEST_F(ShortRolloutTest, ClockStepsAheadInCanary_CanaryKeepsItsDuration) {
+  Run(3, NeverFails);
+  ASSERT_EQ(Stage(), RolloutStage::kCanary);
+  SetClockError(Seconds(10));
+  Run(4, NeverFails);
+  EXPECT_EQ(Stage(), RolloutStage::kCanary);
+}
+
+TEST_F(ShortRolloutTest, ClockStepsBackInCanary_GoodVersionCompletesInTime) {
+  Run(3, NeverFails);
+  SetClockError(Seconds(-10));
+  Run(10, NeverFails);
+  EXPECT_EQ(Stage(), RolloutStage::kDone);
+}
+
+TEST_F(ShortRolloutTest, ClocksOfHostsDiffer_NextOwnerKeepsTheDeadline) {
+  hosts_.at(Owner()).clock_error = Seconds(-20);
+  Run(3, NeverFails);
+  ASSERT_EQ(Stage(), RolloutStage::kCanary);
+  const std::string owner = Owner();
+  hosts_.at(owner).paused = true;
+  std::map<HostId, HostRecord> records = MakeHostRecords();
+  records.at(HostId(owner)).status = HostStatus::kDead;
+  for (auto& [name, host] : hosts_) {
+    if (name != owner) host.manager->SetHosts(records);
+  }
+  const std::string other = owner == "h0" ? "h1" : "h0";
+  Run(3, NeverFails);
+  EXPECT_EQ(RecordOf(other).stage, RolloutStage::kCanary);
+  Run(7, NeverFails);
+  EXPECT_EQ(RecordOf(other).stage, RolloutStage::kDone);
+}
+
 TEST_F(ShortRolloutTest, RecordedStart_StartsImmediatelyAndFixesDeadline) {
   Run(1, NeverFails);
   EXPECT_EQ(Stage(), RolloutStage::kPending);
--- a/unit_tests/node/platform_sync/operator_feed_test.cc
+++ b/unit_tests/node/platform_sync/operator_feed_test.cc
@@ -21,6 +21,7 @@
   }
 
   std::vector<std::uint64_t> versions_;
+  std::string config_;  ///< the configuration row that was decoded last
   FakePlatform platform_;
   LogSink log_{{.write = [](const std::string&) {}}};
   MonoTime now_{Seconds(100)};
@@ -29,9 +30,10 @@
        .platform = &platform_,
        .log = &log_,
        .batch_delay = Milliseconds(200),
-       .decode = [](const std::map<std::string, TableRow>& rows,
-                    std::string& reason) -> std::optional<ConfigSnapshot> {
+       .decode = [this](const std::map<std::string, TableRow>& rows,
+                        std::string& reason) -> std::optional<ConfigSnapshot> {
          ConfigSnapshot snapshot;
+         config_ = rows.contains("config") ? rows.at("config").value : "";
          for (const auto& [key, row] : rows) {
            if (row.value == "malformed") {
              reason = "malformed";
@@ -130,6 +132,61 @@
   EXPECT_FALSE(feed_.lost(now_));
 }
 
+// The bound within which a host that reaches the platform serves a change.
+constexpr Milliseconds kConfigBound{2000};
+
+TEST_F(OperatorFeedTest, PlatformSilentDuringWatch_IsNoticedWithinBound) {
+  platform_.Put("op", "config", "a");
+  Tick(true);
+  platform_.Run();
+  Tick(true, Seconds(1));
+  ASSERT_EQ(platform_.waiting(), 1U);
+  EXPECT_LT(platform_.last_watch_wait(), kConfigBound);
+}
+
+TEST_F(OperatorFeedTest, WatchTimesOut_IsLostAtOnce) {
+  platform_.Put("op", "config", "a");
+  Tick(true);
+  platform_.Run();
+  Tick(true, Seconds(1));
+  Tick(true, platform_.last_watch_wait() + Seconds(1));
+  platform_.Step(Fault::kRequestLost);
+  EXPECT_TRUE(feed_.lost(now_));
+}
+
+TEST_F(OperatorFeedTest, WatchTimedOut_NextCallDoesNotWait) {
+  platform_.Put("op", "config", "a");
+  Tick(true);
+  platform_.Run();
+  Tick(true, Seconds(1));
+  platform_.Step(Fault::kRequestLost);
+  Tick(true, Seconds(1));
+  ASSERT_EQ(platform_.waiting(), 1U);
+  EXPECT_EQ(platform_.last_watch_wait(), Milliseconds(0));
+}
+
+TEST_F(OperatorFeedTest, TableReadOlderThanKnownRows_IsDiscarded) {
+  platform_.Put("op", "config", "a");
+  platform_.HoldReads();
+  Tick(true);
+  platform_.Run();
+  platform_.Put("op", "config", "b");
+  Tick(true, Seconds(1));
+  platform_.Run();
+  ASSERT_EQ(config_, "b");
+  feed_.RequestFullRead();
+  Tick(true, Seconds(1));
+  platform_.Run();
+  platform_.ReleaseReads();
+  platform_.Put("op", "rollout/p", "order");
+  for (int tick = 0; tick < 3; ++tick) {
+    Tick(true, Seconds(1));
+    platform_.Run();
+  }
+  EXPECT_EQ(config_, "b");
+  EXPECT_EQ(versions_.back(), 3U);
+}
+
 TEST_F(OperatorFeedTest, MalformedRow_KeepsPreviousSnapshot) {
   platform_.Put("op", "config", "a");
   Tick(true);
--- a/unit_tests/platform/http_platform_client_test.cc
+++ b/unit_tests/platform/http_platform_client_test.cc
@@ -207,6 +207,21 @@
   EXPECT_EQ(completed, kCalls);
 }
 
+TEST_F(HttpPlatformClientTest,
+       ReusedConnectionSilent_ReadSucceedsOnNewConnection) {
+  ASSERT_EQ(Write("k", "v", 0).status, PlatformStatus::kOk);
+  SetMode(R"({"mode": "silent"})");
+  std::promise<PlatformResponse> read;
+  client_->Read("t", "k", [&](const PlatformResponse& response) {
+    read.set_value(response);
+  });
+  std::future<PlatformResponse> response = read.get_future();
+  // Long enough for the call to be on its way.
+  EXPECT_EQ(response.wait_for(Milliseconds(200)), std::future_status::timeout);
+  SetMode(R"({"mode": "up"})");
+  EXPECT_EQ(response.get().status, PlatformStatus::kOk);
+}
+
 class HttpPlatformClientShortTimeoutTest : public HttpPlatformClientTest {
  protected:
   HttpPlatformClientShortTimeoutTest() { timeout_ = Milliseconds(100); }
--- a/unit_tests/store/fake_platform.h
+++ b/unit_tests/store/fake_platform.h
@@ -4,9 +4,11 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "core/base/time.h"
 #include "store/platform_client.h"
 
 namespace camphor {
@@ -41,8 +43,9 @@
     Enqueue(std::move(done),
             [this, table, from, limit] { return DoPage(table, from, limit); });
   }
-  void Watch(std::string table, std::uint64_t after, Milliseconds,
+  void Watch(std::string table, std::uint64_t after, Milliseconds wait,
              PlatformCallback done) override {
+    last_watch_wait_ = wait;
     Enqueue(std::move(done),
             [this, table, after] { return DoWatch(table, after); });
   }
@@ -77,6 +80,11 @@
   /// Drops the change history, so that earlier revisions are compacted.
   void DropHistory() { compacted_revision_ = revision_; }
 
+  /// From now on, reads of a table return its rows as they are now.
+  void HoldReads() { held_ = {rows_, revision_}; }
+  /// Ends the effect of HoldReads.
+  void ReleaseReads() { held_.reset(); }
+
   /// Queues a function, as a timer would.
   void Schedule(std::function<void()> run) {
     waiting_.push_back([run = std::move(run)](Fault) { run(); });
@@ -84,6 +92,9 @@
 
   std::size_t waiting() const { return waiting_.size(); }
 
+  /// The maximum duration that the last watch asked for.
+  Milliseconds last_watch_wait() const { return last_watch_wait_; }
+
   /// Completes one queued call. @pre index < waiting().
   void Step(Fault fault, std::size_t index = 0) {
     const auto run = std::move(waiting_[index]);
@@ -109,6 +120,8 @@
   }
 
  private:
+  using Rows = std::map<std::pair<std::string, std::string>, TableRow>;
+
   void Enqueue(PlatformCallback done, std::function<PlatformResponse()> apply) {
     waiting_.push_back(
         [done = std::move(done), apply = std::move(apply)](Fault fault) {
@@ -132,10 +145,11 @@
 
   PlatformResponse DoPage(const std::string& table, const std::string& from,
                           std::size_t limit) {
+    const Rows& rows = held_ ? held_->first : rows_;
     PlatformResponse response{.status = PlatformStatus::kOk,
-                              .revision = revision_};
-    for (auto row = rows_.lower_bound({table, from});
-         row != rows_.end() && row->first.first == table; ++row) {
+                              .revision = held_ ? held_->second : revision_};
+    for (auto row = rows.lower_bound({table, from});
+         row != rows.end() && row->first.first == table; ++row) {
       response.more = response.rows.size() == limit;
       if (response.more) break;
       response.rows.push_back(row->second);
@@ -173,10 +187,12 @@
   }
 
   std::deque<std::function<void(Fault)>> waiting_;
-  std::map<std::pair<std::string, std::string>, TableRow> rows_;
+  Rows rows_;
+  std::optional<std::pair<Rows, std::uint64_t>> held_;
   std::map<std::string, std::string> objects_;
   std::uint64_t revision_ = 0;
   std::uint64_t compacted_revision_ = 0;
+  Milliseconds last_watch_wait_{0};
 };
 
 }  // namespace camphor
