Measure a rollout's durations with the monotonic clock, not with the time of day

Cause: deadline, canary, ramp and bake were differences of calendar times, of this host's or of the host that wrote the record. A clock that steps back in the ramp holds the version at 46% for as long as it stepped, and the bake at 80%; one that steps ahead ends the canary early; clocks that differ do both when the owner changes. Evidence: 'stage=ramp share_ppm=463050' at 13.99 s, the next step at 17.00 s instead of 14.39 s, with the step back at 14.0 s; bake until 23.4 s, after the deadline at 20 s. Now a host counts from when it saw the order or the stage itself. Calendar time is left for deadlines given as such, and for what happened before the host saw the rollout, read once.

--- a/core/rollout/ramp_plan.cc
+++ b/core/rollout/ramp_plan.cc
@@ -33,7 +33,7 @@
 /// Returns the factor of the next step, which is larger than usual if the
 /// remaining time is too short for all steps.
 double StepFactor(const RampOptions& options, const RampState& state,
-                  WallTime now) {
+                  MonoTime now) {
   const FloatMs remaining =
       state.complete_by - now - ReserveTime(options, state);
   const double possible =
@@ -55,7 +55,7 @@
 }  // namespace
 
 bool HasTimeToHold(const RampOptions& options, const RampState& state,
-                   WallTime now) {
+                   MonoTime now) {
   // Use twice the minimum duration, so that the last steps are not rushed.
   const FloatMs shortest_ramp =
       2 * RemainingSteps(options, state.share_ppm) * options.min_step_duration;
@@ -63,7 +63,7 @@
 }
 
 bool IsCanaryComplete(const RampOptions& options, const RampState& state,
-                      WallTime now) {
+                      MonoTime now) {
   assert(state.stage == RolloutStage::kCanary);
   const FloatMs elapsed = now - state.stage_since;
   if (elapsed < options.min_canary_duration) return false;
@@ -78,7 +78,7 @@
 }
 
 std::optional<std::uint32_t> NextShare(const RampOptions& options,
-                                       const RampState& state, WallTime now) {
+                                       const RampState& state, MonoTime now) {
   assert(state.stage == RolloutStage::kRamp);
   if (state.since_step < options.min_step_duration) return std::nullopt;
   if (HasTimeToHold(options, state, now)) {
--- a/core/rollout/ramp_plan.h
+++ b/core/rollout/ramp_plan.h
@@ -56,10 +56,10 @@
 struct RampState {
   RolloutStage stage = RolloutStage::kPending;  ///< current stage
   std::uint32_t share_ppm = 0;                  ///< current share
-  WallTime stage_since{};                       ///< start of the stage
-  WallTime canary_since{};     ///< start of the canary, or of the stage if this
+  MonoTime stage_since{};                       ///< start of the stage
+  MonoTime canary_since{};     ///< start of the canary, or of the stage if this
                                ///< host has not seen the canary start
-  WallTime complete_by{};      ///< deadline for the full share
+  MonoTime complete_by{};      ///< deadline for the full share
   Milliseconds since_step{0};  ///< time since the last change of the share
   double evidence = 0;  ///< evidence against the version; 1 rolls it back
   bool hurry = false;   ///< the operator has expedited the rollout
@@ -75,20 +75,20 @@
 /// of the ramp still fits into the remaining time. @pre the stage is kCanary or
 /// kRamp. Thread-safe.
 bool HasTimeToHold(const RampOptions& options, const RampState& state,
-                   WallTime now);
+                   MonoTime now);
 
 /// Returns true if the canary has run long enough. Evidence of at least
 /// `hold_threshold` extends the canary as long as the deadline permits. @pre
 /// state.stage is kCanary. Thread-safe.
 bool IsCanaryComplete(const RampOptions& options, const RampState& state,
-                      WallTime now);
+                      MonoTime now);
 
 /// Returns the next share if a step is due. The steps have a constant factor
 /// and are spread evenly over the remaining time; the share is held while the
 /// evidence reaches `hold_threshold` and HasTimeToHold(). @pre state.stage is
 /// kRamp. Thread-safe.
 std::optional<std::uint32_t> NextShare(const RampOptions& options,
-                                       const RampState& state, WallTime now);
+                                       const RampState& state, MonoTime now);
 
 /// Returns the canary share for a pool that receives `request_rate` requests
 /// per second. Small pools get a larger share, so that the canary receives
--- a/core/rollout/rollout_manager.cc
+++ b/core/rollout/rollout_manager.cc
@@ -20,6 +20,7 @@
   std::map<RolloutId, std::unique_ptr<RolloutTracker>> trackers{};
   std::map<RolloutId, RolloutRecord> unmatched_records{};
   std::map<HostId, HostRecord> hosts{};
+  bool configured = false;  // a configuration was applied before
   std::set<std::pair<PoolName, TargetVersion>> ejected{};
   // Trackers by pool index in the most recently sampled routing.
   EffectiveRoutingPtr sampled{};
@@ -44,6 +45,7 @@
       .pool = pool,
       .settings = pool.rollout->allowed.count() > 0 ? options.short_rollout
                                                     : options.rollout,
+      .may_be_in_progress = !configured,
       .publish = options.publish,
       .send_evidence = options.send_evidence,
       .evaluated = options.evaluated});
@@ -114,6 +116,7 @@
       state_->Add(id, *pool);
     }
   }
+  state_->configured = true;
   state_->UpdateEjected();
 }
 
--- a/core/rollout/rollout_tracker.cc
+++ b/core/rollout/rollout_tracker.cc
@@ -57,8 +57,13 @@
   if (merged.share_ppm != record_.share_ppm && last_tick_) {
     last_step_ = *last_tick_;
   }
+  const bool new_stage = merged.stage != record_.stage;
+  const bool new_order_time = merged.ordered_at != record_.ordered_at;
   record_ = merged;
   machine_.Adopt(record_.stage);
+  if (!last_tick_) return;
+  if (new_stage) EnterStage();
+  if (new_order_time) SetOrderTime();
 }
 
 void RolloutTracker::OnEvidence(const EvidenceReport& report) {
@@ -67,10 +72,9 @@
 
 bool RolloutTracker::Tick(MonoTime now, WallTime wall_now) {
   const std::optional<MonoTime> last = std::exchange(last_tick_, now);
-  if (!last) {
-    first_tick_ = now;
-    first_tick_wall_time_ = wall_now;
-  }
+  now_ = now;
+  wall_now_ = wall_now;
+  if (!last) OnFirstTick();
   if (!last || now - *last > options_.settings.max_tick_gap) ResetEvidence(now);
   if (HasEnded()) {
     collector_.Clear();
@@ -78,15 +82,42 @@
   }
   if (now < block_end_) return false;
   block_end_ = now + options_.settings.evaluation_interval;
-  const bool changed = EvaluateLocalEvidence(now, wall_now);
+  const bool changed = EvaluateLocalEvidence(now);
   if (IsOwner()) {
-    EvaluateTotalEvidence(now, wall_now);
+    EvaluateTotalEvidence(now);
   } else {
     SendReport();
   }
   return changed;
 }
 
+void RolloutTracker::OnFirstTick() {
+  first_tick_ = now_;
+  // What happened before the first tick is known by calendar time only.
+  stage_since_ = ToMonoTime(record_.stage_since);
+  if (record_.stage > RolloutStage::kPending)
+    options_.may_be_in_progress = true;
+  SetOrderTime();
+}
+
+void RolloutTracker::SetOrderTime() {
+  ordered_ = first_tick_;
+  if (!options_.may_be_in_progress) return;
+  const MonoTime earliest = first_tick_ - options_.pool.rollout->allowed;
+  ordered_ = std::max(ToMonoTime(record_.ordered_at), earliest);
+}
+
+void RolloutTracker::EnterStage() {
+  stage_since_ = now_;
+  if (record_.stage == RolloutStage::kCanary) canary_since_ = now_;
+}
+
+MonoTime RolloutTracker::ToMonoTime(WallTime past) const {
+  if (past == WallTime{}) return first_tick_;
+  const auto age = std::max<Milliseconds>(wall_now_ - past, Milliseconds(0));
+  return std::min(now_ - age, first_tick_);
+}
+
 void RolloutTracker::ResetEvidence(MonoTime now) {
   // Evidence from before a pause is out of date.
   collector_.Clear();
@@ -97,11 +128,10 @@
   no_targets_since_.reset();
 }
 
-bool RolloutTracker::EvaluateLocalEvidence(MonoTime now, WallTime wall_now) {
+bool RolloutTracker::EvaluateLocalEvidence(MonoTime now) {
   if (!local_judge_) {
     const auto& make = options_.settings.make_local_judge;
-    local_judge_ =
-        make ? make() : MakeJudge(kLocalFalseAlarmProbability, wall_now);
+    local_judge_ = make ? make() : MakeJudge(kLocalFalseAlarmProbability);
   }
   local_judge_->AddBlock(MakeBlock(collector_.TakeLocalCells(), now));
   if (ejected_until_) {
@@ -120,12 +150,12 @@
 }
 
 std::unique_ptr<VersionJudge> RolloutTracker::MakeJudge(
-    double false_alarm_probability, WallTime wall_now) const {
+    double false_alarm_probability) const {
   SequentialJudge::Options options = options_.settings.judge;
   options.false_alarm_probability = false_alarm_probability;
   // Limit the cold start to a fraction of the time available for evaluation.
-  const WallTime start =
-      record_.stage == RolloutStage::kPending ? wall_now : record_.stage_since;
+  const MonoTime start =
+      record_.stage == RolloutStage::kPending ? now_ : stage_since_;
   const auto allowed = Deadline() - start;
   const auto part = std::chrono::duration_cast<Milliseconds>(
       allowed * options_.settings.max_cold_start_fraction);
@@ -134,12 +164,11 @@
   return std::make_unique<SequentialJudge>(options);
 }
 
-void RolloutTracker::EvaluateTotalEvidence(MonoTime now, WallTime wall_now) {
+void RolloutTracker::EvaluateTotalEvidence(MonoTime now) {
   if (!judge_) {
     const auto& make = options_.settings.make_judge;
     judge_ = make ? make()
-                  : MakeJudge(options_.settings.judge.false_alarm_probability,
-                              wall_now);
+                  : MakeJudge(options_.settings.judge.false_alarm_probability);
     owned_since_ = now;
   }
   std::uint32_t hosts = 0;
@@ -148,24 +177,23 @@
     route_requests_[cell.route] += static_cast<double>(cell.requests);
   }
   judge_->AddBlock(block);
-  Decide(now, wall_now);
-  ReportEvaluation(hosts, now, wall_now);
+  Decide(now);
+  ReportEvaluation(hosts, now);
 }
 
-void RolloutTracker::ReportEvaluation(std::uint32_t hosts, MonoTime now,
-                                      WallTime wall_now) {
+void RolloutTracker::ReportEvaluation(std::uint32_t hosts, MonoTime now) {
   if (!options_.evaluated || now < next_evaluation_report_) return;
   next_evaluation_report_ = now + kEvaluationReportPeriod;
-  options_.evaluated({.id = options_.id,
-                      .stage = record_.stage,
-                      .share_ppm = record_.share_ppm,
-                      .hosts = hosts,
-                      .evidence = judge_->evidence(),
-                      .strongest = judge_->StrongestReason(),
-                      .time_left = Deadline() - wall_now,
-                      .in_stage_for = record_.stage == RolloutStage::kPending
-                                          ? Milliseconds(0)
-                                          : wall_now - record_.stage_since});
+  options_.evaluated(
+      {.id = options_.id,
+       .stage = record_.stage,
+       .share_ppm = record_.share_ppm,
+       .hosts = hosts,
+       .evidence = judge_->evidence(),
+       .strongest = judge_->StrongestReason(),
+       .time_left = std::chrono::duration_cast<Milliseconds>(Deadline() - now),
+       .in_stage_for =
+           std::chrono::duration_cast<Milliseconds>(now - stage_since_)});
 }
 
 void RolloutTracker::SendReport() {
@@ -194,42 +222,41 @@
           .cells = std::move(cells)};
 }
 
-void RolloutTracker::Decide(MonoTime now, WallTime wall_now) {
-  if (DecideEnd(now, wall_now)) return;
+void RolloutTracker::Decide(MonoTime now) {
+  if (DecideEnd(now)) return;
   // A new owner first collects evidence and merges the records of others.
   if (now - owned_since_ < options_.settings.owner_warmup) return;
   switch (record_.stage) {
     case RolloutStage::kPending:
-      return DecidePending(now, wall_now);
+      return DecidePending(now);
     case RolloutStage::kCanary:
-      return DecideCanary(now, wall_now);
+      return DecideCanary(now);
     case RolloutStage::kRamp:
-      return DecideRamp(now, wall_now);
+      return DecideRamp(now);
     case RolloutStage::kBake:
-      return DecideBake(wall_now);
+      return DecideBake(now);
     default:
       return;
   }
 }
 
-bool RolloutTracker::DecideEnd(MonoTime now, WallTime wall_now) {
+bool RolloutTracker::DecideEnd(MonoTime now) {
   if (IsInProgress(record_.stage)) {
     if (std::optional<RolloutReason> reason = judge_->RejectionReason()) {
-      RollBack(std::move(*reason), wall_now);
+      RollBack(std::move(*reason));
       return true;
     }
   }
   // Without time to collect more evidence, the lower final threshold applies.
-  const bool deadline_passed = wall_now >= Deadline();
+  const bool deadline_passed = now >= Deadline();
   const bool out_of_time =
       record_.stage == RolloutStage::kBake
           ? options_.settings.final_threshold_during_bake ||
-                wall_now >= record_.stage_since + 2 * BakeDuration()
+                now >= stage_since_ + 2 * BakeDuration()
           : IsInProgress(record_.stage) &&
-                !HasTimeToHold(options_.settings.ramp, MakeRampState(now),
-                               wall_now);
+                !HasTimeToHold(options_.settings.ramp, MakeRampState(now), now);
   if (out_of_time && judge_->evidence() >= options_.settings.final_threshold) {
-    RollBack(FinalThresholdReason(), wall_now);
+    RollBack(FinalThresholdReason());
     return true;
   }
   if (!targets_.new_version.empty()) {
@@ -243,8 +270,7 @@
       (record_.stage == RolloutStage::kPending && !deadline_passed)) {
     return false;
   }
-  RollBack({.signal = "targets", .sentence = "the new version has no targets"},
-           wall_now);
+  RollBack({.signal = "targets", .sentence = "the new version has no targets"});
   return true;
 }
 
@@ -263,17 +289,11 @@
          now - first_tick_ >= options_.settings.max_start_delay;
 }
 
-WallTime RolloutTracker::OrderedAt() const {
-  return record_.ordered_at > WallTime{} ? record_.ordered_at
-                                         : first_tick_wall_time_;
-}
-
-WallTime RolloutTracker::Deadline() const {
+MonoTime RolloutTracker::Deadline() const {
   const RolloutSpec& order = *options_.pool.rollout;
-  if (order.allowed.count() == 0) return order.complete_by;
-  return OrderedAt() +
-         std::chrono::duration_cast<Milliseconds>(
-             order.allowed * options_.settings.full_share_fraction);
+  if (order.allowed.count() == 0) return now_ + (order.complete_by - wall_now_);
+  return ordered_ + std::chrono::duration_cast<Milliseconds>(
+                        order.allowed * options_.settings.full_share_fraction);
 }
 
 Milliseconds RolloutTracker::BakeDuration() const {
@@ -290,7 +310,7 @@
                     options_.pool.slots_per_target);
 }
 
-void RolloutTracker::DecidePending(MonoTime now, WallTime wall_now) {
+void RolloutTracker::DecidePending(MonoTime now) {
   if (targets_.new_version.empty() || !CanStart(now)) return;
   RolloutRecord next = record_;
   next.share_ppm = ComputeCanaryShare(options_.settings.ramp, RequestRate(now));
@@ -300,13 +320,13 @@
       options_.settings.ramp, next.share_ppm, targets_.old_version.size(),
       targets_.new_version.size());
   last_step_ = now;
-  Transition(RolloutEvent::kTargetsReady, std::move(next), wall_now);
+  Transition(RolloutEvent::kTargetsReady, std::move(next));
 }
 
-void RolloutTracker::DecideCanary(MonoTime now, WallTime wall_now) {
-  if (IsCanaryComplete(options_.settings.ramp, MakeRampState(now), wall_now)) {
+void RolloutTracker::DecideCanary(MonoTime now) {
+  if (IsCanaryComplete(options_.settings.ramp, MakeRampState(now), now)) {
     last_step_ = now;
-    Transition(RolloutEvent::kCanaryPassed, record_, wall_now);
+    Transition(RolloutEvent::kCanaryPassed, record_);
     return;
   }
   // The routes may receive their first requests after the canary has started.
@@ -317,14 +337,14 @@
   if (!next.route_shares.empty()) Publish(next);
 }
 
-void RolloutTracker::DecideRamp(MonoTime now, WallTime wall_now) {
+void RolloutTracker::DecideRamp(MonoTime now) {
   const std::optional<std::uint32_t> share =
-      NextShare(options_.settings.ramp, MakeRampState(now), wall_now);
-  if (share) Widen(*share, now, wall_now);
+      NextShare(options_.settings.ramp, MakeRampState(now), now);
+  if (share) Widen(*share, now);
 }
 
-void RolloutTracker::DecideBake(WallTime wall_now) {
-  const auto elapsed = wall_now - record_.stage_since;
+void RolloutTracker::DecideBake(MonoTime now) {
+  const auto elapsed = now - stage_since_;
   const Milliseconds bake = BakeDuration();
   if (elapsed < bake) return;
   // While the evidence reaches the hold threshold, extend the bake up to twice
@@ -337,7 +357,7 @@
   // Record the strongest evidence, which did not reach the threshold.
   next.reason = judge_->StrongestReason();
   next.reason.signal = "evidence";
-  Transition(RolloutEvent::kBakePassed, std::move(next), wall_now);
+  Transition(RolloutEvent::kBakePassed, std::move(next));
 }
 
 RampState RolloutTracker::MakeRampState(MonoTime now) const {
@@ -345,16 +365,15 @@
       std::chrono::duration_cast<Milliseconds>(now - last_step_);
   return {.stage = record_.stage,
           .share_ppm = record_.share_ppm,
-          .stage_since = record_.stage_since,
-          .canary_since = canary_since_.value_or(record_.stage_since),
+          .stage_since = stage_since_,
+          .canary_since = canary_since_.value_or(stage_since_),
           .complete_by = Deadline(),
           .since_step = since_step,
           .evidence = judge_->evidence(),
           .hurry = record_.hurry};
 }
 
-void RolloutTracker::Widen(std::uint32_t share_ppm, MonoTime now,
-                           WallTime wall_now) {
+void RolloutTracker::Widen(std::uint32_t share_ppm, MonoTime now) {
   const RampOptions& ramp = options_.settings.ramp;
   RolloutRecord next = record_;
   next.share_ppm = std::max(share_ppm, record_.share_ppm);
@@ -367,29 +386,29 @@
     Publish(next);
     return;
   }
-  Transition(RolloutEvent::kFullShareReached, std::move(next), wall_now);
+  Transition(RolloutEvent::kFullShareReached, std::move(next));
 }
 
-void RolloutTracker::RollBack(RolloutReason reason, WallTime wall_now) {
+void RolloutTracker::RollBack(RolloutReason reason) {
   RolloutRecord next = record_;
   next.share_ppm = 0;
   next.route_shares.clear();
   next.canary_targets = 0;
   next.reason = std::move(reason);
-  Transition(RolloutEvent::kRollBack, std::move(next), wall_now);
+  Transition(RolloutEvent::kRollBack, std::move(next));
 }
 
-void RolloutTracker::Transition(RolloutEvent event, RolloutRecord next,
-                                WallTime wall_now) {
+void RolloutTracker::Transition(RolloutEvent event, RolloutRecord next) {
   if (!machine_.Process(event)) return;
   next.stage = machine_.stage();
-  next.stage_since = wall_now;
-  if (next.stage == RolloutStage::kCanary) canary_since_ = wall_now;
+  next.stage_since = wall_now_;
   Publish(next);
 }
 
 void RolloutTracker::Publish(const RolloutRecord& next) {
+  const RolloutStage stage = record_.stage;
   record_ = RolloutRecord::Merge(record_, next);
+  if (record_.stage != stage) EnterStage();
   // Publish last: the replicated state may call back with the merged record.
   const RolloutRecord published = record_;
   if (options_.publish) options_.publish(published);
@@ -416,8 +435,8 @@
 
 bool RolloutTracker::Abort(WallTime wall_now) {
   if (HasEnded()) return false;
-  RollBack({.signal = "operator", .sentence = "the operator aborted it"},
-           wall_now);
+  wall_now_ = wall_now;
+  RollBack({.signal = "operator", .sentence = "the operator aborted it"});
   return true;
 }
 
@@ -432,7 +451,8 @@
 boost::json::object RolloutTracker::Dump() const {
   boost::json::object dump = RecordToJson(record_);
   dump["pool"] = options_.pool.name.value();
-  dump["complete_by"] = FormatWallTime(Deadline());
+  dump["complete_by"] = FormatWallTime(
+      wall_now_ + std::chrono::duration_cast<Milliseconds>(Deadline() - now_));
   dump["owner"] = tree_.owner().value_or(HostId()).value();
   dump["old_targets"] = targets_.old_version.size();
   dump["new_targets"] = targets_.new_version.size();
--- a/core/rollout/rollout_tracker.h
+++ b/core/rollout/rollout_tracker.h
@@ -78,6 +78,11 @@
 /// Every host collects evidence and ejects the version locally if its own
 /// evidence is strong. The owner evaluates the aggregated evidence and advances
 /// the rollout record. Time is passed in and effects go through the callbacks.
+///
+/// Durations are measured with the monotonic clock, from when this host saw the
+/// order or the stage. Calendar clocks may step and differ between hosts, so
+/// they are used only for deadlines given as calendar time, and for what
+/// happened before this host saw the rollout.
 /// Owned by RolloutManager. Not thread-safe.
 class RolloutTracker {
  public:
@@ -87,6 +92,8 @@
     RolloutId id;                   ///< id of the rollout
     PoolSpec pool{};                ///< pool whose `rollout` is set
     RolloutOptions settings{};      ///< settings of the rollout
+    bool may_be_in_progress =
+        false;  ///< the order may be older than this process's first view of it
     std::function<void(const RolloutRecord&)>
         publish{};  ///< merges a record into the replicated state
     std::function<void(const HostId&, const EvidenceReport&)>
@@ -140,29 +147,31 @@
   bool IsOwner() const { return tree_.owner() == options_.host; }
   bool HasEnded() const { return record_.stage >= RolloutStage::kDone; }
   bool CanStart(MonoTime now) const;
-  WallTime OrderedAt() const;
-  WallTime Deadline() const;
+  void OnFirstTick();
+  void SetOrderTime();
+  MonoTime ToMonoTime(WallTime past) const;
+  MonoTime Deadline() const;
   Milliseconds BakeDuration() const;
   std::uint32_t SlotsPerTarget() const;
   void ResetEvidence(MonoTime now);
-  bool EvaluateLocalEvidence(MonoTime now, WallTime wall_now);
-  std::unique_ptr<VersionJudge> MakeJudge(double false_alarm_probability,
-                                          WallTime wall_now) const;
-  void EvaluateTotalEvidence(MonoTime now, WallTime wall_now);
-  void ReportEvaluation(std::uint32_t hosts, MonoTime now, WallTime wall_now);
+  bool EvaluateLocalEvidence(MonoTime now);
+  std::unique_ptr<VersionJudge> MakeJudge(double false_alarm_probability) const;
+  void EvaluateTotalEvidence(MonoTime now);
+  void ReportEvaluation(std::uint32_t hosts, MonoTime now);
   void SendReport();
   EvidenceBlock MakeBlock(std::vector<EvidenceCell> cells, MonoTime now) const;
-  void Decide(MonoTime now, WallTime wall_now);
-  bool DecideEnd(MonoTime now, WallTime wall_now);
+  void Decide(MonoTime now);
+  bool DecideEnd(MonoTime now);
   RolloutReason FinalThresholdReason() const;
-  void DecidePending(MonoTime now, WallTime wall_now);
-  void DecideCanary(MonoTime now, WallTime wall_now);
-  void DecideRamp(MonoTime now, WallTime wall_now);
-  void DecideBake(WallTime wall_now);
+  void DecidePending(MonoTime now);
+  void DecideCanary(MonoTime now);
+  void DecideRamp(MonoTime now);
+  void DecideBake(MonoTime now);
   RampState MakeRampState(MonoTime now) const;
-  void Widen(std::uint32_t share_ppm, MonoTime now, WallTime wall_now);
-  void RollBack(RolloutReason reason, WallTime wall_now);
-  void Transition(RolloutEvent event, RolloutRecord next, WallTime wall_now);
+  void Widen(std::uint32_t share_ppm, MonoTime now);
+  void RollBack(RolloutReason reason);
+  void Transition(RolloutEvent event, RolloutRecord next);
+  void EnterStage();
   void Publish(const RolloutRecord& next);
   std::vector<RouteWeight> RouteWeights() const;
   double RequestRate(MonoTime now) const;
@@ -178,15 +187,18 @@
   std::map<RouteName, double> route_requests_;
   std::uint64_t period_ = 0;
   std::optional<MonoTime> last_tick_;
-  MonoTime first_tick_{};            ///< first tick on this host
-  WallTime first_tick_wall_time_{};  ///< wall time of `first_tick_`
+  MonoTime now_{};          ///< time of the last tick
+  WallTime wall_now_{};     ///< calendar time of the last tick
+  MonoTime first_tick_{};   ///< first tick on this host
+  MonoTime ordered_{};      ///< start of an ordered duration
+  MonoTime stage_since_{};  ///< when this host saw the current stage begin
   MonoTime block_end_{};
   MonoTime owned_since_{};
   MonoTime last_step_{};
   MonoTime next_evaluation_report_{};
   std::optional<MonoTime> no_targets_since_;
   std::optional<MonoTime> ejected_until_;
-  std::optional<WallTime> canary_since_;
+  std::optional<MonoTime> canary_since_;
 };
 
 }  // namespace camphor
--- a/unit_tests/core/rollout/ramp_plan_test.cc
+++ b/unit_tests/core/rollout/ramp_plan_test.cc
@@ -11,7 +11,7 @@
 RampState RampOf(std::uint32_t share_ppm) {
   return {.stage = RolloutStage::kRamp,
           .share_ppm = share_ppm,
-          .complete_by = WallTime(Seconds(1000)),
+          .complete_by = MonoTime(Seconds(1000)),
           .since_step = Seconds(500)};
 }
 
@@ -66,15 +66,15 @@
 
 TEST(NextShare, EvidenceWithTimeLeft_HoldsShare) {
   RampState state = RampOf(100'000);
-  EXPECT_TRUE(NextShare(kOptions, state, WallTime(Seconds(600))));
+  EXPECT_TRUE(NextShare(kOptions, state, MonoTime(Seconds(600))));
   state.evidence = kOptions.hold_threshold;
-  EXPECT_FALSE(NextShare(kOptions, state, WallTime(Seconds(600))));
+  EXPECT_FALSE(NextShare(kOptions, state, MonoTime(Seconds(600))));
 }
 
 TEST(NextShare, EvidenceWithoutTimeLeft_IncreasesShare) {
   RampState state = RampOf(100'000);
   state.evidence = kOptions.hold_threshold;
-  EXPECT_TRUE(NextShare(kOptions, state, WallTime(Seconds(990))));
+  EXPECT_TRUE(NextShare(kOptions, state, MonoTime(Seconds(990))));
 }
 
 TEST(NextShare, NoEvidence_ReachesFullShareBeforeDeadline) {
@@ -83,7 +83,7 @@
   int second = 600;
   while (state.share_ppm < kAllTrafficPpm - kOptions.control_share_ppm) {
     ASSERT_LT(second, 1000);
-    const auto share = NextShare(kOptions, state, WallTime(Seconds(second)));
+    const auto share = NextShare(kOptions, state, MonoTime(Seconds(second)));
     ++second;
     state.since_step += Seconds(1);
     if (!share) continue;
@@ -96,8 +96,8 @@
 
 TEST(NextShare, LittleTimeLeft_TakesLargerSteps) {
   RampState state = RampOf(kOptions.canary_share_ppm);
-  const auto usual = NextShare(kOptions, state, WallTime(Seconds(600)));
-  const auto late = NextShare(kOptions, state, WallTime(Seconds(2000)));
+  const auto usual = NextShare(kOptions, state, MonoTime(Seconds(600)));
+  const auto late = NextShare(kOptions, state, MonoTime(Seconds(2000)));
   ASSERT_TRUE(usual && late);
   EXPECT_GT(*late, *usual);
   // The step size is limited even then.
@@ -107,8 +107,8 @@
 TEST(IsCanaryComplete, Hurry_CompletesEarlier) {
   RampState state{.stage = RolloutStage::kCanary,
                   .share_ppm = kOptions.canary_share_ppm,
-                  .complete_by = WallTime(Seconds(1000))};
-  const WallTime now{Seconds(200)};
+                  .complete_by = MonoTime(Seconds(1000))};
+  const MonoTime now{Seconds(200)};
   EXPECT_FALSE(IsCanaryComplete(kOptions, state, now));
   state.hurry = true;
   EXPECT_TRUE(IsCanaryComplete(kOptions, state, now));
