A host that hears none of its neighbours polls the platform itself

Cause: only two hosts a failure domain follow the store, and the mesh brings changes to the others. A host that the mesh does not reach is not told, and its silence counted after 6.5 s at the earliest, for others than itself. Evidence: all hosts serve version 32 at 20.60 s, alajuela-3 at 23.54 s, when TCP repeats the push; two tests failed before. Now a host whose neighbours have all been silent for 0.8 s probes two of them, and follows the store itself from 1.3 s on until 5 s after it hears one again: 1.3 s and one call are less than the 2 s within which a change must be in force.

--- a/core/membership/membership.cc
+++ b/core/membership/membership.cc
@@ -9,6 +9,10 @@
 
 constexpr std::ptrdiff_t kMaxSeeds = 64;
 
+// Neighbours that are probed when all of them are silent, and how often.
+constexpr std::size_t kIsolationProbes = 2;
+constexpr Milliseconds kIsolationProbePeriod{250};
+
 }  // namespace
 
 Membership::Membership(Options options, const RecordStore& store,
@@ -42,6 +46,7 @@
 }
 
 void Membership::OnMessageReceived(const Endpoint& from, MonoTime now) {
+  last_received_ = now;
   const HostRecord* record = store_.FindHost(from);
   if (record == nullptr) return;
   detector_.OnMessageReceived(record->host, now);
@@ -79,6 +84,7 @@
 void Membership::Tick(MonoTime now) {
   if (overlay_stale_) RebuildOverlay(now);
   SendHeartbeats(now);
+  DetectIsolation(now);
   detector_.Tick(now);
   ExpireSuspects(now);
   if (now >= next_contact_) ContactMesh(now);
@@ -170,6 +176,26 @@
   }
 }
 
+void Membership::DetectIsolation(MonoTime now) {
+  if (neighbours_.empty()) {
+    last_received_ = now;
+    return;
+  }
+  const auto silence = now - last_received_;
+  if (silence >= settings_.isolated_after)
+    isolated_until_ = now + settings_.isolated_hold;
+  if (silence < settings_.probe_silent_mesh_after ||
+      now < next_isolation_probe_) {
+    return;
+  }
+  next_isolation_probe_ = now + kIsolationProbePeriod;
+  std::vector<Endpoint> probed;
+  std::ranges::sample(neighbours(), std::back_inserter(probed),
+                      kIsolationProbes, random_);
+  for (const Endpoint& neighbour : probed)
+    options_.send(neighbour, options_.heartbeat(true));
+}
+
 void Membership::OnConfirmed(const HostId& host, std::uint64_t incarnation,
                              std::uint64_t sequence) {
   const HostRecord* record = store_.FindHost(host);
--- a/core/membership/membership.h
+++ b/core/membership/membership.h
@@ -86,6 +86,10 @@
   /// True if this host is one of the pollers of its failure domain.
   bool is_poller() const;
 
+  /// True if all neighbours are silent, or were until recently, so that no
+  /// change of the configuration can be expected from them.
+  bool isolated(MonoTime now) const { return now < isolated_until_; }
+
   const Overlay& overlay() const { return overlay_; }
   const FailureDetector& detector() const { return detector_; }
 
@@ -105,6 +109,7 @@
 
   void RebuildOverlay(MonoTime now);
   void SendHeartbeats(MonoTime now);
+  void DetectIsolation(MonoTime now);
   void OnConfirmed(const HostId& host, std::uint64_t incarnation,
                    std::uint64_t sequence);
   void ExpireSuspects(MonoTime now);
@@ -128,6 +133,9 @@
   std::map<HostId, Suspect> suspects_;
   std::vector<Endpoint> join_candidates_;
   MonoTime next_contact_{};
+  MonoTime last_received_{};  // any message of any host
+  MonoTime next_isolation_probe_{};
+  MonoTime isolated_until_{};
 };
 
 }  // namespace camphor
--- a/core/replication/replicator.cc
+++ b/core/replication/replicator.cc
@@ -124,7 +124,7 @@
   if (!ready()) return true;
   switch (state_->options.settings.mode) {
     case DisseminationMode::kFull:
-      return state_->membership.is_poller();
+      return state_->membership.is_poller() || isolated();
     case DisseminationMode::kPollOnly:
       return true;
     case DisseminationMode::kPushOnly:
@@ -133,6 +133,10 @@
   return false;
 }
 
+bool Replicator::isolated() const {
+  return state_->membership.isolated(state_->now);
+}
+
 const std::map<HostId, HostRecord>& Replicator::hosts() const {
   return state_->store.hosts();
 }
--- a/core/replication/replicator.h
+++ b/core/replication/replicator.h
@@ -102,10 +102,14 @@
   void SetPlatformLost(bool lost, MonoTime now);
 
   /// True if this host polls the platform at the short period: while it is not
-  /// ready, and as a poller of its failure domain. Modes other than kFull
+  /// ready, as a poller of its failure domain, and while all its neighbours are
+  /// silent. Modes other than kFull
   /// override this for ready hosts.
   bool is_platform_poller() const;
 
+  /// True while all neighbours are silent, or were until recently.
+  bool isolated() const;
+
   const std::map<HostId, HostRecord>& hosts() const;
   const std::map<RolloutId, RolloutRecord>& rollouts() const;
   const std::map<std::uint64_t, PoisonRecord>& poison() const;
--- a/core/replication/replicator_settings.h
+++ b/core/replication/replicator_settings.h
@@ -27,11 +27,18 @@
                                         ///< neighbours
   Milliseconds heartbeat_period{2500};  ///< between heartbeats to a neighbour
   Milliseconds suspect_after{6500};  ///< silence until a neighbour is suspected
-  Milliseconds lost_link_after{1000};   ///< the same, after a connection to the
-                                        ///< neighbour failed
-  Milliseconds probe_timeout{1500};     ///< time-out of a probe for another
-                                        ///< watcher
-  Milliseconds refute_within{5000};     ///< time that a suspect has to refute
+  Milliseconds lost_link_after{1000};  ///< the same, after a connection to the
+                                       ///< neighbour failed
+  Milliseconds probe_silent_mesh_after{800};  ///< silence of all neighbours
+                                              ///< until some are probed
+  Milliseconds isolated_after{1300};  ///< silence of all neighbours, in spite
+                                      ///< of probes, until this host polls the
+                                      ///< platform itself
+  Milliseconds isolated_hold{5000};   ///< how long it goes on polling after it
+                                      ///< heard a neighbour again
+  Milliseconds probe_timeout{1500};   ///< time-out of a probe for another
+                                      ///< watcher
+  Milliseconds refute_within{5000};   ///< time that a suspect has to refute
   std::uint32_t suspicions_needed = 2;  ///< watchers that must report a host as
                                         ///< lost before the suspicion is
                                         ///< confirmed
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -79,7 +79,8 @@
         LogLevel::kInfo, "platform",
         poller ? "started polling the platform for the failure domain"
                : "stopped polling the platform for the failure domain",
-        {{"reachable", reachable() ? "yes" : "no"}});
+        {{"reachable", reachable() ? "yes" : "no"},
+         {"isolated", replicator.isolated() ? "yes" : "no"}});
   }
   if (feed_) {
     feed_->Tick(poller, now);
