Bound the time in which a feeder notices that the platform has gone silent

Cause: a watch was allowed 20 s and 2 s more. A platform that takes the call and never answers fails nothing until then, so that the feeder counted as healthy and no other host took its place. Now a watch waits 1.5 s; what times out counts as lost since it should have been answered, so that the next host of the ring takes over at once; and after a failure the call does not wait, since an immediate answer tells soonest. Costs four calls in six seconds a feeder, however many hosts there are.

--- a/node/platform_sync/operator_feed.cc
+++ b/node/platform_sync/operator_feed.cc
@@ -27,6 +27,7 @@
 void OperatorFeed::ReadTable() {
   call_pending_ = true;
   call_started_ = now_;
+  call_wait_ = Milliseconds(0);
   options_.platform->Scan(
       options_.table, "", [this](const PlatformResponse& answer) {
         options_.post([this, answer] { OnAnswer(true, answer); });
@@ -36,8 +37,11 @@
 void OperatorFeed::Watch() {
   call_pending_ = true;
   call_started_ = now_;
+  // After a failure, an immediate answer tells soonest whether the platform is
+  // back.
+  call_wait_ = reachable() ? options_.watch_timeout : Milliseconds(0);
   options_.platform->Watch(
-      options_.table, revision_, options_.watch_timeout,
+      options_.table, revision_, call_wait_,
       [this](const PlatformResponse& answer) {
         options_.post([this, answer] { OnAnswer(false, answer); });
       });
@@ -73,7 +77,7 @@
                        {"call_ms", AgeMs(call_started_)},
                        {"answer_age_ms", AgeMs(last_answer_)}});
   }
-  if (failures_ == 0) failing_since_ = now_;
+  if (failures_ == 0) failing_since_ = FailingSince();
   last_failure_ = now_;
   ++failures_;
   last_reason_ = answer.reason;
@@ -85,6 +89,12 @@
       std::chrono::duration_cast<Milliseconds>(now_ - since).count());
 }
 
+MonoTime OperatorFeed::FailingSince() const {
+  // A silent platform fails when the call should have been answered, not when
+  // the client gave up on it.
+  return std::min(now_, call_started_ + call_wait_);
+}
+
 bool OperatorFeed::lost(MonoTime now) const {
   return failures_ > 0 && now - failing_since_ >= options_.lost_after &&
          now - last_failure_ < options_.lost_for;
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -30,7 +30,9 @@
     std::string table;                   ///< table that the operator writes
     PlatformClient* platform = nullptr;  ///< must outlive this object
     LogSink* log = nullptr;              ///< must outlive this object
-    Milliseconds watch_timeout{20'000};  ///< maximum duration of one watch call
+    Milliseconds watch_timeout{
+        1500};  ///< maximum duration of one watch call; bounds the time until a
+                ///< platform that has gone silent is noticed
     Milliseconds batch_delay{
         400};  ///< delay of the next call after a change, so that
                ///< changes in quick succession are batched
@@ -77,6 +79,7 @@
  private:
   void ReadTable();
   void Watch();
+  MonoTime FailingSince() const;
   void OnAnswer(bool full_read, const PlatformResponse& answer);
   void OnFailure(const PlatformResponse& answer);
   void Merge(bool full_read, const PlatformResponse& answer);
@@ -87,7 +90,10 @@
   Backoff retry_;
   std::mt19937_64 random_;
   std::uint64_t failures_ = 0;  ///< consecutive failed calls
-  MonoTime failing_since_{};    ///< time of the first of these failures
+  MonoTime failing_since_{};    ///< since when the platform refuses or is
+                                ///< silent
+  Milliseconds call_wait_{0};   ///< time that the last call let the platform
+                                ///< wait
   MonoTime last_failure_{};     ///< time of the last failure
   MonoTime call_started_{};     ///< start of the last call
   MonoTime last_answer_{};      ///< time of the last successful answer
