Discard a table read that is older than what the feed knows

A read of the whole table that reflects an older revision replaced the newer rows, while the known revision stayed: the next change of any row then gave an older configuration a newer version, and every host would have served it. Now such a read is discarded and repeated.

--- a/node/platform_sync/operator_feed.cc
+++ b/node/platform_sync/operator_feed.cc
@@ -101,6 +101,7 @@
 }
 
 void OperatorFeed::Merge(bool full_read, const PlatformResponse& answer) {
+  if (full_read && answer.revision < revision_) return OnStaleRead(answer);
   if (full_read) rows_.clear();
   for (const TableRow& row : answer.rows) {
     if (row.removed) {
@@ -115,6 +116,16 @@
   Apply();
 }
 
+void OperatorFeed::OnStaleRead(const PlatformResponse& answer) {
+  // Older rows under the known revision would hide the changes between them
+  // from the watch.
+  full_read_due_ = true;
+  next_call_ = now_ + options_.batch_delay;
+  options_.log->Log(
+      LogLevel::kWarning, "platform", "stale table read discarded; will retry",
+      {{"revision", answer.revision}, {"known_revision", revision_}});
+}
+
 void OperatorFeed::Apply() {
   std::string reason;
   const std::optional<ConfigSnapshot> snapshot = options_.decode(rows_, reason);
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -83,6 +83,7 @@
   void OnAnswer(bool full_read, const PlatformResponse& answer);
   void OnFailure(const PlatformResponse& answer);
   void Merge(bool full_read, const PlatformResponse& answer);
+  void OnStaleRead(const PlatformResponse& answer);
   void Apply();
   std::uint64_t AgeMs(MonoTime since) const;
 
