Read the request limit and the leaving mark in targets' responses, and log both

Both are read at the target's host, logged when they change, and shown in the dump. Nothing is decided by them yet.

--- a/node/node.cc
+++ b/node/node.cc
@@ -1,5 +1,7 @@
 #include "node/node.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <atomic>
 #include <boost/json.hpp>
@@ -160,6 +162,20 @@
               controller->OnTargetDeath(fingerprint, target, Now(), WallNow());
             });
           },
+      .on_target_limit =
+          [this](const TargetId& target, std::optional<double> per_second) {
+            log.Log(
+                LogLevel::kInfo, "targets", "target's request limit changed",
+                {{"target", target.value()},
+                 {"per_second", per_second ? fmt::format("{:.3f}", *per_second)
+                                           : std::string("none")}});
+          },
+      .on_target_leaving =
+          [this](const TargetId& target) {
+            log.Log(LogLevel::kInfo, "targets",
+                    "target says in a response that it is leaving",
+                    {{"target", target.value()}});
+          },
       .claim =
           [this](const std::string& key, std::uint64_t fingerprint,
                  const ClaimCallback& done) {
--- a/proxy/header_rules.cc
+++ b/proxy/header_rules.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <vector>
 
 #include "proxy/header_names.h"
@@ -138,6 +139,25 @@
          header.result() == http::status::misdirected_request;
 }
 
+std::optional<double> ReadRequestLimit(const http::response_header<>& header,
+                                       const HeaderVocabulary& vocabulary) {
+  if (vocabulary.request_limit.empty()) return std::nullopt;
+  const std::string_view text = HeaderValue(header, vocabulary.request_limit);
+  double limit = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), limit);
+  const bool readable = error == std::errc() &&
+                        end == text.data() + text.size() &&
+                        std::isfinite(limit) && limit >= 0;
+  return readable ? std::optional(limit) : std::nullopt;
+}
+
+bool IsMarkedLeaving(const http::response_header<>& header,
+                     const HeaderVocabulary& vocabulary) {
+  return !vocabulary.leaving.empty() &&
+         HeaderValue(header, vocabulary.leaving) == "1";
+}
+
 Milliseconds ReadKeepAliveTimeout(const http::response_header<>& header) {
   constexpr Milliseconds kNeverTold = std::chrono::hours(24);
   constexpr std::string_view kTimeout = "timeout=";
--- a/proxy/header_rules.h
+++ b/proxy/header_rules.h
@@ -40,6 +40,16 @@
 bool IsMarkedNotRun(const http::response_header<>& header,
                     const HeaderVocabulary& vocabulary);
 
+/// Returns the requests per second to which the target limits all hosts
+/// together; std::nullopt if it names no limit, or none that can be read.
+/// Thread-safe.
+std::optional<double> ReadRequestLimit(const http::response_header<>& header,
+                                       const HeaderVocabulary& vocabulary);
+
+/// Returns true when the target says that it is leaving. Thread-safe.
+bool IsMarkedLeaving(const http::response_header<>& header,
+                     const HeaderVocabulary& vocabulary);
+
 /// Returns the peer's keep-alive timeout, less a margin; one day when the
 /// response does not give one. Thread-safe.
 Milliseconds ReadKeepAliveTimeout(const http::response_header<>& header);
--- a/proxy/header_vocabulary.h
+++ b/proxy/header_vocabulary.h
@@ -20,7 +20,11 @@
       caller_pool{};  ///< pool of the host where the request entered the mesh
   std::string not_run = "X-Camphor-Not-Run";  ///< response header of a target
                                               ///< that did not run the request
-  std::string receipt{};  ///< required in a target's successful response
+  std::string receipt{};        ///< required in a target's successful response
+  std::string request_limit{};  ///< response header of a target in need:
+                                ///< requests per second that it takes from all
+                                ///< hosts together, while it says so
+  std::string leaving{};        ///< response header of a target that leaves
   bool plain_bodies =
       false;  ///< true: responses with a Content-Encoding are rejected
   bool unframed_responses =
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/post.hpp>
 #include <chrono>
+#include <cmath>
 #include <string_view>
 #include <utility>
 
@@ -43,6 +44,14 @@
       on_late{};  ///< called with a result delivered later
 };
 
+/// Returns true when a changed limit is worth a log line.
+bool IsNotableChange(std::optional<double> before,
+                     std::optional<double> after) {
+  constexpr double kNotableFraction = 0.1;
+  if (before.has_value() != after.has_value()) return true;
+  return before && std::abs(*after - *before) > kNotableFraction * *before;
+}
+
 std::string_view ClaimStatusName(ClaimStatus status) {
   switch (status) {
     case ClaimStatus::kGranted:
@@ -196,6 +205,7 @@
       co_await exchange_->Send(std::move(request_.header));
   if (sent == Exchange::SendResult::kResponse) {
     answered_ = true;
+    ReadStatement();
     const auto refused = co_await ReadRefusal();
     co_return refused;
   }
@@ -222,6 +232,22 @@
   set(vocabulary.expected_target, request_.target.value());
 }
 
+void LocalRun::ReadStatement() {
+  const ProxyServer::Options& options = context_.options;
+  const http::response_header<>& response = exchange_->response();
+  const LocalTarget::Statement before = target_->statement();
+  target_->SetStatement(
+      {.request_limit = ReadRequestLimit(response, options.vocabulary),
+       .leaving = IsMarkedLeaving(response, options.vocabulary)});
+  const LocalTarget::Statement& after = target_->statement();
+  const bool limit_changed =
+      IsNotableChange(before.request_limit, after.request_limit);
+  if (limit_changed && options.on_target_limit)
+    options.on_target_limit(request_.target, after.request_limit);
+  if (after.leaving && !before.leaving && options.on_target_leaving)
+    options.on_target_leaving(request_.target);
+}
+
 asio::awaitable<std::optional<ProxyError>> LocalRun::ReadRefusal() {
   const http::response_header<>& response = exchange_->response();
   if (!IsMarkedNotRun(response, context_.options.vocabulary))
--- a/proxy/local_run.h
+++ b/proxy/local_run.h
@@ -40,6 +40,7 @@
   asio::awaitable<std::optional<ProxyError>> Connect();
   asio::awaitable<std::optional<ProxyError>> Send();
   void SetTargetHeaders();
+  void ReadStatement();
   asio::awaitable<std::optional<ProxyError>> ReadRefusal();
   asio::awaitable<ProxyError> DetectTargetDeath();
   std::optional<ProxyError> Stopped() const;
--- a/proxy/local_targets.cc
+++ b/proxy/local_targets.cc
@@ -93,6 +93,12 @@
       : ProxyError::kTooLate;
 }
 
+void LocalTarget::SetStatement(const Statement& statement) {
+  const bool leaving = statement_.leaving || statement.leaving;
+  statement_ = statement;
+  statement_.leaving = leaving;
+}
+
 bool LocalTarget::IsFull() const {
   return gate_.running() >= limits_.slots && gate_.waiting() >= limits_.queue;
 }
--- a/proxy/local_targets.h
+++ b/proxy/local_targets.h
@@ -39,6 +39,20 @@
 
   void SetLimits(ConcurrencyLimiter::Options limits);
 
+  /// What the target says about itself in its responses.
+  struct Statement {
+    std::optional<double> request_limit{};  ///< requests per second; see
+                                            ///< HeaderVocabulary
+    bool leaving = false;                   ///< gets no new requests
+
+    auto operator<=>(const Statement&) const = default;
+  };
+
+  /// Takes over what the newest response says. A target that has said that it
+  /// is leaving stays so.
+  void SetStatement(const Statement& statement);
+  const Statement& statement() const { return statement_; }
+
   const std::shared_ptr<ConnectionPool>& pool() const { return pool_; }
   const ConcurrencyLimiter& gate() const { return gate_; }
 
@@ -58,6 +72,7 @@
   std::shared_ptr<ConnectionPool> pool_;
   std::unordered_map<std::uint64_t, Waiter*> waiters_;
   std::uint64_t next_id_ = 1;
+  Statement statement_;
 };
 
 /// Targets of this host that accept work. Must be used from one thread.
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -132,10 +132,13 @@
 boost::json::object ProxyServer::State::Dump() {
   boost::json::object targets;
   for (const auto& [id, target] : context.targets->targets()) {
-    targets[id.value()] = {{"running", target->gate().running()},
-                           {"waiting", target->gate().waiting()},
-                           {"connections", target->pool()->open()},
-                           {"idle_connections", target->pool()->idle()}};
+    targets[id.value()] = {
+        {"running", target->gate().running()},
+        {"waiting", target->gate().waiting()},
+        {"request_limit", target->statement().request_limit.value_or(0)},
+        {"said_leaving", target->statement().leaving},
+        {"connections", target->pool()->open()},
+        {"idle_connections", target->pool()->idle()}};
   }
   boost::json::object hosts;
   for (const auto& [endpoint, pool] : context.hosts->pools()) {
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -47,6 +47,12 @@
     std::function<void(std::uint64_t fingerprint, const TargetId&)>
         on_target_death{};  ///< called when a target died while running a
                             ///< request
+    std::function<void(const TargetId&, std::optional<double> per_second)>
+        on_target_limit{};  ///< called when a target of this host names a
+                            ///< request limit, changes it, or names none again
+    std::function<void(const TargetId&)>
+        on_target_leaving{};  ///< called when a target of this host says for
+                              ///< the first time that it is leaving
     std::function<void(std::string key, std::uint64_t fingerprint,
                        ClaimCallback)>
         claim{};  ///< claims an idempotency key; the callback may run on any
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -100,6 +100,11 @@
                 poison_[fingerprint].deaths.insert(target);
                 RebuildLocked();
               },
+          .on_target_leaving =
+              [this](const TargetId& target) {
+                const std::scoped_lock lock(mutex_);
+                said_leaving_.push_back(target.value());
+              },
           .claim = claim_,
           .release_claim = release_claim_,
           .on_decision =
@@ -179,6 +184,7 @@
   std::map<std::string, EffectiveRoutingPtr> routings_;
   std::map<RequestOutcome, std::uint64_t> samples_;
   std::map<RequestDecision::Kind, std::uint64_t> decisions_;
+  std::vector<std::string> said_leaving_;
   std::map<std::string, std::unique_ptr<HttpServer>> targets_;
   std::map<std::string, std::unique_ptr<ProxyServer>> proxies_;
   std::function<void(std::string, std::uint64_t, ClaimCallback)> claim_;
