Keep to the request limit that a target names in its responses

Cause: nobody read Server-Limit; only slots bound what a target got. The host of a target alone sends to it, so the limit is kept there, for all hosts together, by what the newest response says: no shares to divide among hosts, and nothing to tell them. What is beyond is refused at once as not run, with reason 'limited', and may be tried at another target; the caller's host then passes the target over as after any refusal.

--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -28,6 +28,9 @@
          "no target of the pool was available: none was known, or all known "
          "targets were leaving, dead or already tried"},
         {"full", "the target's slots and queue were full"},
+        {"limited",
+         "the target takes only so many requests a second, as it said itself, "
+         "and no other target could be tried"},
         {"refused",
          "the target refused it without running it, and no other target "
          "could be tried"},
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -29,6 +29,7 @@
   switch (error) {
     case ProxyError::kNoTarget:
     case ProxyError::kFull:
+    case ProxyError::kRateLimited:
     case ProxyError::kRefused:
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
@@ -56,6 +57,7 @@
   switch (error) {
     case ProxyError::kNoTarget:
     case ProxyError::kFull:
+    case ProxyError::kRateLimited:
     case ProxyError::kRefused:
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
--- a/proxy/error_response.cc
+++ b/proxy/error_response.cc
@@ -35,6 +35,8 @@
     {status::service_unavailable, "no_target", "no target is available", true},
     {status::service_unavailable, "full",
      "the slots and the queue of the target are full", true},
+    {status::service_unavailable, "limited",
+     "the request limit that the target names is reached", true},
     {status::service_unavailable, "refused",
      "the target refused the request without running it", true},
     {status::service_unavailable, "too_late",
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -22,6 +22,7 @@
   kNotReady,       ///< this proxy has no configuration yet
   kNoTarget,       ///< no target is available
   kFull,           ///< the target's slots and queue are full
+  kRateLimited,    ///< the request limit that the target names is reached
   kRefused,        ///< the target refused it without running it
   kTooLate,        ///< it could not finish before its deadline
   kConnectFailed,  ///< connecting to the target failed
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -80,6 +80,12 @@
     error = co_await target_->AcquireSlot(*request_.control, request_.urgency);
   if (!error) {
     has_slot_ = true;
+    // The limit may have been reached while the request waited for a slot.
+    const bool admitted =
+        target_->rate_limit().TryAcquire(std::chrono::steady_clock::now());
+    if (!admitted) error = ProxyError::kRateLimited;
+  }
+  if (!error) {
     error = co_await Connect();
   }
   if (!error) error = co_await Send();
@@ -93,6 +99,8 @@
   if (const auto poison = CheckPoison()) co_return poison;
   target_ = context_.targets->Find(request_.target);
   if (!target_) co_return ProxyError::kNoTarget;
+  if (!target_->rate_limit().HasRoom(std::chrono::steady_clock::now()))
+    co_return ProxyError::kRateLimited;
   // Do not claim the key when the target has no free slot or queue entry.
   if (!request_.claim_key.empty() && target_->IsFull())
     co_return ProxyError::kFull;
--- a/proxy/local_targets.cc
+++ b/proxy/local_targets.cc
@@ -97,6 +97,7 @@
   const bool leaving = statement_.leaving || statement.leaving;
   statement_ = statement;
   statement_.leaving = leaving;
+  rate_limit_.Set(statement.request_limit, std::chrono::steady_clock::now());
 }
 
 bool LocalTarget::IsFull() const {
--- a/proxy/local_targets.h
+++ b/proxy/local_targets.h
@@ -9,6 +9,7 @@
 #include "core/base/identifier.h"
 #include "core/config/pool_spec.h"
 #include "core/routing/concurrency_limiter.h"
+#include "core/routing/target_rate_limit.h"
 #include "proxy/connection_pool.h"
 #include "proxy/error_response.h"
 #include "proxy/request_control.h"
@@ -51,6 +52,9 @@
   /// Takes over what the newest response says. A target that has said that it
   /// is leaving stays so.
   void SetStatement(const Statement& statement);
+
+  /// Limit that the target names on its requests.
+  TargetRateLimit& rate_limit() { return rate_limit_; }
   const Statement& statement() const { return statement_; }
 
   const std::shared_ptr<ConnectionPool>& pool() const { return pool_; }
@@ -73,6 +77,7 @@
   std::unordered_map<std::uint64_t, Waiter*> waiters_;
   std::uint64_t next_id_ = 1;
   Statement statement_;
+  TargetRateLimit rate_limit_;
 };
 
 /// Targets of this host that accept work. Must be used from one thread.
