Send nothing more to a target whose response says that it is leaving

Cause: a target's leaving was known from its own calls alone; nobody read the mark in its responses, which come sooner, and come too where those calls are lost. Now the target's host stops at once and tells the mesh as if the target had called. The caller's host that passed such a response on keeps to it by itself, in case the target's host restarts and forgets. Both forget when the routing has lost the target, so that a later run under the same id is used.

--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -163,10 +163,10 @@
     for (std::uint32_t target = 0; target < view.stats.size(); ++target) {
       const Placement placement{
           .pool = part.pool, .group = view.group, .target = target};
-      if (view.stats[target]->ejected_until <= now &&
-          std::ranges::find(tried, placement) == tried.end()) {
+      const TargetStats& stats = *view.stats[target];
+      const bool usable = !stats.leaving && stats.ejected_until <= now;
+      if (usable && std::ranges::find(tried, placement) == tried.end())
         return true;
-      }
     }
   }
   return false;
@@ -250,7 +250,7 @@
   // which gives two distinct random choices if most targets are usable.
   const auto usable = [&](std::uint32_t index) {
     const TargetStats& stats = *view.stats[index];
-    if (stats.ejected_until > params.now) return false;
+    if (stats.leaving || stats.ejected_until > params.now) return false;
     if (require_capacity && !HasCapacity(targets[index], stats, params.now))
       return false;
     const Placement placement{
@@ -307,6 +307,11 @@
       LatencyModel::ExpectedUs(latency_.TypicalUs(route), *stats)));
 }
 
+void PowerOfTwoBalancer::OnLeaving(const TargetId& target) {
+  const auto found = stats_.find(target);
+  if (found != stats_.end()) found->second.leaving = true;
+}
+
 void PowerOfTwoBalancer::OnSent(const TargetId& target) {
   const auto found = stats_.find(target);
   if (found != stats_.end()) ++found->second.in_flight;
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -77,6 +77,10 @@
   /// Returns an index into RoutedRule::split; 0 if the route has no split.
   std::uint32_t ChooseShare(std::uint32_t route);
 
+  /// Excludes a target that says that it is leaving, until the routing has lost
+  /// it.
+  void OnLeaving(const TargetId& target);
+
   /// Counts a request as in flight at the target.
   void OnSent(const TargetId& target);
 
--- a/core/routing/target_stats.h
+++ b/core/routing/target_stats.h
@@ -18,6 +18,7 @@
   std::uint32_t consecutive_failures = 0;  ///< failures since the last success
   std::uint32_t consecutive_refusals = 0;  ///< refusals since the last success
   std::uint32_t ejections = 0;  ///< ejections since the last recovery
+  bool leaving = false;         ///< the target said that it is leaving
   MonoTime first_seen{};        ///< start of the slow start
   MonoTime full_until{};  ///< after a refusal: treated as full until this time
   MonoTime ejected_until{};  ///< ejected as an outlier until this time
--- a/node/node.cc
+++ b/node/node.cc
@@ -175,6 +175,9 @@
             log.Log(LogLevel::kInfo, "targets",
                     "target says in a response that it is leaving",
                     {{"target", target.value()}});
+            decisions.Post(Source::kProxy, [this, target] {
+              controller->Leave(target, Now());
+            });
           },
       .claim =
           [this](const std::string& key, std::uint64_t fingerprint,
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -203,6 +203,8 @@
 asio::awaitable<Exchange::RelayResult> CallerRequest::Relay(
     Exchange& exchange) {
   http::response_header<> header = exchange.response();
+  if (IsMarkedLeaving(header, context_.options.vocabulary))
+    context_.balancer.OnLeaving(target().info.id);
   RemoveHopByHopHeaders(header);
   RemoveInternalHeaders(header);
   if (context_.options.debug_headers) {
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -98,7 +98,7 @@
 asio::awaitable<std::optional<ProxyError>> LocalRun::Admit() {
   if (const auto poison = CheckPoison()) co_return poison;
   target_ = context_.targets->Find(request_.target);
-  if (!target_) co_return ProxyError::kNoTarget;
+  if (!target_ || target_->statement().leaving) co_return ProxyError::kNoTarget;
   if (!target_->rate_limit().HasRoom(std::chrono::steady_clock::now()))
     co_return ProxyError::kRateLimited;
   // Do not claim the key when the target has no free slot or queue entry.
--- a/proxy/local_targets.cc
+++ b/proxy/local_targets.cc
@@ -135,7 +135,11 @@
   const EffectiveRoutingPtr& routing = context_.Routing();
   if (!routing || !context_.options.local_target) return nullptr;
   const LocalRow row = FindRow(*routing, id);
-  if (row.target == nullptr) return nullptr;
+  if (row.target == nullptr) {
+    // One that is announced again later is another run of the target.
+    Remove(id);
+    return nullptr;
+  }
   const Endpoint address = context_.options.local_target(id);
   if (address.port == 0) return nullptr;
 
@@ -150,6 +154,13 @@
   return target;
 }
 
+void LocalTargets::Remove(const TargetId& id) {
+  const auto found = targets_.find(id);
+  if (found == targets_.end()) return;
+  found->second->pool()->Close();
+  targets_.erase(found);
+}
+
 void LocalTargets::Maintain() {
   const EffectiveRoutingPtr& routing = context_.Routing();
   if (!routing) return;
--- a/proxy/local_targets.h
+++ b/proxy/local_targets.h
@@ -101,6 +101,7 @@
   }
 
  private:
+  void Remove(const TargetId& id);
   std::shared_ptr<ConnectionPool> MakePool(const Endpoint& address,
                                            const PoolSpec& spec);
 
--- a/unit_tests/core/routing/placement_test.cc
+++ b/unit_tests/core/routing/placement_test.cc
@@ -70,6 +70,22 @@
   }));
 }
 
+TEST(PowerOfTwoBalancerOnLeaving, AnyChoice_AvoidsTargetUntilItIsGone) {
+  const auto routing = MakeRouting(2, 0, 1);
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(routing, kStart);
+  balancer.OnLeaving(TargetId("v1-0"));
+  for (int request = 0; request < 50; ++request)
+    EXPECT_EQ(IdOf(routing, *balancer.Choose(0, {}, kStart)), TargetId("v1-1"));
+  balancer.OnLeaving(TargetId("v1-1"));
+  EXPECT_FALSE(balancer.Choose(0, {}, kStart));
+  EXPECT_FALSE(balancer.HasUntriedTarget(0, 0, {}, kStart));
+  // A target of the same id that is announced later is another one.
+  balancer.SetRouting(MakeRouting(0, 0, 0), kStart);
+  balancer.SetRouting(routing, kStart);
+  EXPECT_TRUE(balancer.Choose(0, {}, kStart));
+}
+
 // Uses a local target with latency `own` and a target in another domain with
 // latency `other`. Returns how many of 100 requests go to the other domain.
 int RequestsToOtherDomain(Milliseconds objective, Milliseconds own,
