Ignore late reports of a target that left while its restarted host did not know it

Cause: a host that has just restarted knows none of its targets; it answered the leave and kept nothing of it, and a report sent before it announced the target again. Now the registry ignores such a target's reports for 5 s. The test failed before: the report was taken as new (kChanged).

--- a/node/targets/target_registry.cc
+++ b/node/targets/target_registry.cc
@@ -29,6 +29,8 @@
     const TargetAnnouncement& report, MonoTime now) {
   const auto found = entries_.find(report.id);
   const Entry* known_entry = found == entries_.end() ? nullptr : &found->second;
+  if (known_entry == nullptr && HasDeparted(report.id, now))
+    return ReportResult::kStale;
   const bool returned =
       known_entry != nullptr &&
       report.started_ms > known_entry->announcement.started_ms;
@@ -76,15 +78,27 @@
 
 bool TargetRegistry::Leave(const TargetId& id, MonoTime now) {
   const auto found = entries_.find(id);
-  if (found == entries_.end()) return false;
+  if (found == entries_.end()) {
+    if (departed_.size() < options_.max_targets) departed_[id] = now;
+    return false;
+  }
   if (found->second.status == TargetStatus::kLeaving) return true;
   found->second.status = TargetStatus::kLeaving;
   found->second.left_at = now;
   return true;
 }
 
+bool TargetRegistry::HasDeparted(const TargetId& id, MonoTime now) const {
+  const auto found = departed_.find(id);
+  return found != departed_.end() &&
+         now - found->second < options_.departed_retention;
+}
+
 bool TargetRegistry::Expire(MonoTime now) {
   bool changed = false;
+  std::erase_if(departed_, [&](const auto& entry) {
+    return now - entry.second >= options_.departed_retention;
+  });
   for (auto next = entries_.begin(); next != entries_.end();) {
     const auto current = next++;
     Entry& entry = current->second;
--- a/node/targets/target_registry.h
+++ b/node/targets/target_registry.h
@@ -23,6 +23,9 @@
     Milliseconds warming_limit{60000};  ///< maximum duration of the warm-up
     Milliseconds leaving_retention{
         10000};  ///< time for which leaving targets stay listed
+    Milliseconds departed_retention{
+        5000};  ///< time for which reports of a target that left unknown are
+                ///< ignored
     std::uint32_t max_targets = 256;  ///< maximum number of targets
   };
 
@@ -50,7 +53,8 @@
   bool Renew(const TargetId& id, MonoTime now);
 
   /// Marks a target as leaving, so that it receives no new requests. Returns
-  /// false if it is unknown. Must be called from one thread.
+  /// false if it is unknown, for example after a restart of this host; reports
+  /// that it sent before are then ignored. Must be called from one thread.
   bool Leave(const TargetId& id, MonoTime now);
 
   /// Ends expired leases and warm-ups and removes targets that have left.
@@ -74,8 +78,11 @@
     MonoTime left_at{};   ///< time at which it was marked as leaving
   };
 
+  bool HasDeparted(const TargetId& id, MonoTime now) const;
+
   Options options_;
   std::map<TargetId, Entry> entries_;
+  std::map<TargetId, MonoTime> departed_;  ///< when unknown targets left
 };
 
 }  // namespace camphor
--- a/unit_tests/node/targets/target_registry_test.cc
+++ b/unit_tests/node/targets/target_registry_test.cc
@@ -150,6 +150,17 @@
   EXPECT_EQ(Status("t1"), TargetStatus::kLeaving);
 }
 
+// A host that has restarted knows none of its targets.
+TEST_F(TargetRegistryReport, LateReportAfterUnknownTargetLeft_IsNotAnnounced) {
+  EXPECT_FALSE(registry_.Leave(TargetId("t1"), start_));
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 19), start_ + seconds(3)),
+            ReportResult::kStale);
+  EXPECT_TRUE(registry_.targets().empty());
+  EXPECT_EQ(registry_.Report(Report("t1", 20, 1), start_ + seconds(6)),
+            ReportResult::kChanged);
+  EXPECT_EQ(Status("t1"), TargetStatus::kReady);
+}
+
 TEST_F(TargetRegistryReport, RestartWithSameId_RestartsSequence) {
   registry_.Report(Report("t1", 10, 9), start_);
   registry_.Leave(TargetId("t1"), start_);
