A refusal that may be an earlier one repeated proves nothing about this request

Reported by operators of systems like ours: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for what had run (REFUSED), or it ran at a second server (TWICE). A copy that names another request was skipped already; a copy without an id, and one of the same attempt that came to the same target again on the same connection, were taken at their word. Now, on a connection that carried a request before, a refusal counts only if it names this request, and if this request was not refused there before. Otherwise the outcome is unknown (502), and the connection is closed.

--- a/proxy/connection.h
+++ b/proxy/connection.h
@@ -23,7 +23,10 @@
 
   tcp::socket socket;
   beast::flat_buffer buffer;  ///< bytes received after the last response
-  std::string proof;          ///< mesh key proof, sent with the first request
+  std::string refused_request_id{};  ///< request that the peer refused last on
+                                     ///< this connection
+  bool used = false;  ///< it carried a request before the current one
+  std::string proof;  ///< mesh key proof, sent with the first request
   MonoTime usable_until =
       MonoTime::max();    ///< the peer may close an idle connection after this
   MonoTime idle_since{};  ///< when the last request ended
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -260,11 +260,24 @@
   const http::response_header<>& response = exchange_->response();
   if (!IsMarkedNotRun(response, context_.options.vocabulary))
     co_return std::nullopt;
+  if (MayBeEarlierRefusal(response)) {
+    lease_->Close();
+    co_return ProxyError::kBadAnswer;
+  }
+  lease_->refused_request_id = request_id_;
   refused_by_target_ = true;
   co_await exchange_->Discard();
   co_return ProxyError::kRefused;
 }
 
+bool LocalRun::MayBeEarlierRefusal(
+    const http::response_header<>& response) const {
+  const std::string& id_header = context_.options.vocabulary.request_id;
+  if (!lease_->used || id_header.empty() || request_id_.empty()) return false;
+  return HeaderValue(response, id_header).empty() ||
+         lease_->refused_request_id == request_id_;
+}
+
 asio::awaitable<ProxyError> LocalRun::DetectTargetDeath() {
   // A broken connection does not prove that the target died. An exiting process
   // may close its connections before its listener, so probe several times.
@@ -303,6 +316,7 @@
     if (exchange_->reusable()) {
       lease_->usable_until = std::chrono::steady_clock::now() +
                              ReadKeepAliveTimeout(exchange_->response());
+      lease_->used = true;
       lease_.Reuse();
     }
   }
--- /dev/null
+++ b/unit_tests/proxy/target_faults_test.cc
@@ -0,0 +1,66 @@
+#include <atomic>
+#include <chrono>
+#include <utility>
+
+#include "unit_tests/proxy/vocabulary_fixture.h"
+
+namespace camphor {
+namespace {
+
+using TargetFaults = ProxyVocabulary;
+
+// A target that refuses the first request on each connection, and repeats the
+// refusal before its response to the second one.
+ScriptedTarget::Script RepeatRefusal(const std::string& refusal_headers,
+                                     std::atomic<int>& runs) {
+  return [refusal_headers,
+          &runs](const std::string& request) -> ScriptedResponse {
+    const std::string refusal = MakeResponse(
+        "503 Service Unavailable", "T-Not-Run: 1\r\n" + refusal_headers, "");
+    const std::string id = FindHeaderValue(request, "T-Id");
+    if (id == "first") return {refusal};
+    ++runs;
+    return {refusal + MakeResponse("200 OK",
+                                   "T-Id: " + id + "\r\nT-Receipt: r\r\n",
+                                   "body")};
+  };
+}
+
+TEST_F(TargetFaults, RefusalOfEarlierRequestRepeated_IsNoRefusalOfThisOne) {
+  std::atomic<int> runs = 0;
+  Start("h2", RepeatRefusal("T-Id: first\r\n", runs));
+  ASSERT_EQ(Get("first")->status, 503);
+  const auto response = Get("second");
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 200);
+  EXPECT_EQ(response->body, "body");
+}
+
+TEST_F(TargetFaults, RefusalWithoutIdRepeated_IsNotReportedAsNotRun) {
+  std::atomic<int> runs = 0;
+  Start("h2", RepeatRefusal("", runs));
+  ASSERT_EQ(Get("first")->status, 503);
+  const auto response = Get("second");
+  ASSERT_TRUE(response);
+  EXPECT_EQ(runs, 1);
+  EXPECT_EQ(response->status, 502);
+}
+
+// The same attempt may come to the same target again, on the connection on
+// which it was refused before.
+TEST_F(TargetFaults, RefusalOfSameRequestRepeated_IsNotReportedAsNotRun) {
+  std::atomic<int> requests = 0;
+  Start("h2", [&](const std::string& request) -> ScriptedResponse {
+    const std::string id = "T-Id: " + FindHeaderValue(request, "T-Id") + "\r\n";
+    const std::string refusal =
+        MakeResponse("503 Service Unavailable", "T-Not-Run: 1\r\n" + id, "");
+    if (++requests == 1) return {refusal};
+    return {refusal + MakeResponse("200 OK", id + "T-Receipt: r\r\n", "body")};
+  });
+  ASSERT_EQ(Get("same")->status, 503);
+  EXPECT_EQ(Get("same")->status, 502);
+  EXPECT_EQ(requests, 2);
+}
+
+}  // namespace
+}  // namespace camphor
