End a response of a target that sends bytes without end

Three of four kinds were read until the deadline, or the end of 64 MB in the test: interim responses, the body of a response to another request, and a chunk extension, which grew the buffer with it. An endless header ended at 64 KB already. Now the buffer of a connection is bounded (128 KB), at most 1,000 interim responses and 1 MB of a mismatched response are skipped, and the request then ends as bad_answer or target_broke. A body that is relayed to its caller stays bounded by the deadline alone: it can not be told from a long answer.

--- a/proxy/connection.h
+++ b/proxy/connection.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORHILL_PROXY_CONNECTION_H_
 #define CAMPHORHILL_PROXY_CONNECTION_H_
 
+#include <cstddef>
 #include <string>
 
 #include "core/base/time.h"
@@ -11,6 +12,8 @@
 /// A connection to a target or to another host's proxy. It carries one request
 /// at a time. Must be used from one thread.
 struct Connection {
+  static constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
+
   explicit Connection(const asio::any_io_executor& executor)
       : socket(executor) {}
 
@@ -22,7 +25,9 @@
   void Close();
 
   tcp::socket socket;
-  beast::flat_buffer buffer;  ///< bytes received after the last response
+  /// Bytes received after the last response. Limited, since a faulty peer may
+  /// send a header or a chunk extension that never ends.
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   std::string refused_request_id{};  ///< request that the peer refused last on
                                      ///< this connection
   bool used = false;  ///< it carried a request before the current one
--- a/proxy/exchange.cc
+++ b/proxy/exchange.cc
@@ -17,6 +17,11 @@
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 constexpr std::size_t kMaxDiscardedBytes = 4096;
 
+// Limits on what is skipped before the response: interim responses, and the
+// body of a response to another request.
+constexpr std::uint32_t kMaxInterimResponses = 1000;
+constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
+
 }  // namespace
 
 Exchange::Exchange(Options options)
@@ -99,6 +104,7 @@
   });
   if (options_.abandon_after.count() > 0) abandon.Set(options_.abandon_after);
 
+  std::uint32_t interim_responses = 0;
   while (true) {
     response_.emplace();
     response_->header_limit(kMaxResponseHeaderBytes);
@@ -124,7 +130,10 @@
       StartPump();
     }
     received_header_ = true;
-    if (status < 200 && status != 101) continue;
+    if (status < 200 && status != 101) {
+      if (++interim_responses <= kMaxInterimResponses) continue;
+      co_return SendResult::kBadAnswer;
+    }
     if (!IsResponseToOtherRequest()) break;
     const bool skipped = co_await SkipMismatchedResponse();
     if (!skipped) co_return Failure(SendResult::kConnectionBroken);
@@ -154,12 +163,15 @@
   // this one follows.
   skipped_mismatched_response_ = true;
   std::array<char, kMaxDiscardedBytes> chunk{};
+  std::size_t total = 0;
   while (!response_->is_done()) {
+    if (total > kMaxSkippedBytes) co_return false;
     response_->get().body().data = chunk.data();
     response_->get().body().size = chunk.size();
     auto [error, bytes] = co_await http::async_read_some(
         options_.connection->socket, options_.connection->buffer, *response_,
         kAsTuple);
+    total += bytes;
     if (error && error != http::error::need_buffer) co_return false;
   }
   co_return true;
--- a/unit_tests/proxy/scripted_target.h
+++ b/unit_tests/proxy/scripted_target.h
@@ -52,6 +52,9 @@
     return {.address = "127.0.0.1", .port = acceptor_.local_endpoint().port()};
   }
 
+  /// Bytes that its peers have taken so far. Thread-safe.
+  std::size_t bytes_written() const { return bytes_written_; }
+
  private:
   void Accept() {
     while (true) {
@@ -71,7 +74,8 @@
       if (error) return;
       const ScriptedResponse response = script_(buffer.substr(0, size));
       buffer.erase(0, size);
-      boost::asio::write(socket, boost::asio::buffer(response.bytes), error);
+      bytes_written_ += boost::asio::write(
+          socket, boost::asio::buffer(response.bytes), error);
       if (response.reset) {
         const std::scoped_lock lock(closing_);
         socket.set_option(boost::asio::socket_base::linger(true, 0), error);
@@ -89,6 +93,7 @@
   boost::asio::io_context io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::atomic<bool> stopping_ = false;
+  std::atomic<std::size_t> bytes_written_ = 0;
   std::mutex closing_;  ///< serializes closing of sockets
   std::list<boost::asio::ip::tcp::socket> sockets_;
   std::list<std::thread> threads_;
--- a/unit_tests/proxy/target_faults_test.cc
+++ b/unit_tests/proxy/target_faults_test.cc
@@ -62,5 +62,50 @@
   EXPECT_EQ(requests, 2);
 }
 
+// Bytes without end: much more than any response here has, and no time to read
+// them all.
+constexpr std::size_t kManyBytes = 64UL << 20;
+
+std::string Endless(const std::string& piece) {
+  std::string bytes;
+  bytes.reserve(kManyBytes + piece.size());
+  while (bytes.size() < kManyBytes) bytes += piece;
+  return bytes;
+}
+
+class EndlessBytes
+    : public TargetFaults,
+      public testing::WithParamInterface<std::pair<const char*, const char*>> {
+};
+
+TEST_P(EndlessBytes, RequestFailsLongBeforeItsDeadline) {
+  const auto& [head, piece] = GetParam();
+  const std::string bytes = head + Endless(piece);
+  Start("h2", [&bytes](const std::string&) -> ScriptedResponse {
+    return {.bytes = bytes, .close = true};
+  });
+  const auto start = std::chrono::steady_clock::now();
+  const auto response =
+      Call({.method = "GET",
+            .target = "/post/x",
+            .fields = {{"t-id", "a"}, {"t-deadline", "20000"}}});
+  EXPECT_TRUE(!response || response->status == 502);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, Seconds(10));
+  // What the kernel's buffers hold, and not all that the target has to say.
+  EXPECT_LT(target_->bytes_written(), kManyBytes / 4);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, EndlessBytes,
+    testing::Values(
+        std::pair("HTTP/1.1 200 OK\r\nX: ", "aaaaaaaaaaaaaaaa"),
+        std::pair("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        std::pair("HTTP/1.1 200 OK\r\nT-Id: other\r\nTransfer-Encoding: "
+                  "chunked\r\n\r\n",
+                  "8\r\nabcdefgh\r\n"),
+        std::pair("HTTP/1.1 200 OK\r\nT-Id: a\r\nT-Receipt: r\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n1;",
+                  "extension")));
+
 }  // namespace
 }  // namespace camphor
