Guard against odd entries of another writer with tests

Reported by operators of systems like ours: an entry that is deeply nested, has a number too large or a port out of range ended the hosts that read the list again and again. Not reproduced here: such a row of the host table, order in the operator's table, or report of a target is skipped with its reason and the others hold. Tried: 200,000 brackets, 1e400, 23 digits, ports 70000 and -1, wrong types, bytes that are no text, an empty value.

--- a/unit_tests/core/membership/target_announcement_test.cc
+++ b/unit_tests/core/membership/target_announcement_test.cc
@@ -21,6 +21,25 @@
   EXPECT_EQ(report->sequence, 4U);
 }
 
+TEST(TargetAnnouncementParseReport, OddReports_ReturnErrors) {
+  const std::string head = R"({"pool": "p", "version": "v", "slots": )";
+  const std::string tail = R"(, "state": "ready", "sequence": 1})";
+  const std::vector<std::string> odd = {
+      std::string(100'000, '[') + std::string(100'000, ']'),
+      head + "1e400" + R"(, "address": "10.0.0.1:80")" + tail,
+      head + "99999999999999999999999" + R"(, "address": "10.0.0.1:80")" + tail,
+      head + "4" + R"(, "address": "10.0.0.1:70000")" + tail,
+      head + "4" + R"(, "address": "10.0.0.1:-1")" + tail,
+      head + "4" + R"(, "address": {"a": 1})" + tail,
+      std::string("\0\xff", 2)};
+  for (const std::string& text : odd) {
+    std::vector<FieldError> errors;
+    EXPECT_FALSE(TargetAnnouncement::ParseReport(TargetId("t"), text, errors))
+        << text.substr(0, 80);
+    EXPECT_FALSE(errors.empty()) << text.substr(0, 80);
+  }
+}
+
 TEST(TargetAnnouncementParseReport, MalformedReport_ReturnsErrors) {
   for (const char* text :
        {"", "[]", "\xff", "{}",
--- a/unit_tests/node/platform_sync/host_directory_test.cc
+++ b/unit_tests/node/platform_sync/host_directory_test.cc
@@ -62,6 +62,23 @@
   EXPECT_TRUE(hosts_[1].found.contains(MeshEndpoint(1)));
 }
 
+// Another writer may leave an entry that no host wrote.
+TEST_F(HostDirectoryTest, OddEntriesInTable_OthersAreFound) {
+  const std::string nested = std::string(5000, '[') + std::string(5000, ']');
+  platform_.Put("mesh_hosts", "host-00", nested);
+  platform_.Put("mesh_hosts", "host-01", "10.0.0.1:70000");
+  platform_.Put("mesh_hosts", "host-02", "10.0.0.2:99999999999999999999999999");
+  platform_.Put("mesh_hosts", "host-03", std::string("\0\xff\n", 3));
+  platform_.Put("mesh_hosts", "host-04", "");
+  platform_.Put("mesh_hosts", "host-05", MeshEndpoint(5).ToString());
+  Host& host = Add(9);
+  for (int round = 0; round < 3; ++round) {
+    TickAll();
+    platform_.Run();
+  }
+  EXPECT_EQ(host.found, std::set<Endpoint>{MeshEndpoint(5)});
+}
+
 TEST_F(HostDirectoryTest, LastKeyInTable_WrapsAroundToFirst) {
   for (int number = 1; number < 5; ++number)
     platform_.Put("mesh_hosts", fmt::format("host-{:02}", number),
--- a/unit_tests/platform/operator_tables_test.cc
+++ b/unit_tests/platform/operator_tables_test.cc
@@ -103,6 +103,30 @@
   EXPECT_FALSE(reason_.empty());
 }
 
+// Another writer may leave an entry that the operator did not write.
+TEST_F(OperatorTables, OddEntries_KeepConfiguration) {
+  Put("config", kConfig, 12);
+  const std::string nested =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  const std::vector<std::string> odd = {
+      nested,
+      R"({"pool": "a", "target": "v2", "durationS": 1e400})",
+      R"({"pool": "a", "target": "v2", "durationS": 99999999999999999999999})",
+      R"({"pool": ["a"], "target": {}, "durationS": "16"})",
+      std::string("\0\xff\xfe", 3),
+      "null",
+      ""};
+  std::uint64_t revision = 12;
+  for (const std::string& value : odd) {
+    Put("rollout/a", value, ++revision);
+    const auto snapshot = Decode();
+    ASSERT_TRUE(snapshot) << value.substr(0, 80);
+    EXPECT_EQ(snapshot->routes.size(), 2U);
+    EXPECT_FALSE(snapshot->pools.at(0).rollout) << value.substr(0, 80);
+    EXPECT_FALSE(reason_.empty()) << value.substr(0, 80);
+  }
+}
+
 TEST_F(OperatorTables, NoConfig_ReturnsReason) {
   Put("rollout/a", R"({"pool": "a", "target": "v2"})", 15);
   EXPECT_FALSE(Decode());
