--- a/unit_tests/core/replication/fake_mesh.h
+++ b/unit_tests/core/replication/fake_mesh.h
@@ -80,7 +80,7 @@
     std::uint64_t incarnation = 0;
     bool frozen = false;
     ConfigVersion highest_served = 0;
-    MonoTime last_poll{};  // zero: never
+    MonoTime last_poll{};                           // zero: never
     std::vector<std::function<void()>> deferred{};  // run after Thaw
   };
   struct Event {
