Measure rollouts with the clock that goes on while a host is suspended

Rollouts are ticked with the boot-time clock, which neither steps nor stops. Not covered by a test: the clock is read in node.cc alone.

--- a/core/replication/replicator.h
+++ b/core/replication/replicator.h
@@ -103,8 +103,7 @@
 
   /// True if this host polls the platform at the short period: while it is not
   /// ready, as a poller of its failure domain, and while all its neighbours are
-  /// silent. Modes other than kFull
-  /// override this for ready hosts.
+  /// silent. Modes other than kFull override this for ready hosts.
   bool is_platform_poller() const;
 
   /// True while all neighbours are silent, or were until recently.
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -177,7 +177,7 @@
   replicator_->Leave(now);
 }
 
-void HostController::Tick(MonoTime now, WallTime wall_now) {
+void HostController::Tick(MonoTime now, MonoTime boot_now, WallTime wall_now) {
   now_ = now;
   if (registry_.Expire(now)) OnTargetsChanged(now);
   replicator_->Tick(now, wall_now);
@@ -185,7 +185,7 @@
     hosts_changed_ = false;
     rollouts_->SetHosts(replicator_->hosts());
   }
-  rollouts_->Tick(now, wall_now);
+  rollouts_->Tick(boot_now, wall_now);
 }
 
 void HostController::PublishRouting(MonoTime now) {
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -71,7 +71,9 @@
   void LeaveMesh(MonoTime now);
 
   /// Expires leases and runs the periodic work of replication and rollouts.
-  void Tick(MonoTime now, WallTime wall_now);
+  /// `boot_now` is monotonic too and also counts the time in which this host
+  /// was suspended: rollouts have a deadline on other hosts' clocks.
+  void Tick(MonoTime now, MonoTime boot_now, WallTime wall_now);
 
   /// Rebuilds the routing if its inputs have changed, and publishes the result
   /// if it differs from the published routing.
--- a/node/node.cc
+++ b/node/node.cc
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
+#include <ctime>
 #include <thread>
 #include <utility>
 
@@ -41,6 +42,14 @@
 
 MonoTime Now() { return std::chrono::steady_clock::now(); }
 
+/// Returns monotonic time that also counts the time in which this host was
+/// suspended.
+MonoTime BootNow() {
+  timespec now{};
+  if (clock_gettime(CLOCK_BOOTTIME, &now) != 0) return Now();
+  return MonoTime(Seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 WallTime WallNow() {
   return std::chrono::time_point_cast<Milliseconds>(
       std::chrono::system_clock::now());
@@ -312,7 +321,7 @@
   const MonoTime now = Now();
   last_tick = now.time_since_epoch().count();
   const WallTime wall_now = WallNow();
-  controller->Tick(now, wall_now);
+  controller->Tick(now, BootNow(), wall_now);
   sync->Tick(now, wall_now);
 }
 
