Keep a target's limit and a feed's call in one place each

Cause, found by reading the change again: LocalTarget held the named limit twice, in the rate limiter and in the last statement, and two functions of OperatorFeed set the same three members of a call. The statement is now derived from the limiter, and BeginCall sets the members.

--- a/node/platform_sync/operator_feed.cc
+++ b/node/platform_sync/operator_feed.cc
@@ -24,10 +24,14 @@
   }
 }
 
-void OperatorFeed::ReadTable() {
+void OperatorFeed::BeginCall(Milliseconds wait) {
   call_pending_ = true;
   call_started_ = now_;
-  call_wait_ = Milliseconds(0);
+  call_wait_ = wait;
+}
+
+void OperatorFeed::ReadTable() {
+  BeginCall(Milliseconds(0));
   options_.platform->Scan(
       options_.table, "", [this](const PlatformResponse& answer) {
         options_.post([this, answer] { OnAnswer(true, answer); });
@@ -35,11 +39,9 @@
 }
 
 void OperatorFeed::Watch() {
-  call_pending_ = true;
-  call_started_ = now_;
   // After a failure, an immediate answer tells soonest whether the platform is
   // back.
-  call_wait_ = reachable() ? options_.watch_timeout : Milliseconds(0);
+  BeginCall(reachable() ? options_.watch_timeout : Milliseconds(0));
   options_.platform->Watch(
       options_.table, revision_, call_wait_,
       [this](const PlatformResponse& answer) {
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -77,6 +77,7 @@
   boost::json::object Dump() const;
 
  private:
+  void BeginCall(Milliseconds wait);
   void ReadTable();
   void Watch();
   MonoTime FailingSince() const;
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -247,7 +247,7 @@
   target_->SetStatement(
       {.request_limit = ReadRequestLimit(response, options.vocabulary),
        .leaving = IsMarkedLeaving(response, options.vocabulary)});
-  const LocalTarget::Statement& after = target_->statement();
+  const LocalTarget::Statement after = target_->statement();
   const bool limit_changed =
       IsNotableChange(before.request_limit, after.request_limit);
   if (limit_changed && options.on_target_limit)
--- a/proxy/local_targets.cc
+++ b/proxy/local_targets.cc
@@ -94,9 +94,7 @@
 }
 
 void LocalTarget::SetStatement(const Statement& statement) {
-  const bool leaving = statement_.leaving || statement.leaving;
-  statement_ = statement;
-  statement_.leaving = leaving;
+  leaving_ = leaving_ || statement.leaving;
   rate_limit_.Set(statement.request_limit, std::chrono::steady_clock::now());
 }
 
--- a/proxy/local_targets.h
+++ b/proxy/local_targets.h
@@ -55,7 +55,9 @@
 
   /// Limit that the target names on its requests.
   TargetRateLimit& rate_limit() { return rate_limit_; }
-  const Statement& statement() const { return statement_; }
+  Statement statement() const {
+    return {.request_limit = rate_limit_.per_second(), .leaving = leaving_};
+  }
 
   const std::shared_ptr<ConnectionPool>& pool() const { return pool_; }
   const ConcurrencyLimiter& gate() const { return gate_; }
@@ -76,7 +78,7 @@
   std::shared_ptr<ConnectionPool> pool_;
   std::unordered_map<std::uint64_t, Waiter*> waiters_;
   std::uint64_t next_id_ = 1;
-  Statement statement_;
+  bool leaving_ = false;  ///< it said so
   TargetRateLimit rate_limit_;
 };
 
