--- a/unit_tests/core/rollout/rollout_fixture.h
+++ b/unit_tests/core/rollout/rollout_fixture.h
@@ -201,6 +201,16 @@
     for (auto& [name, host] : hosts_) host.clock_error = error;
   }
 
+  /// Ends a host; the others learn that it is dead.
+  void Kill(const std::string& victim) {
+    hosts_.at(victim).paused = true;
+    std::map<HostId, HostRecord> records = MakeHostRecords();
+    records.at(HostId(victim)).status = HostStatus::kDead;
+    for (auto& [name, host] : hosts_) {
+      if (name != victim) host.manager->SetHosts(records);
+    }
+  }
+
   std::string Owner() const {
     std::vector<HostId> hosts;
     for (const auto& [name, host] : hosts_) hosts.emplace_back(name);
--- a/unit_tests/core/rollout/short_rollout_test.cc
+++ b/unit_tests/core/rollout/short_rollout_test.cc
@@ -120,12 +120,7 @@
   ASSERT_EQ(Stage(), RolloutStage::kCanary);
   const std::string owner = Owner();
   StartHost(owner);
-  hosts_.at(owner).paused = true;
-  std::map<HostId, HostRecord> records = MakeHostRecords();
-  records.at(HostId(owner)).status = HostStatus::kDead;
-  for (auto& [name, host] : hosts_) {
-    if (name != owner) host.manager->SetHosts(records);
-  }
+  Kill(owner);
   Run(8, NeverFails);
   const std::string other = owner == "h0" ? "h1" : "h0";
   EXPECT_EQ(RecordOf(other).stage, RolloutStage::kDone);
@@ -160,12 +155,7 @@
   Run(3, NeverFails);
   ASSERT_EQ(Stage(), RolloutStage::kCanary);
   const std::string owner = Owner();
-  hosts_.at(owner).paused = true;
-  std::map<HostId, HostRecord> records = MakeHostRecords();
-  records.at(HostId(owner)).status = HostStatus::kDead;
-  for (auto& [name, host] : hosts_) {
-    if (name != owner) host.manager->SetHosts(records);
-  }
+  Kill(owner);
   const std::string other = owner == "h0" ? "h1" : "h0";
   Run(3, NeverFails);
   EXPECT_EQ(RecordOf(other).stage, RolloutStage::kCanary);
