Send again at once on a new connection when a mesh call is not answered

Cause: a mesh call over a connection that had gone silent took 5 s to fail, its messages were dropped, and the next ones too until a backoff had passed. All neighbours that had the change pushed it into silent connections.

Change: a call that is not answered within 1 s closes its connection; its messages are sent again at once on a new one. If that call times out too, the peer is unresponsive and reported as lost, with the backoff as before. Messages are merged, so that a repeated one does no harm (FakeMesh repeats them in the tests of the replicator).

--- a/mesh/peer_channel.cc
+++ b/mesh/peer_channel.cc
@@ -148,35 +148,62 @@
     counters_.AddEncodedBytes(
         MessagePurpose(message),
         messages[index].totalSize().wordCount * sizeof(capnp::word));
+    in_delivery_.push_back(std::move(queue_.front()));
     queue_.pop_front();
   }
   call_in_flight_ = true;
   connection_->call =
       timer_.timeoutAfter(options_.call_timeout, request.send().ignoreResult())
-          .then(
-              [this] {
-                call_in_flight_ = false;
-                // The next call replaces this promise, which must not be
-                // destroyed while its continuation runs.
-                tasks_.add(kj::evalLater([this] { DeliverIfReady(); }));
-              },
-              [this](kj::Exception&&) { Disconnect(); })
+          .then([this] { OnDelivered(); },
+                [this](kj::Exception&& exception) {
+                  const bool timed_out =
+                      exception.getType() == kj::Exception::Type::OVERLOADED;
+                  timed_out ? OnCallTimeout() : Disconnect();
+                })
           .eagerlyEvaluate(nullptr);
 }
 
+void PeerChannel::OnDelivered() {
+  call_in_flight_ = false;
+  redelivering_ = false;
+  in_delivery_.clear();
+  // The next call replaces the promise of this one, which must not be destroyed
+  // while its continuation runs.
+  tasks_.add(kj::evalLater([this] { DeliverIfReady(); }));
+}
+
+void PeerChannel::OnCallTimeout() {
+  if (redelivering_) {
+    Disconnect();
+    return;
+  }
+  redelivering_ = true;
+  call_in_flight_ = false;
+  queue_.insert(queue_.begin(), in_delivery_.begin(), in_delivery_.end());
+  in_delivery_.clear();
+  CloseConnection();
+  Connect();
+}
+
+void PeerChannel::CloseConnection() {
+  // This may run in a continuation of a promise of the connection, so the
+  // connection is destroyed in a later turn of the event loop.
+  tasks_.add(kj::evalLater(
+      [closed = kj::mv(connection_)]() mutable { closed = nullptr; }));
+}
+
 void PeerChannel::Disconnect() {
   if (phase_ == Phase::kIdle) return;
   phase_ = Phase::kIdle;
   call_in_flight_ = false;
-  counters_.dropped.fetch_add(queue_.size(), std::memory_order_relaxed);
+  redelivering_ = false;
+  counters_.dropped.fetch_add(queue_.size() + in_delivery_.size(),
+                              std::memory_order_relaxed);
   queue_.clear();
+  in_delivery_.clear();
   next_connect_ =
       timer_.now() + backoff_.Next(random_).count() * kj::MILLISECONDS;
-
-  // This may run in a continuation of a promise of the connection, so the
-  // connection is destroyed in a later turn of the event loop.
-  tasks_.add(kj::evalLater(
-      [closed = kj::mv(connection_)]() mutable { closed = nullptr; }));
+  CloseConnection();
   options_.on_connection_state(false);
 }
 
--- a/mesh/peer_channel.h
+++ b/mesh/peer_channel.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "core/base/backoff.h"
 #include "core/base/endpoint.h"
@@ -26,7 +27,9 @@
 /// Send() opens a connection if there is none and the backoff delay has
 /// elapsed. At most one delivery call is in flight; messages that are queued
 /// meanwhile are batched into the next one. A call that times out closes the
-/// connection, because the peer is considered unresponsive.
+/// connection. As the connection alone may have gone silent, the batch is sent
+/// again at once on a new one, so a message may be delivered twice. If that
+/// fails, too, the peer is considered unresponsive.
 class PeerChannel final : private kj::TaskSet::ErrorHandler {
  public:
   struct Options {
@@ -35,7 +38,7 @@
     std::string key{};  ///< mesh key
     kj::Duration connect_timeout =
         3 * kj::SECONDS;  ///< for connecting, including the handshake
-    kj::Duration call_timeout = 5 * kj::SECONDS;  ///< for one delivery call
+    kj::Duration call_timeout = 1 * kj::SECONDS;  ///< for one delivery call
     std::size_t max_queued_messages = 4096;       ///< further ones are dropped
     std::size_t max_batch_messages = 128;  ///< messages per delivery call
     std::uint32_t random_seed = 1;         ///< seed of the backoff jitter
@@ -67,6 +70,9 @@
   void OnConnected(Connection& connection);
   void DeliverIfReady();
   void Deliver();
+  void OnDelivered();
+  void OnCallTimeout();
+  void CloseConnection();
   void Disconnect();
   void taskFailed(kj::Exception&& exception) override;
 
@@ -81,6 +87,10 @@
   kj::TimePoint next_connect_;
   kj::TimePoint last_used_;
   std::deque<std::shared_ptr<const MeshMessage>> queue_;
+  std::vector<std::shared_ptr<const MeshMessage>>
+      in_delivery_;            // not in queue_
+  bool redelivering_ = false;  // the last call timed out; its messages are sent
+                               // again on a new connection
   kj::Own<Connection> connection_;
   kj::TaskSet tasks_;
 };
--- a/unit_tests/mesh/mesh_transport_test.cc
+++ b/unit_tests/mesh/mesh_transport_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <memory>
@@ -10,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "harness/relay.h"
+
 namespace camphor {
 namespace {
 
@@ -41,11 +44,22 @@
   bool WaitReceived(std::size_t count) {
     return Wait([&] { return received_.size() >= count; });
   }
+  bool WaitReceivedVersions() {
+    return Wait([&] {
+      return std::ranges::any_of(received_, [](const auto& received) {
+        return std::holds_alternative<AppliedVersions>(received.second);
+      });
+    });
+  }
   bool WaitLost(int count) {
     return Wait([&] { return lost_ >= count; });
   }
 
   bool started() const { return started_; }
+  int lost() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return lost_;
+  }
   MeshTransport& transport() { return transport_; }
   Endpoint endpoint() const { return transport_.listen_endpoint(); }
   const std::vector<std::pair<Endpoint, MeshMessage>>& received() const {
@@ -125,6 +139,36 @@
   EXPECT_TRUE(right->WaitReceived(1));
 }
 
+TEST(MeshTransportSend, ConnectionGoesSilent_DeliversOnNewConnectionInTime) {
+  // Time within which a host that is in touch applies a change.
+  constexpr std::chrono::milliseconds kApplyBound{2000};
+  TestHost left("key");
+  TestHost right("key");
+  Relay relay({.listen = {.address = "127.0.0.1"}, .to = right.endpoint()});
+  ASSERT_TRUE(relay.Start()) << relay.last_reason();
+  left.transport().Send(relay.endpoint(), kHeartbeat);
+  ASSERT_TRUE(right.WaitReceived(1));
+
+  relay.StallOpen();
+  const auto sent = std::chrono::steady_clock::now();
+  left.transport().Send(relay.endpoint(), AppliedVersions{.version = 9});
+  ASSERT_TRUE(right.WaitReceivedVersions());
+  EXPECT_LT(std::chrono::steady_clock::now() - sent, kApplyBound);
+  EXPECT_EQ(left.lost(), 0) << "the peer itself was never out of reach";
+}
+
+TEST(MeshTransportSend, PeerNeverAnswers_IsReportedLost) {
+  TestHost left("key");
+  TestHost right("key");
+  Relay relay({.listen = {.address = "127.0.0.1"}, .to = right.endpoint()});
+  ASSERT_TRUE(relay.Start()) << relay.last_reason();
+  left.transport().Send(relay.endpoint(), kHeartbeat);
+  ASSERT_TRUE(right.WaitReceived(1));
+  relay.Cut();
+  left.transport().Send(relay.endpoint(), kHeartbeat);
+  EXPECT_TRUE(left.WaitLost(1));
+}
+
 TEST(MeshTransportSend, ConnectionsAboveLimit_AreClosedAndCounted) {
   TestHost host("key", 0, 1);
   TestHost first("key");
