Serve requests that a caller sends ahead at the same time, and answer them in order

Cause: a caller's connection was served one request at a time, so that each request sent ahead waited for the answer before it, while its target had free slots.

Change: CallerSession goes on reading while requests run. Repeatable ones run at the same time, up to 16 a connection; one that must not be repeated starts once all before it are answered. ResponseSequencer writes responses in the order of the requests: the first as it arrives, those behind are buffered up to 256 KiB a connection and 8 MiB a proxy, then their targets are no longer read. A response that broke off before any byte of it was written is replaced by an error, so that others keep their connection. A draining host says close in the last response that it owes. A caller that leaves cancels all of its requests; one that waited to start is not started. Reading and writing stop separately, by a cancellation signal and a timer of their own.

Found on the way: an error response to a HEAD request carried its body, so that the bytes behind it were taken for the next response, on connections of callers and between hosts. Responses to HEAD have none now.

Metric pipelined_requests, state buffered_response_bytes, log field 'behind'.

--- a/node/log/request_log.cc
+++ b/node/log/request_log.cc
@@ -61,6 +61,7 @@
                      {"left_us", Number(decision.remaining_time)},
                      {"in_flight", decision.in_flight},
                      {"waiting", decision.waiting},
+                     {"behind", decision.responses_before},
                      {"usual_us", Number(decision.usual_latency)},
                      {"left_out", suppressed_}});
 }
--- a/proxy/asio_types.h
+++ b/proxy/asio_types.h
@@ -3,6 +3,8 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -85,7 +85,7 @@
 }
 
 CallerRequest::CallerRequest(ProxyContext& context, Options options)
-    : context_(context), options_(options) {}
+    : context_(context), options_(std::move(options)) {}
 
 asio::awaitable<CallerRequest::Result> CallerRequest::Run() {
   fingerprint_ = RequestFingerprint(*options_.header, options_.body->prefix());
@@ -211,9 +211,7 @@
     header.set(kTargetHeader, target().info.id.value());
     header.set(kVersionHeader, target().info.version.value());
   }
-  const bool keep =
-      options_.keep_alive && options_.body->complete() && !context_.draining;
-  if (!keep) header.set(http::field::connection, "close");
+  if (!options_.keep_alive()) header.set(http::field::connection, "close");
   const Exchange::RelayResult relayed =
       co_await exchange.Relay(std::move(header), options_.receiver);
   co_return relayed;
@@ -269,7 +267,8 @@
       .status = status,
       .age = std::chrono::duration_cast<Microseconds>(
           std::chrono::steady_clock::now() - options_.arrival),
-      .remaining_time = options_.control->RemainingTime()};
+      .remaining_time = options_.control->RemainingTime(),
+      .responses_before = options_.responses_before};
   if (routing_) {
     decision.route = rule().name.value();
     decision.version = routing_->head.version;
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -2,6 +2,7 @@
 #define CAMPHORHILL_PROXY_CALLER_REQUEST_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,7 +35,11 @@
     RequestControl* control = nullptr;  ///< deadline and cancellation
     Exchange::Receiver receiver{};      ///< where the response is written
     MonoTime arrival{};                 ///< when the header was complete
-    bool keep_alive = true;             ///< the caller requested keep-alive
+    std::function<bool()>
+        keep_alive{};  ///< returns true if the connection stays open after the
+                       ///< response; called once, before its header is written
+    std::uint32_t responses_before = 0;  ///< responses that the connection owed
+                                         ///< when the request was started
   };
 
   /// Result of a request.
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -1,7 +1,13 @@
 #include "proxy/caller_session.h"
 
+#include <poll.h>
+
 #include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <chrono>
+#include <sstream>
 #include <string>
 #include <utility>
 
@@ -28,8 +34,35 @@
 
 }  // namespace
 
+// A request whose header was read, until its response is complete.
+struct CallerSession::ReceivedRequest {
+  const http::request_header<>& header() const { return parser->get(); }
+  bool is_head() const { return header().method() == http::verb::head; }
+
+  std::unique_ptr<RequestParser> parser{};
+  MonoTime arrival{};
+  bool keep = false;  ///< the caller requested keep-alive
+  EffectiveRoutingPtr routing{};
+  bool repeatable = false;     ///< according to its route
+  Milliseconds time_limit{0};  ///< of the caller and of the route
+  std::shared_ptr<RequestControl> control{};
+  std::optional<InboundBody> body{};
+  ResponseSequencer::ResponsePtr response{};
+  std::uint32_t responses_before = 0;
+  std::string fault{};  ///< what is wrong with it
+};
+
 CallerSession::CallerSession(ProxyContext& context, tcp::socket socket)
-    : HttpSession(context, std::move(socket)) {
+    : HttpSession(context, std::move(socket)),
+      responses_(
+          {.socket = &socket_,
+           .progress = &write_progress_,
+           .stall_limit = context.options.limits.body_timeout,
+           .max_buffered = context.options.limits.buffered_response_bytes,
+           .max_buffered_by_proxy =
+               context.options.limits.buffered_response_bytes_by_proxy,
+           .buffered_by_proxy = &context.buffered_response_bytes,
+           .on_empty = [this] { RestartIdleTimeout(); }}) {
   ++context_.caller_sessions;
 }
 
@@ -42,38 +75,61 @@
   return set ? routing->limits : HttpSession::Limits();
 }
 
-asio::awaitable<bool> CallerSession::Serve(RequestParser& parser) {
-  const MonoTime arrival = std::chrono::steady_clock::now();
-  const http::request_header<>& header = parser.get();
-  const bool keep = parser.keep_alive();
-  const bool keep_without_body = keep && parser.is_done();
+asio::awaitable<bool> CallerSession::Serve(
+    std::unique_ptr<RequestParser> parser) {
+  auto request = std::make_shared<ReceivedRequest>();
+  request->parser = std::move(parser);
+  request->arrival = std::chrono::steady_clock::now();
+  request->keep = request->parser->keep_alive();
   context_.metrics.Count(Counter::kCallerRequests);
+  if (closing_) co_return false;
+  std::optional<ErrorReply> refusal = Examine(*request);
+  if (refusal) {
+    refusal->head_request = request->is_head();
+    const bool more = co_await WriteError(*refusal);
+    co_return more;
+  }
+  const bool read = co_await ReadBody(*request);
+  if (!read) co_return false;
+  const bool starts = co_await AwaitStart(request->repeatable);
+  if (!starts) co_return false;
+
+  request->responses_before = static_cast<std::uint32_t>(responses_.pending());
+  if (request->responses_before > 0)
+    context_.metrics.Count(Counter::kPipelinedRequests);
+  request->response = responses_.Append();
+  controls_.insert(request->control);
+  ++context_.in_flight;
+  if (request->body->complete()) {
+    asio::co_spawn(socket_.get_executor(), Answer(request), asio::detached);
+  } else {
+    // The next request starts behind the body.
+    co_await Answer(request);
+  }
+  co_return request->keep && request->body->complete() && !closing_;
+}
+
+std::optional<HttpSession::ErrorReply> CallerSession::Examine(
+    ReceivedRequest& request) const {
+  const http::request_header<>& header = request.header();
   if (const auto fault = FindRequestHeaderError(header)) {
     context_.metrics.Count(Counter::kBadRequests);
-    const bool more =
-        co_await WriteError(ProxyError::kBadRequest, false, *fault);
-    co_return more;
+    request.fault = *fault;
+    return ErrorReply{.detail = request.fault};
   }
 
   // Find the route and validate the headers that it requires.
-  const EffectiveRoutingPtr routing = context_.Routing();
-  const RouteQuery query = MakeRouteQuery(header);
+  const bool keep = request.keep && request.parser->is_done();
+  request.routing = context_.Routing();
+  const EffectiveRoutingPtr& routing = request.routing;
   const std::optional<std::uint32_t> route =
-      routing ? MatchRoute(*routing, query) : std::nullopt;
+      routing ? MatchRoute(*routing, MakeRouteQuery(header)) : std::nullopt;
   if (!route) {
     context_.metrics.Count(Counter::kRefusedNotRun);
     const ProxyError error =
         routing ? ProxyError::kNoRoute : ProxyError::kNotReady;
-    if (context_.options.on_decision) {
-      context_.options.on_decision(
-          {.kind = RequestDecision::Kind::kRefused,
-           .request_id = GetRequestId(header, context_.options.vocabulary),
-           .reason = GetErrorTraits(error).reason,
-           .status = static_cast<unsigned>(GetErrorTraits(error).status),
-           .version = routing ? routing->head.version : 0});
-    }
-    const bool more = co_await WriteError(error, keep_without_body);
-    co_return more;
+    ReportRefusal(request, error);
+    return ErrorReply{.error = error, .keep = keep};
   }
   const RouteRule& rule = *routing->routes[*route].rule;
   const HeaderVocabulary& vocabulary = context_.options.vocabulary;
@@ -83,66 +139,197 @@
   if (!limit || (!key.empty() && !IsValidIdempotencyKey(key)) ||
       header.count(kIdempotencyKeyHeader) > 1) {
     context_.metrics.Count(Counter::kBadRequests);
-    const bool more = co_await WriteError(
-        ProxyError::kBadRequest, keep_without_body,
-        limit ? std::string(
-                    "Idempotency-Key must occur once, with 1 to 255 visible "
-                    "characters")
-              : vocabulary.deadline + " must be a number of milliseconds");
-    co_return more;
+    request.fault =
+        limit ? "Idempotency-Key must occur once, with 1 to 255 "
+                "visible characters"
+              : vocabulary.deadline + " must be a number of milliseconds";
+    return ErrorReply{.keep = keep, .detail = request.fault};
   }
   if (rule.at_most_once && key.empty()) {
     context_.metrics.Count(Counter::kBadRequests);
-    const bool more =
-        co_await WriteError(ProxyError::kKeyMissing, keep_without_body);
-    co_return more;
+    return ErrorReply{.error = ProxyError::kKeyMissing, .keep = keep};
   }
+  request.repeatable = rule.repeatable;
+  request.time_limit = std::min(*limit, rule.timeout);
+  return std::nullopt;
+}
 
-  RequestControl& control =
-      StartControl(arrival + std::min(*limit, rule.timeout),
-                   context_.options.limits.deadline_grace);
-  InboundBody body({.socket = &socket_,
-                    .buffer = &buffer_,
-                    .parser = &parser,
-                    .progress = &progress_,
-                    .stall_limit = context_.options.limits.body_timeout,
-                    .on_complete = [this] { WatchForDisconnect(); }});
-  if (!parser.is_done() &&
-      beast::iequals(header[http::field::expect], "100-continue")) {
-    auto [error, bytes] = co_await asio::async_write(
-        socket_, asio::buffer(kContinue.data(), kContinue.size()), kAsTuple);
+void CallerSession::ReportRefusal(const ReceivedRequest& request,
+                                  ProxyError error) const {
+  if (!context_.options.on_decision) return;
+  context_.options.on_decision(
+      {.kind = RequestDecision::Kind::kRefused,
+       .request_id =
+           GetRequestId(request.header(), context_.options.vocabulary),
+       .reason = GetErrorTraits(error).reason,
+       .status = static_cast<unsigned>(GetErrorTraits(error).status),
+       .version = request.routing ? request.routing->head.version : 0});
+}
+
+asio::awaitable<bool> CallerSession::ReadBody(ReceivedRequest& request) {
+  request.control = std::make_shared<RequestControl>(
+      socket_.get_executor(), request.arrival + request.time_limit);
+  request.control->Start(context_.options.limits.deadline_grace);
+  request.body.emplace(
+      InboundBody::Options{.socket = &socket_,
+                           .buffer = &buffer_,
+                           .parser = request.parser.get(),
+                           .progress = &read_progress_,
+                           .read_stop = &read_stop_,
+                           .stall_limit = context_.options.limits.body_timeout,
+                           .on_complete = [this, &request] {
+                             // While a request runs whose body is still to
+                             // come, nothing else reads.
+                             if (request.response) WatchForDisconnect();
+                           }});
+  if (!request.parser->is_done() &&
+      beast::iequals(request.header()[http::field::expect], "100-continue")) {
+    // The interim response must not come in between earlier responses.
+    const bool starts = co_await AwaitStart(false);
+    if (!starts) co_return false;
+    const std::array bytes{
+        asio::const_buffer(kContinue.data(), kContinue.size())};
+    const Exchange::Receiver to_caller = receiver();
+    const beast::error_code error = co_await to_caller(bytes);
     if (error) co_return false;
   }
   bool fetched = false;
   {
-    const RequestControl::Scope scope(control, [this] {
-      beast::error_code ignored;
-      socket_.cancel(ignored);
-    });
-    fetched =
-        co_await body.Prefetch(context_.options.limits.buffered_body_bytes);
+    const RequestControl::Scope scope(*request.control,
+                                      [this] { StopReading(); });
+    fetched = co_await request.body->Prefetch(
+        context_.options.limits.buffered_body_bytes);
   }
-  if (!fetched) {
-    const bool late = control.stopped() == RequestControl::Stop::kDeadline;
-    if (body.too_long()) co_await WriteError(ProxyError::kBodyTooLong, false);
-    if (late) co_await WriteError(ProxyError::kTooLate, false);
-    if (stalled_) co_await WriteError(ProxyError::kSlowRequest, false);
-    co_return false;
+  if (fetched) co_return true;
+  const bool late =
+      request.control->stopped() == RequestControl::Stop::kDeadline;
+  request.control->Finish();
+  if (request.body->too_long()) {
+    co_await WriteError({.error = ProxyError::kBodyTooLong});
+  } else if (late) {
+    co_await WriteError({.error = ProxyError::kTooLate});
+  } else if (stalled_) {
+    co_await WriteError({.error = ProxyError::kSlowRequest});
+  } else if (!closing_) {
+    OnDisconnect();
   }
+  co_return false;
+}
 
-  CallerRequest request(context_, {.header = &header,
-                                   .body = &body,
-                                   .control = &control,
-                                   .receiver = receiver(),
-                                   .arrival = arrival,
-                                   .keep_alive = keep});
-  const CallerRequest::Result result = co_await request.Run();
-  if (result.error) {
-    const bool more =
-        co_await WriteError(*result.error, keep && body.complete());
-    co_return more;
+asio::awaitable<bool> CallerSession::AwaitStart(bool repeatable) {
+  const std::size_t most =
+      repeatable ? context_.options.limits.pipelined_requests : 1;
+  bool waited = false;
+  while (responses_.pending() >= most && !responses_.broken() && !closing_) {
+    waited = true;
+    WatchForDisconnect();
+    co_await responses_.WaitForChange();
   }
-  co_return (result.complete && keep && body.complete() && !context_.draining);
+  if (responses_.broken() || closing_) co_return false;
+  if (!waited || !IsPeerClosed()) co_return true;
+  OnDisconnect();
+  co_return false;
+}
+
+bool CallerSession::IsPeerClosed() {
+  // Unlike a read, this also detects a close behind unread requests.
+  pollfd state{.fd = socket_.native_handle(), .events = POLLRDHUP};
+  return poll(&state, 1, 0) > 0 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+asio::awaitable<void> CallerSession::Answer(
+    std::shared_ptr<ReceivedRequest> request) {
+  const auto self = shared_from_this();
+  const ResponseSequencer::ResponsePtr& response = request->response;
+  CallerRequest run(
+      context_,
+      {.header = &request->header(),
+       .body = &*request->body,
+       .control = request->control.get(),
+       .receiver =
+           [this, response](std::span<const asio::const_buffer> bytes) {
+             return responses_.Write(response, bytes);
+           },
+       .arrival = request->arrival,
+       .keep_alive =
+           [this, &request] {
+             return KeepsOpen(request->response,
+                              request->keep && request->body->complete());
+           },
+       .responses_before = request->responses_before});
+  const CallerRequest::Result result = co_await run.Run();
+  bool complete = result.complete;
+  std::optional<ProxyError> error = result.error;
+  if (!error && !complete && responses_.Retract(response)) {
+    // Nothing of the truncated response was sent, so the caller gets an error
+    // and the connection remains usable.
+    const bool late =
+        request->control->stopped() == RequestControl::Stop::kDeadline;
+    error = late ? ProxyError::kDeadline : ProxyError::kTargetBroke;
+  }
+  if (error && *error != ProxyError::kCallerGone) {
+    const bool keep = KeepsOpen(
+        response, !closing_ && request->keep && request->body->complete());
+    const ErrorReply reply{
+        .error = *error, .keep = keep, .head_request = request->is_head()};
+    complete = co_await AppendError(response, reply);
+  }
+  request->control->Finish();
+  controls_.erase(request->control);
+  const bool delivered = co_await responses_.End(response, complete);
+  if (!delivered) OnDisconnect();
+  --context_.in_flight;
+}
+
+bool CallerSession::KeepsOpen(const ResponseSequencer::ResponsePtr& response,
+                              bool keep) {
+  if (keep && !context_.draining) return true;
+  // Responses behind this one must still be delivered.
+  if (!responses_.IsLast(response)) return true;
+  closing_ = true;
+  StopReading();
+  return false;
+}
+
+asio::awaitable<bool> CallerSession::WriteError(ErrorReply reply) {
+  if (closing_) co_return false;
+  const ResponseSequencer::ResponsePtr response = responses_.Append();
+  reply.keep = KeepsOpen(response, reply.keep);
+  const bool written = co_await AppendError(response, reply);
+  const bool delivered = co_await responses_.End(response, written);
+  co_return reply.keep&& delivered;
+}
+
+asio::awaitable<bool> CallerSession::AppendError(
+    const ResponseSequencer::ResponsePtr& response, const ErrorReply& reply) {
+  std::ostringstream text;
+  text << MakeError(reply);
+  const std::string bytes = text.str();
+  const std::array parts{asio::const_buffer(bytes.data(), bytes.size())};
+  const beast::error_code failed = co_await responses_.Write(response, parts);
+  co_return !failed;
+}
+
+asio::awaitable<void> CallerSession::AwaitResponses() {
+  while (responses_.pending() > 0 && !responses_.broken()) {
+    WatchForDisconnect();
+    co_await responses_.WaitForChange();
+  }
+}
+
+void CallerSession::OnDisconnect() {
+  responses_.Break();
+  StopReading();
+  // Stopping a request can end it and remove its control.
+  const auto running = controls_;
+  for (const std::shared_ptr<RequestControl>& control : running)
+    control->StopNow(RequestControl::Stop::kCallerGone);
+}
+
+void CallerSession::Close() {
+  OnDisconnect();
+  HttpSession::Close();
 }
 
 }  // namespace camphor
--- a/proxy/exchange.cc
+++ b/proxy/exchange.cc
@@ -3,10 +3,12 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <cassert>
 #include <limits>
 #include <span>
 #include <utility>
+#include <vector>
 
 #include "proxy/header_rules.h"
 
@@ -22,6 +24,28 @@
 constexpr std::uint32_t kMaxInterimResponses = 1000;
 constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
 
+/// Writes what a serializer has to write now: until the message is complete or
+/// it needs more of the body.
+asio::awaitable<beast::error_code> WriteAvailable(
+    http::response_serializer<http::buffer_body>& serializer,
+    const Exchange::Receiver& receiver) {
+  std::vector<asio::const_buffer> parts;
+  while (!serializer.is_done()) {
+    parts.clear();
+    beast::error_code error;
+    serializer.next(error, [&parts](beast::error_code&, const auto& buffers) {
+      for (const asio::const_buffer part : beast::buffers_range_ref(buffers))
+        parts.push_back(part);
+    });
+    if (error == http::error::need_buffer) break;
+    if (error) co_return error;
+    error = co_await receiver(parts);
+    if (error) co_return error;
+    serializer.consume(beast::buffer_bytes(parts));
+  }
+  co_return beast::error_code{};
+}
+
 }  // namespace
 
 Exchange::Exchange(Options options)
@@ -230,6 +254,25 @@
   pump_ended_.cancel();
 }
 
+asio::awaitable<bool> Exchange::ReadSmallBody() {
+  const RequestControl::Scope scope(*options_.control,
+                                    [this] { options_.connection->Close(); });
+  const auto length = response_->content_length();
+  if (response_->is_done() || !length || *length > kChunkBytes) co_return true;
+  small_body_.resize(static_cast<std::size_t>(*length));
+  std::size_t size = 0;
+  while (!response_->is_done()) {
+    response_->get().body().data = small_body_.data() + size;
+    response_->get().body().size = small_body_.size() - size;
+    auto [error, bytes] = co_await http::async_read_some(
+        options_.connection->socket, options_.connection->buffer, *response_,
+        kAsTuple);
+    size = small_body_.size() - response_->get().body().size;
+    if (error && error != http::error::need_buffer) co_return false;
+  }
+  co_return true;
+}
+
 asio::awaitable<Exchange::RelayResult> Exchange::Relay(
     http::response_header<> header, Receiver receiver) {
   const RequestControl::Scope scope(*options_.control,
@@ -238,7 +281,7 @@
   http::response<http::buffer_body> out(std::move(header));
   out.version(11);
   out.erase(http::field::content_length);
-  const bool bodiless = response_->is_done();
+  const bool bodiless = response_->is_done() && small_body_.empty();
   if (const auto length = response_->content_length()) {
     out.content_length(*length);
   } else if ((response_->chunked() || response_->need_eof()) && !bodiless) {
@@ -252,7 +295,9 @@
 
   bool done = bodiless;
   do {
-    std::size_t size = 0;
+    char* data = chunk.get();
+    std::size_t size = small_body_.size();
+    if (size > 0) data = small_body_.data();
     while (size == 0 && !response_->is_done()) {
       response_->get().body().data = chunk.get();
       response_->get().body().size = kChunkBytes;
@@ -267,15 +312,12 @@
       }
     }
     done = response_->is_done();
-    out.body().data = size == 0 ? nullptr : chunk.get();
+    out.body().data = size == 0 ? nullptr : data;
     out.body().size = size;
     out.body().more = !done;
-    receiver.progress->Set(receiver.stall_limit);
-    auto [error, bytes] =
-        co_await http::async_write(*receiver.socket, serializer, kAsTuple);
-    receiver.progress->Clear();
-    if (error && error != http::error::need_buffer)
-      co_return RelayResult::kReceiverLost;
+    const beast::error_code error =
+        co_await WriteAvailable(serializer, receiver);
+    if (error) co_return RelayResult::kReceiverLost;
   } while (!done);
   response_complete_ = true;
   co_return RelayResult::kComplete;
@@ -302,7 +344,7 @@
 asio::awaitable<void> Exchange::Join() {
   if (!pumping_) co_return;
   options_.connection->Close();
-  options_.body->CancelRead();
+  options_.body->StopRead();
   // Closing the sockets ends the pump's pending operation, whichever it is.
   while (pumping_) co_await pump_ended_.async_wait(kAsTuple);
 }
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 #include "core/base/time.h"
@@ -12,7 +13,6 @@
 #include "proxy/connection.h"
 #include "proxy/header_vocabulary.h"
 #include "proxy/inbound_body.h"
-#include "proxy/progress_timer.h"
 #include "proxy/request_control.h"
 
 namespace camphor {
@@ -62,14 +62,9 @@
     kReceiverLost,  ///< writing to the receiver failed
   };
 
-  /// Destination of a response.
-  struct Receiver {
-    tcp::socket* socket =
-        nullptr;  ///< connection of the caller or the other host
-    ProgressTimer* progress =
-        nullptr;                     ///< cancels socket operations on a stall
-    Milliseconds stall_limit{5000};  ///< write timeout
-  };
+  /// Destination of a response: writes all of the given bytes.
+  using Receiver = std::function<asio::awaitable<beast::error_code>(
+      std::span<const asio::const_buffer>)>;
 
   /// @pre every pointer is set and outlives this.
   explicit Exchange(Options options);
@@ -81,6 +76,11 @@
   /// Returns the response header. @pre Send returned kResponse.
   const http::response_header<>& response() const { return response_->get(); }
 
+  /// Reads the response body in advance if its length is known and small, so
+  /// that a response that breaks off is noticed before any of it is relayed.
+  /// Returns false if it broke off. @pre Send returned kResponse.
+  asio::awaitable<bool> ReadSmallBody();
+
   /// Relays the response body, with `header` in place of the received one.
   asio::awaitable<RelayResult> Relay(http::response_header<> header,
                                      Receiver receiver);
@@ -111,6 +111,7 @@
   std::optional<http::request<http::buffer_body>> request_;
   std::optional<http::request_serializer<http::buffer_body>> serializer_;
   std::optional<ResponseParser> response_;
+  std::string small_body_;  ///< the whole body, if it was read in advance
   std::unique_ptr<char[]> pump_buffer_;
   asio::steady_timer pump_ended_;
   std::size_t bytes_sent_ = 0;
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -53,9 +53,10 @@
 
 ForwardSession::~ForwardSession() { --context_.forward_sessions; }
 
-asio::awaitable<bool> ForwardSession::Serve(RequestParser& parser) {
+asio::awaitable<bool> ForwardSession::Serve(
+    std::unique_ptr<RequestParser> parser) {
   const MonoTime arrival = std::chrono::steady_clock::now();
-  const http::request_header<>& header = parser.get();
+  const http::request_header<>& header = parser->get();
   const std::string_view control_value = HeaderValue(header, kControlHeader);
   if (!authenticated_ && control_value == kHelloControl) {
     const bool more = co_await HandleHello(header);
@@ -71,15 +72,14 @@
   }
 
   context_.metrics.Count(Counter::kForwardRequests);
-  const bool keep = parser.keep_alive();
+  const bool keep = parser->keep_alive();
   if (const auto fault = FindRequestHeaderError(header)) {
     context_.metrics.Count(Counter::kBadRequests);
-    const bool more =
-        co_await WriteError(ProxyError::kBadRequest, false, *fault);
+    const bool more = co_await WriteError({.detail = *fault});
     co_return more;
   }
   if (context_.draining) {
-    const bool more = co_await WriteError(ProxyError::kDraining, false);
+    const bool more = co_await WriteError({.error = ProxyError::kDraining});
     co_return more;
   }
   const Milliseconds limit = ReadDeadline(header, kDeadlineHeader, kMaxDeadline)
@@ -87,8 +87,9 @@
   RequestControl& control = StartControl(arrival + limit, Milliseconds(0));
   InboundBody body({.socket = &socket_,
                     .buffer = &buffer_,
-                    .parser = &parser,
-                    .progress = &progress_,
+                    .parser = parser.get(),
+                    .progress = &read_progress_,
+                    .read_stop = &read_stop_,
                     .stall_limit = context_.options.limits.body_timeout,
                     .on_complete = [this] { WatchForDisconnect(); }});
 
@@ -139,6 +140,7 @@
 asio::awaitable<bool> ForwardSession::RunRequest(PlacedRequest request,
                                                  InboundBody& body, bool keep) {
   heartbeat_.Set(context_.options.limits.first_heartbeat);
+  const bool head_request = request.header.method() == http::verb::head;
   LocalRun run(context_, std::move(request));
   const std::optional<ProxyError> error = co_await run.Begin();
   heartbeat_.Clear();
@@ -146,7 +148,9 @@
     ReportRefusal(run, *error);
     co_await run.End(false);
     if (*error == ProxyError::kCallerGone) co_return false;
-    const bool more = co_await WriteError(*error, keep && body.complete());
+    const bool more = co_await WriteError({.error = *error,
+                                           .keep = keep && body.complete(),
+                                           .head_request = head_request});
     co_return more;
   }
   http::response_header<> header = run.exchange().response();
@@ -154,8 +158,9 @@
   RemoveInternalHeaders(header);
   const bool keeps = keep && body.complete() && !context_.draining;
   if (!keeps) header.set(http::field::connection, "close");
+  const Exchange::Receiver to_sender = receiver();
   const Exchange::RelayResult relayed =
-      co_await run.exchange().Relay(std::move(header), receiver());
+      co_await run.exchange().Relay(std::move(header), to_sender);
   co_await run.End(relayed == Exchange::RelayResult::kTruncated);
   const bool complete = relayed == Exchange::RelayResult::kComplete;
   co_return (complete && keeps && body.complete());
--- a/proxy/forward_session.h
+++ b/proxy/forward_session.h
@@ -21,7 +21,7 @@
   ~ForwardSession() override;
 
  protected:
-  asio::awaitable<bool> Serve(RequestParser& parser) override;
+  asio::awaitable<bool> Serve(std::unique_ptr<RequestParser> parser) override;
 
  private:
   asio::awaitable<bool> HandleHello(const http::request_header<>& header);
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -2,25 +2,48 @@
 
 #include <sys/socket.h>
 
+#include <boost/asio/write.hpp>
+#include <cerrno>
 #include <chrono>
 #include <limits>
+#include <string>
 #include <utility>
 
 namespace camphor {
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
+constexpr std::size_t kMaxDrainedBytes = 64 * kReadBytes;
+
+bool IsHttpError(beast::error_code error) {
+  return error.category() ==
+         http::make_error_code(http::error::bad_method).category();
+}
+
+/// Returns true if the sender closed or reset the connection.
+bool IsDisconnect(beast::error_code error) {
+  if (IsHttpError(error))
+    return error == http::error::end_of_stream ||
+           error == http::error::partial_message;
+  return error != asio::error::operation_aborted;
+}
 
 }  // namespace
 
 HttpSession::HttpSession(ProxyContext& context, tcp::socket socket)
     : context_(context),
       socket_(std::move(socket)),
-      progress_(socket_.get_executor(), [this] {
-        // Cancels the pending operation only, so that an error response can
-        // still be written.
-        stalled_ = true;
-        if (!idle_) context_.metrics.Count(ProxyMetrics::Counter::kSlowCallers);
+      read_progress_(
+          socket_.get_executor(),
+          [this] {
+            // Only reading stops, so that responses can still be written.
+            stalled_ = true;
+            if (!idle_)
+              context_.metrics.Count(ProxyMetrics::Counter::kSlowCallers);
+            StopReading();
+          }),
+      write_progress_(socket_.get_executor(), [this] {
+        context_.metrics.Count(ProxyMetrics::Counter::kSlowCallers);
         beast::error_code ignored;
         socket_.cancel(ignored);
       }) {
@@ -34,79 +57,94 @@
 asio::awaitable<void> HttpSession::Run() {
   const auto self = shared_from_this();
   bool more = true;
-  while (more && !context_.stopping) {
+  while (more && !context_.stopping && !reading_ended_) {
     more = co_await AwaitRequest();
-    if (more) more = co_await ReadAndServe();
+    if (more && !reading_ended_) more = co_await ReadAndServe();
   }
-  // Closing both directions at once could reset the connection and lose the
-  // last response, so only sending is shut down until the peer has had time to
-  // read.
-  beast::error_code ignored;
-  socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  if (!ignored && !context_.stopping) {
-    idle_ = true;
-    progress_.Set(context_.options.limits.connect_timeout);
-    std::size_t drained = 0;
-    while (drained < kReadBytes * 64) {
-      buffer_.clear();
-      auto [error, bytes] = co_await socket_.async_read_some(
-          buffer_.prepare(kReadBytes), kAsTuple);
-      if (error) break;
-      drained += bytes;
-    }
-  }
-  progress_.Clear();
+  co_await AwaitResponses();
+  co_await CloseGracefully();
   Close();
 }
 
 asio::awaitable<bool> HttpSession::AwaitRequest() {
   if (buffer_.size() > 0) co_return true;
   idle_ = true;
-  progress_.Set(Limits().idle_timeout);
-  auto [error, bytes] =
-      co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAsTuple);
-  if (error) co_return false;
-  buffer_.commit(bytes);
+  if (IsIdle()) read_progress_.Set(Limits().idle_timeout);
+  auto [error, bytes] = co_await socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      asio::bind_cancellation_slot(read_stop_.slot(), kAsTuple));
+  read_progress_.Clear();
   idle_ = false;
+  if (error) {
+    if (IsDisconnect(error)) OnDisconnect();
+    co_return false;
+  }
+  buffer_.commit(bytes);
   co_return true;
 }
 
 asio::awaitable<bool> HttpSession::ReadAndServe() {
-  RequestParser parser;
+  auto parser = std::make_unique<RequestParser>();
   const CallerLimits limits = Limits();
-  parser.header_limit(limits.header_bytes);
-  parser.body_limit(limits.body_bytes);
+  parser->header_limit(limits.header_bytes);
+  parser->body_limit(limits.body_bytes);
   idle_ = false;
-  progress_.Set(limits.header_timeout);
-  auto [error, bytes] =
-      co_await http::async_read_header(socket_, buffer_, parser, kAsTuple);
-  progress_.Clear();
+  read_progress_.Set(limits.header_timeout);
+  auto [error, bytes] = co_await http::async_read_header(
+      socket_, buffer_, *parser,
+      asio::bind_cancellation_slot(read_stop_.slot(), kAsTuple));
+  read_progress_.Clear();
   // A request read during shutdown cannot be answered.
   if (context_.stopping) co_return false;
-  if (!error) {
-    ++context_.in_flight;
-    const bool more = co_await Serve(parser);
-    FinishControl();
-    --context_.in_flight;
-    co_return more;
+  if (error) {
+    co_await OnReadError(error);
+    co_return false;
   }
+  ++context_.in_flight;
+  const bool more = co_await Serve(std::move(parser));
+  FinishControl();
+  --context_.in_flight;
+  co_return more;
+}
+
+asio::awaitable<void> HttpSession::OnReadError(beast::error_code error) {
   if (stalled_) {
-    co_await WriteError(ProxyError::kSlowRequest, false);
+    co_await WriteError({.error = ProxyError::kSlowRequest});
+  } else if (IsDisconnect(error)) {
+    OnDisconnect();
   } else if (error == http::error::header_limit ||
              error == http::error::buffer_overflow) {
     context_.metrics.Count(ProxyMetrics::Counter::kBadRequests);
-    co_await WriteError(ProxyError::kHeaderTooLong, false);
+    co_await WriteError({.error = ProxyError::kHeaderTooLong});
   } else if (error == http::error::body_limit) {
     context_.metrics.Count(ProxyMetrics::Counter::kBadRequests);
-    co_await WriteError(ProxyError::kBodyTooLong, false);
-  } else if (error.category() ==
-                 beast::error_code(http::error::bad_method).category() &&
-             error != http::error::end_of_stream &&
-             error != http::error::partial_message) {
+    co_await WriteError({.error = ProxyError::kBodyTooLong});
+  } else if (IsHttpError(error)) {
     context_.metrics.Count(ProxyMetrics::Counter::kBadRequests);
-    co_await WriteError(ProxyError::kBadRequest, false, error.message());
+    const std::string message = error.message();
+    co_await WriteError({.detail = message});
+  }
+}
+
+asio::awaitable<void> HttpSession::CloseGracefully() {
+  // Closing both directions at once could reset the connection and lose the
+  // last response, so only sending is shut down until the peer has had time to
+  // read.
+  beast::error_code failed;
+  socket_.shutdown(tcp::socket::shutdown_send, failed);
+  if (failed || context_.stopping) co_return;
+  idle_ = true;
+  read_progress_.Set(context_.options.limits.connect_timeout);
+  std::size_t drained = 0;
+  while (drained < kMaxDrainedBytes) {
+    buffer_.clear();
+    auto [error, bytes] = co_await socket_.async_read_some(
+        buffer_.prepare(kReadBytes),
+        asio::bind_cancellation_slot(read_stop_.slot(), kAsTuple));
+    if (error) break;
+    drained += bytes;
   }
-  co_return false;
+  read_progress_.Clear();
 }
 
 void HttpSession::Close() {
@@ -115,6 +153,19 @@
   socket_.close(ignored);
 }
 
+void HttpSession::OnDisconnect() {
+  if (control_) control_->StopNow(RequestControl::Stop::kCallerGone);
+}
+
+void HttpSession::StopReading() {
+  reading_ended_ = true;
+  read_stop_.emit(asio::cancellation_type::terminal);
+}
+
+void HttpSession::RestartIdleTimeout() {
+  if (idle_) read_progress_.Set(Limits().idle_timeout);
+}
+
 CallerLimits HttpSession::Limits() {
   const ProxyLimits& limits = context_.options.limits;
   return {.header_bytes = limits.header_bytes,
@@ -123,35 +174,43 @@
           .idle_timeout = limits.keep_alive_timeout};
 }
 
-asio::awaitable<bool> HttpSession::WriteError(ProxyError error, bool keep,
-                                              std::string_view detail) {
+http::response<http::string_body> HttpSession::MakeError(
+    const ErrorReply& reply) const {
   http::response<http::string_body> response = MakeErrorResponse(
-      error, {.sentence = detail,
-              .retry_after = context_.options.limits.retry_after,
-              .fractional_retry_after =
-                  context_.options.vocabulary.fractional_retry_after});
-  const bool keeps = keep && !context_.draining;
-  response.keep_alive(keeps);
-  progress_.Set(context_.options.limits.body_timeout);
-  auto [write_error, bytes] =
-      co_await http::async_write(socket_, response, kAsTuple);
-  progress_.Clear();
-  co_return keeps && !write_error;
+      reply.error, {.sentence = reply.detail,
+                    .retry_after = context_.options.limits.retry_after,
+                    .fractional_retry_after =
+                        context_.options.vocabulary.fractional_retry_after});
+  response.keep_alive(reply.keep);
+  if (reply.head_request) response.body().clear();
+  return response;
+}
+
+asio::awaitable<bool> HttpSession::WriteError(ErrorReply reply) {
+  reply.keep = reply.keep && !context_.draining;
+  const http::response<http::string_body> response = MakeError(reply);
+  write_progress_.Set(context_.options.limits.body_timeout);
+  auto [error, bytes] = co_await http::async_write(socket_, response, kAsTuple);
+  write_progress_.Clear();
+  co_return reply.keep && !error;
 }
 
 void HttpSession::WatchForDisconnect() {
+  if (std::exchange(watching_, true)) return;
   std::weak_ptr<HttpSession> weak = weak_from_this();
-  std::weak_ptr<RequestControl> control = control_;
   socket_.async_wait(
-      tcp::socket::wait_read, [weak, control](const beast::error_code& error) {
+      tcp::socket::wait_read, [weak](const beast::error_code& error) {
         const auto self = weak.lock();
-        const auto request = control.lock();
-        if (error || !self || !request || !self->socket_.is_open()) return;
+        if (!self) return;
+        self->watching_ = false;
+        if (error || !self->socket_.is_open()) return;
         char byte = 0;
         const ssize_t peeked = recv(self->socket_.native_handle(), &byte, 1,
                                     MSG_PEEK | MSG_DONTWAIT);
-        // A pipelined request only ends the watch.
-        if (peeked <= 0) request->StopNow(RequestControl::Stop::kCallerGone);
+        // A pipelined request, or one that was read meanwhile, only ends the
+        // watch.
+        const bool nothing_to_read = peeked < 0 && errno == EAGAIN;
+        if (peeked <= 0 && !nothing_to_read) self->OnDisconnect();
       });
 }
 
@@ -168,12 +227,17 @@
   control_.reset();
   beast::error_code ignored;
   socket_.cancel(ignored);  // stops watching for a disconnect
+  watching_ = false;
 }
 
 Exchange::Receiver HttpSession::receiver() {
-  return {.socket = &socket_,
-          .progress = &progress_,
-          .stall_limit = context_.options.limits.body_timeout};
+  return [this](std::span<const asio::const_buffer> bytes)
+             -> asio::awaitable<beast::error_code> {
+    write_progress_.Set(context_.options.limits.body_timeout);
+    auto [error, size] = co_await asio::async_write(socket_, bytes, kAsTuple);
+    write_progress_.Clear();
+    co_return error;
+  };
 }
 
 }  // namespace camphor
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -1,7 +1,6 @@
 #ifndef CAMPHORHILL_PROXY_HTTP_SESSION_H_
 #define CAMPHORHILL_PROXY_HTTP_SESSION_H_
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -17,9 +16,8 @@
 
 namespace camphor {
 
-/// Reads requests sequentially from one accepted connection, within the limits
-/// for headers and idle time. Subclasses serve them. Must be used from one
-/// thread.
+/// Reads requests from one accepted connection, within the limits for headers
+/// and idle time. Subclasses serve them. Must be used from one thread.
 class HttpSession : public ProxySession,
                     public std::enable_shared_from_this<HttpSession> {
  public:
@@ -33,22 +31,48 @@
   void Close() override;
 
  protected:
-  /// Serves one request after its header was read. Returns true when the
-  /// connection can be reused.
-  virtual asio::awaitable<bool> Serve(RequestParser& parser) = 0;
+  /// Serves one request after its header was read. Returns true when the next
+  /// request can be read.
+  virtual asio::awaitable<bool> Serve(
+      std::unique_ptr<RequestParser> parser) = 0;
 
   /// Returns the limits for this connection.
   virtual CallerLimits Limits();
 
-  /// Writes an error response. `keep` requests keep-alive. Returns true when
-  /// the connection stays open.
-  asio::awaitable<bool> WriteError(ProxyError error, bool keep,
-                                   std::string_view detail = {});
+  /// Returns true if no response is pending, so that the idle timeout applies.
+  virtual bool IsIdle() const { return true; }
 
-  /// Stops the current request when the sender disconnects. Call after the
-  /// request was read completely.
+  /// Waits until the pending responses are written.
+  virtual asio::awaitable<void> AwaitResponses() { co_return; }
+
+  /// Stops the requests of a sender that disconnected.
+  virtual void OnDisconnect();
+
+  /// An error response. Holds only trivial types: GCC 12 destroys others twice
+  /// when they are part of a temporary in a co_await expression.
+  struct ErrorReply {
+    ProxyError error = ProxyError::kBadRequest;
+    bool keep = false;          ///< the connection can be used further
+    bool head_request = false;  ///< a response to HEAD has no body
+    std::string_view detail{};  ///< replaces the default message
+  };
+
+  /// Writes an error response. Returns true when the connection stays open.
+  virtual asio::awaitable<bool> WriteError(ErrorReply reply);
+
+  /// Creates an error response.
+  http::response<http::string_body> MakeError(const ErrorReply& reply) const;
+
+  /// Calls OnDisconnect() if the sender disconnects before it sends more. For
+  /// use while nothing is read.
   void WatchForDisconnect();
 
+  /// Reads no further requests. The one that is being read is not served.
+  void StopReading();
+
+  /// Starts the idle timeout if the session waits for a request.
+  void RestartIdleTimeout();
+
   /// Creates the control of the current request; see RequestControl::Start.
   RequestControl& StartControl(MonoTime deadline, Milliseconds deadline_grace);
 
@@ -61,15 +85,21 @@
   ProxyContext& context_;
   tcp::socket socket_;
   beast::flat_buffer buffer_;
-  ProgressTimer progress_;
+  ProgressTimer read_progress_;   ///< stops reading on a stall
+  ProgressTimer write_progress_;  ///< cancels socket operations on a stall
+  asio::cancellation_signal read_stop_;
   std::shared_ptr<RequestControl> control_;
-  bool stalled_ = false;  ///< the sender exceeded a timeout
+  bool stalled_ = false;  ///< the sender exceeded a read timeout
 
  private:
   asio::awaitable<bool> AwaitRequest();
   asio::awaitable<bool> ReadAndServe();
+  asio::awaitable<void> OnReadError(beast::error_code error);
+  asio::awaitable<void> CloseGracefully();
 
-  bool idle_ = true;
+  bool idle_ = true;  ///< waiting for the first byte of a request
+  bool reading_ended_ = false;
+  bool watching_ = false;  ///< WatchForDisconnect() is waiting
 };
 
 }  // namespace camphor
--- a/proxy/inbound_body.cc
+++ b/proxy/inbound_body.cc
@@ -8,7 +8,7 @@
 
 InboundBody::InboundBody(Options options) : options_(std::move(options)) {
   assert(options_.socket && options_.buffer && options_.parser &&
-         options_.progress);
+         options_.progress && options_.read_stop);
   complete_ = options_.parser->is_done();
 }
 
@@ -37,7 +37,8 @@
     parser.get().body().size = chunk.size();
     options_.progress->Set(options_.stall_limit);
     auto [error, bytes] = co_await http::async_read_some(
-        *options_.socket, *options_.buffer, parser, kAsTuple);
+        *options_.socket, *options_.buffer, parser,
+        asio::bind_cancellation_slot(options_.read_stop->slot(), kAsTuple));
     options_.progress->Clear();
     size = chunk.size() - parser.get().body().size;
     if (error == http::error::need_buffer) error = {};
@@ -55,9 +56,8 @@
   return *length;
 }
 
-void InboundBody::CancelRead() {
-  beast::error_code ignored;
-  options_.socket->cancel(ignored);
+void InboundBody::StopRead() {
+  options_.read_stop->emit(asio::cancellation_type::terminal);
 }
 
 void InboundBody::SetComplete() {
--- a/proxy/inbound_body.h
+++ b/proxy/inbound_body.h
@@ -20,9 +20,9 @@
     tcp::socket* socket = nullptr;         ///< connection of the sender
     beast::flat_buffer* buffer = nullptr;  ///< bytes read after the header
     RequestParser* parser = nullptr;       ///< parser that has read the header
-    ProgressTimer* progress =
-        nullptr;                     ///< cancels socket operations on a stall
-    Milliseconds stall_limit{5000};  ///< read timeout
+    ProgressTimer* progress = nullptr;     ///< stops reading on a stall
+    asio::cancellation_signal* read_stop = nullptr;  ///< stops reading
+    Milliseconds stall_limit{5000};                  ///< read timeout
     std::function<void()>
         on_complete{};  ///< called after the last byte was read
   };
@@ -57,8 +57,8 @@
   /// Returns the Content-Length, if present.
   std::optional<std::uint64_t> length() const;
 
-  /// Interrupts a pending read.
-  void CancelRead();
+  /// Stops a pending read.
+  void StopRead();
 
  private:
   void SetComplete();
--- a/proxy/proxy_context.h
+++ b/proxy/proxy_context.h
@@ -47,6 +47,7 @@
   std::set<ProxySession*> sessions;  ///< open sessions
   std::uint32_t caller_sessions = 0;
   std::uint32_t forward_sessions = 0;
+  std::uint64_t buffered_response_bytes = 0;  ///< see ResponseSequencer
   std::atomic<std::uint64_t> in_flight{0};
   bool draining = false;
   bool stopping = false;
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -23,6 +23,13 @@
   double retry_burst =
       100;  ///< additional burst of retries of a pool, shared by all hosts
   bool retry_budget = true;  ///< false disables the budget, for comparison only
+  std::uint32_t pipelined_requests =
+      16;  ///< maximum requests of a caller connection that run at a time
+  std::size_t buffered_response_bytes =
+      256 * 1024;  ///< maximum bytes buffered for a caller connection, of
+                   ///< responses that wait for an earlier one
+  std::size_t buffered_response_bytes_by_proxy =
+      8 * 1024 * 1024;  ///< the same for all caller connections together
   Milliseconds header_timeout{5000};  ///< timeout for reading a complete header
   Milliseconds keep_alive_timeout{60'000};  ///< idle timeout of a connection
   Milliseconds body_timeout{5000};    ///< read and write timeout within a body
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -20,18 +20,20 @@
 class ProxyMetrics {
  public:
   enum class Counter : std::uint8_t {
-    kCallerRequests,   ///< caller requests with a complete header
-    kForwardRequests,  ///< requests from other hosts' proxies
-    kAnswered,         ///< caller requests that got a complete target response
-    kRefusedNotRun,    ///< caller requests refused and known not to have run
-    kOutcomeUnknown,   ///< caller requests that may have run
-    kBadRequests,      ///< malformed requests
-    kCutAnswers,       ///< truncated responses
-    kCancelled,        ///< caller requests whose caller disconnected
-    kRetries,          ///< attempts after the first
-    kRetriesDenied,    ///< retries denied by the retry budget
-    kPoisonRefused,    ///< requests refused as poison
-    kTargetDeaths,     ///< targets that died while running a request
+    kCallerRequests,     ///< caller requests with a complete header
+    kPipelinedRequests,  ///< caller requests that were started while an
+                         ///< earlier one of the connection was unanswered
+    kForwardRequests,    ///< requests from other hosts' proxies
+    kAnswered,        ///< caller requests that got a complete target response
+    kRefusedNotRun,   ///< caller requests refused and known not to have run
+    kOutcomeUnknown,  ///< caller requests that may have run
+    kBadRequests,     ///< malformed requests
+    kCutAnswers,      ///< truncated responses
+    kCancelled,       ///< caller requests whose caller disconnected
+    kRetries,         ///< attempts after the first
+    kRetriesDenied,   ///< retries denied by the retry budget
+    kPoisonRefused,   ///< requests refused as poison
+    kTargetDeaths,    ///< targets that died while running a request
     kSilentConnections,  ///< connections closed as unresponsive
     kConnects,           ///< connections opened to targets and hosts
     kUnauthenticated,    ///< connections without a valid mesh key proof
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -158,6 +158,7 @@
           {"draining", context.draining},
           {"caller_connections", context.caller_sessions},
           {"forward_connections", context.forward_sessions},
+          {"buffered_response_bytes", context.buffered_response_bytes},
           {"retries_saved_at_most", context.retries.max_tokens()},
           {"local_targets", std::move(targets)},
           {"hosts", std::move(hosts)},
--- a/proxy/request_decision.h
+++ b/proxy/request_decision.h
@@ -38,6 +38,9 @@
   ConfigVersion version = 0;       ///< configuration version in use
   Microseconds age{0};             ///< time since the request arrived
   Microseconds remaining_time{0};  ///< time until the deadline
+  std::uint32_t responses_before =
+      0;  ///< responses that the caller's connection owed before this one when
+          ///< the request was started (pipelining)
   std::uint32_t in_flight = 0;  ///< requests at the target: of this proxy, or
                                 ///< of all hosts when the target is local
   std::uint32_t waiting = 0;    ///< requests queued for the target
