Read a small response whole before any of it is relayed

Change: a body of known length of up to 16 KiB is read before its head is passed on, on both hops. If it breaks off, the caller gets 502 in its place, the connection goes on, and a repeatable request is sent to another target within the budget.

ProxyFaultsTest.TruncatedResponse_* asserted that the connection of a caller breaks for a body of 10 bytes; it now asserts the same for 100,000 bytes, and TruncatedSmallResponse_* that the small one gets 502 with an unknown outcome.

--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -215,7 +215,9 @@
     answered_ = true;
     ReadStatement();
     const auto refused = co_await ReadRefusal();
-    co_return refused;
+    if (refused) co_return refused;
+    const auto broken_off = co_await ReadSmallBody();
+    co_return broken_off;
   }
   if (sent == Exchange::SendResult::kNotSent) {
     const auto stopped = Stopped();
@@ -270,6 +272,16 @@
   co_return ProxyError::kRefused;
 }
 
+asio::awaitable<std::optional<ProxyError>> LocalRun::ReadSmallBody() {
+  const bool whole = co_await exchange_->ReadSmallBody();
+  if (whole) co_return std::nullopt;
+  answered_ = false;
+  if (request_.control->stopped() != RequestControl::Stop::kNone)
+    co_return ToProxyError(Exchange::SendResult::kStopped, *request_.control);
+  const ProxyError error = co_await DetectTargetDeath();
+  co_return error;
+}
+
 bool LocalRun::MayBeEarlierRefusal(
     const http::response_header<>& response) const {
   const std::string& id_header = context_.options.vocabulary.request_id;
--- a/proxy/local_run.h
+++ b/proxy/local_run.h
@@ -42,6 +42,7 @@
   void SetTargetHeaders();
   void ReadStatement();
   asio::awaitable<std::optional<ProxyError>> ReadRefusal();
+  asio::awaitable<std::optional<ProxyError>> ReadSmallBody();
   /// Returns true if the refusal may be a repetition of one of an earlier
   /// request on this connection: it proves nothing about this request.
   bool MayBeEarlierRefusal(const http::response_header<>& response) const;
--- a/proxy/remote_run.cc
+++ b/proxy/remote_run.cc
@@ -96,7 +96,15 @@
   // proxy itself set it.
   const std::string_view reason =
       HeaderValue(exchange_->response(), kReasonHeader);
-  if (reason.empty()) co_return std::nullopt;
+  if (reason.empty()) {
+    const bool whole = co_await exchange_->ReadSmallBody();
+    if (whole) co_return std::nullopt;
+    const bool stopped =
+        request_.control->stopped() != RequestControl::Stop::kNone;
+    co_return stopped
+        ? ToProxyError(Exchange::SendResult::kStopped, *request_.control)
+        : ProxyError::kTargetBroke;
+  }
   const ProxyError error =
       FindErrorByReason(reason).value_or(ProxyError::kTargetBroke);
   co_await exchange_->Discard();
--- a/unit_tests/proxy/proxy_faults_test.cc
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -375,14 +375,29 @@
   for (const auto& [id, server] : targets_) server->Stop();
 }
 
-TEST_F(ProxyFaultsTest, TruncatedResponse_IsNeverRelayedAsComplete) {
-  // A target that dies before it has sent the announced length.
+TEST_F(ProxyFaultsTest, TruncatedSmallResponse_IsReplacedByAnError) {
   RawTarget target("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
   AddTargetAt("h2", "t1", target.endpoint());
   StartHosts();
   auto cut = StartCall({.method = "POST", .target = "/a"});
   while (target.answered() == 0) std::this_thread::yield();
   target.Kill();
+  const auto response = cut.get();
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 502);
+  EXPECT_EQ(response->fields.at("x-camphor-outcome"), "unknown");
+  proxies_.clear();
+}
+
+TEST_F(ProxyFaultsTest, TruncatedResponse_IsNeverRelayedAsComplete) {
+  // A target that dies before it has sent the announced length, which is too
+  // long to be read in advance.
+  RawTarget target("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nabc");
+  AddTargetAt("h2", "t1", target.endpoint());
+  StartHosts();
+  auto cut = StartCall({.method = "POST", .target = "/a"});
+  while (target.answered() == 0) std::this_thread::yield();
+  target.Kill();
   EXPECT_FALSE(cut.get());
   EXPECT_EQ(Metric("h1", "cut_answers"), 1U);
   proxies_.clear();
