Refuse requests that would be cut at the end of a planned stop

It can happen here: a draining host serves what comes on connections that are still open, and cuts what is in flight at 15/16 of the grace.

Change: from SIGTERM on, a host knows when it will cut requests; one whose deadline is later is refused before it runs, with 503 and 'not run', at the caller's host and at the target's host, where the caller's host then takes another target.

--- a/node/node.cc
+++ b/node/node.cc
@@ -397,10 +397,12 @@
                 {{"in_flight", state.proxy.in_flight()}});
   state.decisions.Post(Source::kMain,
                        [&state] { state.controller->LeaveMesh(Now()); });
+  const DrainSettings& drain = state.settings.drain;
+  const MonoTime deadline = Now() + drain.notice + DrainLimit(drain);
+  state.proxy.SetStopTime(deadline);
   // Keep serving until the other hosts have learned of the shutdown.
-  std::this_thread::sleep_for(state.settings.drain.notice);
+  std::this_thread::sleep_for(drain.notice);
   state.proxy.BeginDrain();
-  const MonoTime deadline = Now() + DrainLimit(state.settings.drain);
   // Check and stop atomically: a request that starts between a check and the
   // stop would be cut off.
   bool idle = state.proxy.StopIfIdle();
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -151,6 +151,11 @@
   }
   request.repeatable = rule.repeatable;
   request.time_limit = std::min(*limit, rule.timeout);
+  if (context_.MayOutlastThisProxy(request.arrival + request.time_limit)) {
+    context_.metrics.Count(Counter::kRefusedNotRun);
+    ReportRefusal(request, ProxyError::kDraining);
+    return ErrorReply{.error = ProxyError::kDraining};
+  }
   return std::nullopt;
 }
 
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -78,12 +78,12 @@
     const bool more = co_await WriteError({.detail = *fault});
     co_return more;
   }
-  if (context_.draining) {
+  const Milliseconds limit = ReadDeadline(header, kDeadlineHeader, kMaxDeadline)
+                                 .value_or(kMaxDeadline);
+  if (context_.draining || context_.MayOutlastThisProxy(arrival + limit)) {
     const bool more = co_await WriteError({.error = ProxyError::kDraining});
     co_return more;
   }
-  const Milliseconds limit = ReadDeadline(header, kDeadlineHeader, kMaxDeadline)
-                                 .value_or(kMaxDeadline);
   RequestControl& control = StartControl(arrival + limit, Milliseconds(0));
   InboundBody body({.socket = &socket_,
                     .buffer = &buffer_,
--- a/proxy/proxy_context.h
+++ b/proxy/proxy_context.h
@@ -30,6 +30,13 @@
   /// retry budget; null before the first one.
   const EffectiveRoutingPtr& Routing();
 
+  /// Returns true if a request with this deadline could still be running when
+  /// this proxy stops.
+  bool MayOutlastThisProxy(MonoTime deadline) const {
+    return stop_time != MonoTime::max() &&
+           deadline + options.limits.deadline_grace > stop_time;
+  }
+
   /// Writes a history event, if history is enabled.
   template <typename Make>
   void Record(const Make& make) const {
@@ -50,6 +57,7 @@
   std::uint64_t buffered_response_bytes = 0;  ///< see ResponseSequencer
   std::atomic<std::uint64_t> in_flight{0};
   bool draining = false;
+  MonoTime stop_time = MonoTime::max();  ///< when requests in flight are cut
   bool stopping = false;
 
  private:
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -209,6 +209,12 @@
   });
 }
 
+void ProxyServer::SetStopTime(MonoTime stop_time) {
+  asio::post(*state_->context.io, [state = state_.get(), stop_time] {
+    state->context.stop_time = stop_time;
+  });
+}
+
 std::uint64_t ProxyServer::in_flight() const {
   return state_->context.in_flight.load();
 }
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -86,6 +86,10 @@
   /// Stops accepting new connections and requests; requests in flight continue.
   void BeginDrain();
 
+  /// Sets when this proxy will stop. From now on, requests that could still be
+  /// running then are refused before they run. Thread-safe.
+  void SetStopTime(MonoTime stop_time);
+
   /// Returns the number of requests in flight. Thread-safe.
   std::uint64_t in_flight() const;
 
--- a/unit_tests/proxy/proxy_faults_test.cc
+++ b/unit_tests/proxy/proxy_faults_test.cc
@@ -287,6 +287,51 @@
   EXPECT_EQ(response->fields.at("connection"), "close");
 }
 
+class ProxyStopTimeTest : public ProxyFaultsTest {
+ protected:
+  /// Sends a request with a deadline to h1 while a host is going to stop.
+  std::optional<HttpResponse> CallBeforeStop(const std::string& stopping_host,
+                                             const std::string& deadline_ms) {
+    vocabulary_.deadline = "T-Deadline";
+    AddTarget("h2", "t1", [this](const HttpExchange& exchange) {
+      ++runs_;
+      exchange.Respond({.body = "ok"});
+    });
+    StartHosts();
+    proxies_[stopping_host]->SetStopTime(std::chrono::steady_clock::now() +
+                                         Milliseconds(3000));
+    return Call({.method = "POST",
+                 .target = "/a",
+                 .fields = {{"t-deadline", deadline_ms}}});
+  }
+
+  std::atomic<int> runs_ = 0;
+};
+
+TEST_F(ProxyStopTimeTest, RequestMayOutlastCallersHost_IsRefusedNotRun) {
+  const auto refused = CallBeforeStop("h1", "3500");
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_EQ(refused->fields.at("x-camphor-not-run"), "true");
+  EXPECT_EQ(refused->fields.at("connection"), "close");
+  EXPECT_EQ(runs_, 0);
+}
+
+TEST_F(ProxyStopTimeTest, RequestMayOutlastTargetsHost_IsRefusedNotRun) {
+  const auto refused = CallBeforeStop("h2", "4000");
+  ASSERT_TRUE(refused);
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_EQ(refused->fields.at("x-camphor-not-run"), "true");
+  EXPECT_EQ(runs_, 0);
+}
+
+TEST_F(ProxyStopTimeTest, RequestEndsInTime_IsServed) {
+  const auto response = CallBeforeStop("h1", "1000");
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 200);
+  EXPECT_EQ(runs_, 1);
+}
+
 TEST_F(ProxyFaultsTest, TargetHostDrains_IsRefusedNotRun) {
   AddDelayedTarget("h2", "t1");
   StartHosts();
