--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -74,6 +74,10 @@
     add(fmt::format("{} requests running and {} queued there",
                     line.Number("in_flight"), line.Number("waiting")));
   }
+  if (line.Number("behind") > 0) {
+    add(fmt::format("behind {} unanswered requests of its connection",
+                    line.Number("behind")));
+  }
   if (line.Number("usual_us") > 0) {
     add(fmt::format("typical latency {} ms",
                     line.Number("usual_us") / kMicrosecondsPerMs));
--- a/unit_tests/ctl/explain/cause_text_test.cc
+++ b/unit_tests/ctl/explain/cause_text_test.cc
@@ -25,5 +25,14 @@
   EXPECT_NE(DescribeCause(line).find("answered 500"), std::string::npos);
 }
 
+TEST(DescribeCause, RequestSentAhead_NamesResponsesBeforeIt) {
+  LogLine line;
+  line.fields["reason"] = "deadline";
+  EXPECT_EQ(DescribeCause(line).find("behind"), std::string::npos);
+  line.fields["behind"] = "3";
+  EXPECT_NE(DescribeCause(line).find("behind 3 unanswered requests"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace camphor
