--- a/unit_tests/proxy/pipelining_test.cc
+++ b/unit_tests/proxy/pipelining_test.cc
@@ -276,19 +276,20 @@
 }
 
 TEST_F(PipeliningTest, MoreThanTheLimit_RunInTurnAndNoneIsDropped) {
+  constexpr std::uint32_t kLimit = 4;
+  constexpr std::size_t kRequests = 10;
   AddHoldingTarget();
-  StartHosts({.pipelined_requests = 4});
+  StartHosts({.pipelined_requests = kLimit});
   RawCaller caller = ConnectCaller();
   std::string requests;
-  for (int number = 0; number < 10; ++number)
+  for (std::size_t number = 0; number < kRequests; ++number)
     requests += Get("/get/" + std::to_string(number));
   caller.Send(requests);
-  for (int number = 0; number < 10; ++number) {
-    ASSERT_TRUE(
-        WaitForRuns(static_cast<std::size_t>(std::min(number + 4, 10))));
-    EXPECT_LE(runs(), static_cast<std::size_t>(number + 4));
+  for (std::size_t number = 0; number < kRequests; ++number) {
+    ASSERT_TRUE(WaitForRuns(std::min(number + kLimit, kRequests)));
+    EXPECT_LE(runs(), number + kLimit);
     Release("/get/" + std::to_string(number));
-    caller.ReadResponses(static_cast<std::size_t>(number + 1));
+    caller.ReadResponses(number + 1);
   }
 }
 
