Join the scripted target's threads when their connections end

Seen: proxy_tests under TSan ended in its first CutResponse test: TSan's table of threads was full (CHECK in MapThreadTrace), since the target kept a thread a connection until its end, and each cut response costs up to five.

--- a/unit_tests/proxy/scripted_target.h
+++ b/unit_tests/proxy/scripted_target.h
@@ -45,7 +45,7 @@
       for (boost::asio::ip::tcp::socket& socket : sockets_)
         socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     }
-    for (std::thread& thread : threads_) thread.join();
+    for (Server& server : servers_) server.thread.join();
   }
 
   Endpoint endpoint() const {
@@ -56,15 +56,35 @@
   std::size_t bytes_written() const { return bytes_written_; }
 
  private:
+  // Serves one connection.
+  struct Server {
+    std::thread thread{};
+    std::atomic<bool> ended = false;
+  };
+
   void Accept() {
     while (true) {
       boost::asio::ip::tcp::socket& socket =
           sockets_.emplace_back(acceptor_.accept());
       if (stopping_) return;
-      threads_.emplace_back([this, &socket] { Serve(socket); });
+      JoinEndedServers();
+      Server& server = servers_.emplace_back();
+      server.thread = std::thread([this, &socket, &server] {
+        Serve(socket);
+        server.ended = true;
+      });
     }
   }
 
+  // Keeps the number of threads that are not joined small.
+  void JoinEndedServers() {
+    servers_.remove_if([](Server& server) {
+      if (!server.ended) return false;
+      server.thread.join();
+      return true;
+    });
+  }
+
   void Serve(boost::asio::ip::tcp::socket& socket) {
     std::string buffer;
     boost::system::error_code error;
@@ -96,7 +116,7 @@
   std::atomic<std::size_t> bytes_written_ = 0;
   std::mutex closing_;  ///< serializes closing of sockets
   std::list<boost::asio::ip::tcp::socket> sockets_;
-  std::list<std::thread> threads_;
+  std::list<Server> servers_;
   std::thread accepting_;
 };
 
