Let the response sequencer write through its session's receiver

Cause, found by reading the change again: ResponseSequencer held the socket, a timer and a timeout to write as HttpSession::receiver() writes already, timeout included. It takes that receiver as a hook now; behaviour is as it was. The parentheses in WriteError keep clang-format from reading && as a reference.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -55,9 +55,8 @@
 CallerSession::CallerSession(ProxyContext& context, tcp::socket socket)
     : HttpSession(context, std::move(socket)),
       responses_(
-          {.socket = &socket_,
-           .progress = &write_progress_,
-           .stall_limit = context.options.limits.body_timeout,
+          {.executor = socket_.get_executor(),
+           .write = receiver(),
            .max_buffered = context.options.limits.buffered_response_bytes,
            .max_buffered_by_proxy =
                context.options.limits.buffered_response_bytes_by_proxy,
@@ -303,7 +302,7 @@
   reply.keep = KeepsOpen(response, reply.keep);
   const bool written = co_await AppendError(response, reply);
   const bool delivered = co_await responses_.End(response, written);
-  co_return reply.keep&& delivered;
+  co_return (reply.keep && delivered);
 }
 
 asio::awaitable<bool> CallerSession::AppendError(
--- a/proxy/response_sequencer.cc
+++ b/proxy/response_sequencer.cc
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <cassert>
 #include <utility>
 
@@ -17,8 +16,8 @@
 };
 
 ResponseSequencer::ResponseSequencer(Options options)
-    : options_(std::move(options)), changed_(options_.socket->get_executor()) {
-  assert(options_.progress && options_.buffered_by_proxy);
+    : options_(std::move(options)), changed_(options_.executor) {
+  assert(options_.write && options_.buffered_by_proxy);
   changed_.expires_at(MonoTime::max());
 }
 
@@ -129,10 +128,7 @@
 asio::awaitable<beast::error_code> ResponseSequencer::WriteNow(
     std::span<const asio::const_buffer> bytes) {
   writing_ = true;
-  options_.progress->Set(options_.stall_limit);
-  auto [error, size] =
-      co_await asio::async_write(*options_.socket, bytes, kAsTuple);
-  options_.progress->Clear();
+  const beast::error_code error = co_await options_.write(bytes);
   writing_ = false;
   if (error) Break();
   changed_.cancel();
--- a/proxy/response_sequencer.h
+++ b/proxy/response_sequencer.h
@@ -9,9 +9,8 @@
 #include <span>
 #include <string>
 
-#include "core/base/time.h"
 #include "proxy/asio_types.h"
-#include "proxy/progress_timer.h"
+#include "proxy/exchange.h"
 
 namespace camphor {
 
@@ -25,10 +24,9 @@
 class ResponseSequencer {
  public:
   struct Options {
-    tcp::socket* socket = nullptr;      ///< connection of the caller
-    ProgressTimer* progress = nullptr;  ///< cancels a write that stalls
-    Milliseconds stall_limit{5000};     ///< write timeout
-    std::size_t max_buffered = 0;       ///< bytes buffered for this connection
+    asio::any_io_executor executor{};  ///< of the connection
+    Exchange::Receiver write{};        ///< writes to the connection
+    std::size_t max_buffered = 0;      ///< bytes buffered for this connection
     std::size_t max_buffered_by_proxy = 0;  ///< bytes buffered by all
                                             ///< connections of the proxy
     std::uint64_t* buffered_by_proxy =
@@ -40,7 +38,7 @@
   class Response;
   using ResponsePtr = std::shared_ptr<Response>;
 
-  /// @pre every pointer is set and outlives this.
+  /// @pre `write` and the pointer are set and outlive this.
   explicit ResponseSequencer(Options options);
   ~ResponseSequencer();
   ResponseSequencer(const ResponseSequencer&) = delete;
