One fixture for the mesh tests over a relay

Cause, found by reading the change again: two tests repeated six lines that connect two transports through a relay.

--- a/unit_tests/mesh/mesh_transport_test.cc
+++ b/unit_tests/mesh/mesh_transport_test.cc
@@ -139,34 +139,37 @@
   EXPECT_TRUE(right->WaitReceived(1));
 }
 
-TEST(MeshTransportSend, ConnectionGoesSilent_DeliversOnNewConnectionInTime) {
+// A connection from `left_` to `right_` through a relay, which has carried one
+// message.
+class MeshTransportSendRelayed : public testing::Test {
+ protected:
+  void SetUp() override {
+    ASSERT_TRUE(relay_.Start()) << relay_.last_reason();
+    left_.transport().Send(relay_.endpoint(), kHeartbeat);
+    ASSERT_TRUE(right_.WaitReceived(1));
+  }
+
+  TestHost left_{"key"};
+  TestHost right_{"key"};
+  Relay relay_{{.listen = {.address = "127.0.0.1"}, .to = right_.endpoint()}};
+};
+
+TEST_F(MeshTransportSendRelayed,
+       ConnectionGoesSilent_DeliversOnNewConnectionInTime) {
   // Time within which a host that is in touch applies a change.
   constexpr std::chrono::milliseconds kApplyBound{2000};
-  TestHost left("key");
-  TestHost right("key");
-  Relay relay({.listen = {.address = "127.0.0.1"}, .to = right.endpoint()});
-  ASSERT_TRUE(relay.Start()) << relay.last_reason();
-  left.transport().Send(relay.endpoint(), kHeartbeat);
-  ASSERT_TRUE(right.WaitReceived(1));
-
-  relay.StallOpen();
+  relay_.StallOpen();
   const auto sent = std::chrono::steady_clock::now();
-  left.transport().Send(relay.endpoint(), AppliedVersions{.version = 9});
-  ASSERT_TRUE(right.WaitReceivedVersions());
+  left_.transport().Send(relay_.endpoint(), AppliedVersions{.version = 9});
+  ASSERT_TRUE(right_.WaitReceivedVersions());
   EXPECT_LT(std::chrono::steady_clock::now() - sent, kApplyBound);
-  EXPECT_EQ(left.lost(), 0) << "the peer itself was never out of reach";
+  EXPECT_EQ(left_.lost(), 0) << "the peer itself was never out of reach";
 }
 
-TEST(MeshTransportSend, PeerNeverAnswers_IsReportedLost) {
-  TestHost left("key");
-  TestHost right("key");
-  Relay relay({.listen = {.address = "127.0.0.1"}, .to = right.endpoint()});
-  ASSERT_TRUE(relay.Start()) << relay.last_reason();
-  left.transport().Send(relay.endpoint(), kHeartbeat);
-  ASSERT_TRUE(right.WaitReceived(1));
-  relay.Cut();
-  left.transport().Send(relay.endpoint(), kHeartbeat);
-  EXPECT_TRUE(left.WaitLost(1));
+TEST_F(MeshTransportSendRelayed, PeerNeverAnswers_IsReportedLost) {
+  relay_.Cut();
+  left_.transport().Send(relay_.endpoint(), kHeartbeat);
+  EXPECT_TRUE(left_.WaitLost(1));
 }
 
 TEST(MeshTransportSend, ConnectionsAboveLimit_AreClosedAndCounted) {
