--- a/review/stand_ins/rig.h
+++ b/review/stand_ins/rig.h
@@ -673,7 +673,9 @@
     sequence = 0;
     draining = false;
     pings = true;
+    // Threads of earlier lifetimes may still use their listener.
     listener_ = std::make_shared<Listener>();
+    lifetimes_.push_back(listener_);
     if (!listener_->Start(address, [this](int fd) { Serve(fd); })) return false;
     Record("server %s of %s: started at %s beside %s", id.c_str(), service.c_str(), address.text().c_str(),
            host.name.c_str());
@@ -747,6 +749,7 @@
   }
 
   std::shared_ptr<Listener> listener_;
+  std::vector<std::shared_ptr<Listener>> lifetimes_;
 
  public:
   static std::string Answer(int status, const std::string& request, const std::string& body,
