--- a/review/stand_ins/rig.h
+++ b/review/stand_ins/rig.h
@@ -440,10 +440,11 @@
     return version;
   }
 
-  std::string Get(const std::string& table, const std::string& key) {
+  /// Value of a row that is newer than a version; empty if there is none.
+  std::string Get(const std::string& table, const std::string& key, std::uint64_t after = 0) {
     const std::lock_guard lock(mutex_);
     const auto found = rows_.find({table, key});
-    return found == rows_.end() ? "" : UnBase64(found->second.value);
+    return found == rows_.end() || found->second.version <= after ? "" : UnBase64(found->second.value);
   }
 
  private:
@@ -557,6 +558,7 @@
   std::string name, zone, ip, service;
   Address outbound, inbound, ready, control, mesh, metrics, app;
   pid_t pid = -1;
+  bool removed = false;  ///< taken away for good
 
   void Start(const std::string& folder, const Address& platform) {
     const std::string file = folder + "/" + name + ".conf";
@@ -609,7 +611,7 @@
   bool Running() {
     int status = 0;
     if (pid > 0 && waitpid(pid, &status, WNOHANG) == pid) {
-      Record("%s: ended by itself, status %d", name.c_str(), status);
+      Record("%s: ended, status %d", name.c_str(), status);
       pid = -1;
     }
     return pid > 0;
@@ -693,6 +695,12 @@
     listener_->Crash();
   }
 
+  /// Ends as planned.
+  void Stop() {
+    Record("server %s of %s: stopped", id.c_str(), service.c_str());
+    listener_->Crash();
+  }
+
   bool up() const { return listener_ && listener_->up(); }
 
   std::string PingBytes(const std::string& state, int number) const {
@@ -821,7 +829,7 @@
   bool AwaitReady(std::int64_t ms) {
     const std::int64_t until = Now() + ms;
     for (const auto& host : hosts)
-      while (!IsReady(*host)) {
+      while (!host->removed && !IsReady(*host)) {
         if (Now() > until || !host->Running()) return false;
         Sleep(50);
       }
