--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")"
 mkdir -p bin
 for folder in [1-5]; do
-  [ -f "$folder/case.cc" ] || continue
-  "${CXX:-g++}" -std=c++20 -O1 -Wall -pthread -Istand_ins "$folder/case.cc" -o "bin/case$folder"
+  [ -f "$folder/case.cpp" ] || continue
+  "${CXX:-g++}" -std=c++20 -O1 -Wall -pthread -Istand_ins "$folder/case.cpp" -o "bin/case$folder"
 done
