--- a/review/stand_ins/rig.hpp
+++ b/review/stand_ins/rig.hpp
@@ -745,6 +745,7 @@
   std::atomic<int> sequence{0};
   std::atomic<bool> draining{false};
   std::atomic<bool> pings{true};
+  int slots = 13;
   std::atomic<int> runs{0};
 
   bool Start() {
@@ -785,7 +786,7 @@
     std::ostringstream body;
     body << R"({"pool":")" << service << R"(","address":")" << address.text()
          << R"(","failure_domain":")" << host.zone << R"(","version":")"
-         << version << R"(","slots":13,"state":")" << state
+         << version << R"(","slots":)" << slots << R"(,"state":")" << state
          << R"(","warming_ms":0,"sequence":)" << number << R"(,"born":)" << born
          << "}";
     return Bytes("/v1/targets/" + id + "/report", body.str());
