Relay a response that starts before the request's body has arrived

Cause: the end of our own reading was taken for a caller that had left. The response of a request whose body is still arriving closes the connection, so CallerSession::KeepsOpen stopped reading at once; that cancelled the read that Exchange::PumpBody had pending for the body, and PumpBody stopped the request as kCallerGone, which closed the target's connection under the running response. A stall of the caller (body_timeout) took the same way. Ruled out: the target or the hop between hosts closing (a target of the caller's own host is hit the same), and the drain.

Change: a response that closes the connection stops only the reading of further requests; the running body goes on. PumpBody cancels a response that has started only if the read error is a disconnect (InboundBody::sender_left). After the response, Exchange::FinishBody sends the rest of the body to a target that keeps its connection, until the deadline or until the caller leaves, so that a target which reads on gets all of it.

--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -195,8 +195,9 @@
   }
   const unsigned status = run->exchange().response().result_int();
   const Exchange::RelayResult relayed = co_await Relay(run->exchange());
-  co_await run->End(relayed == Exchange::RelayResult::kTruncated);
   OnRelayed(relayed, status);
+  if (complete_) co_await run->exchange().FinishBody();
+  co_await run->End(relayed == Exchange::RelayResult::kTruncated);
   co_return std::nullopt;
 }
 
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -103,7 +103,9 @@
     asio::co_spawn(socket_.get_executor(), Answer(request), asio::detached);
   } else {
     // The next request starts behind the body.
+    streaming_body_ = true;
     co_await Answer(request);
+    streaming_body_ = false;
   }
   co_return request->keep && request->body->complete() && !closing_;
 }
@@ -292,7 +294,8 @@
   // Responses behind this one must still be delivered.
   if (!responses_.IsLast(response)) return true;
   closing_ = true;
-  StopReading();
+  // The target may need the rest of the body to complete its response.
+  if (!streaming_body_) StopReading();
   return false;
 }
 
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -47,6 +47,8 @@
   ResponseSequencer responses_;
   std::set<std::shared_ptr<RequestControl>> controls_;  ///< of running requests
   bool closing_ = false;  ///< a response announced the end of the connection
+  bool streaming_body_ = false;  ///< the body of the running request is being
+                                 ///< passed on
 };
 
 }  // namespace camphor
--- a/proxy/exchange.cc
+++ b/proxy/exchange.cc
@@ -165,6 +165,7 @@
   if (IsRequestIdMissing() ||
       FindResponseHeaderError(*response_, options_.vocabulary))
     co_return SendResult::kBadAnswer;
+  response_started_ = true;
   response_complete_ = response_->is_done();
   co_return SendResult::kResponse;
 }
@@ -237,7 +238,8 @@
     const std::optional<std::size_t> read = co_await body.ReadSome(chunk);
     if (!read) {
       // A caller that disconnects while sending does not wait for a response.
-      if (!response_complete_) {
+      // One that only stalls may still read a response that has started.
+      if (!response_complete_ && (body.sender_left() || !response_started_)) {
         options_.control->StopNow(RequestControl::Stop::kCallerGone);
       }
       break;
@@ -323,6 +325,19 @@
   co_return RelayResult::kComplete;
 }
 
+asio::awaitable<void> Exchange::FinishBody() {
+  // Another host announces a close whenever a body is still to come, but reads
+  // on for as long as its target does.
+  const bool peer_reads_on =
+      options_.vocabulary == nullptr || response_->keep_alive();
+  if (!pumping_ || !peer_reads_on) co_return;
+  const RequestControl::Scope scope(*options_.control, [this] {
+    options_.connection->Close();
+    options_.body->StopRead();
+  });
+  while (pumping_) co_await pump_ended_.async_wait(kAsTuple);
+}
+
 asio::awaitable<bool> Exchange::Discard() {
   const RequestControl::Scope scope(*options_.control,
                                     [this] { options_.connection->Close(); });
--- a/proxy/exchange.h
+++ b/proxy/exchange.h
@@ -85,6 +85,11 @@
   asio::awaitable<RelayResult> Relay(http::response_header<> header,
                                      Receiver receiver);
 
+  /// After the complete response: waits until the rest of the request body is
+  /// sent too, or cannot be. A target that responds before it has read the body
+  /// and keeps the connection still reads the rest.
+  asio::awaitable<void> FinishBody();
+
   /// Reads and discards a short response body. Returns false when reading fails
   /// or the body is too long.
   asio::awaitable<bool> Discard();
@@ -120,6 +125,7 @@
   bool prefix_held_back_ = false;
   bool pumping_ = false;
   bool request_complete_ = false;
+  bool response_started_ = false;  ///< the final response header was received
   bool response_complete_ = false;
   bool skipped_mismatched_response_ =
       false;  ///< a response to another request was received
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -161,8 +161,9 @@
   const Exchange::Receiver to_sender = receiver();
   const Exchange::RelayResult relayed =
       co_await run.exchange().Relay(std::move(header), to_sender);
-  co_await run.End(relayed == Exchange::RelayResult::kTruncated);
   const bool complete = relayed == Exchange::RelayResult::kComplete;
+  if (complete) co_await run.exchange().FinishBody();
+  co_await run.End(relayed == Exchange::RelayResult::kTruncated);
   co_return (complete && keeps && body.complete());
 }
 
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -9,25 +9,14 @@
 #include <string>
 #include <utility>
 
+#include "proxy/read_error.h"
+
 namespace camphor {
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::size_t kMaxDrainedBytes = 64 * kReadBytes;
 
-bool IsHttpError(beast::error_code error) {
-  return error.category() ==
-         http::make_error_code(http::error::bad_method).category();
-}
-
-/// Returns true if the sender closed or reset the connection.
-bool IsDisconnect(beast::error_code error) {
-  if (IsHttpError(error))
-    return error == http::error::end_of_stream ||
-           error == http::error::partial_message;
-  return error != asio::error::operation_aborted;
-}
-
 }  // namespace
 
 HttpSession::HttpSession(ProxyContext& context, tcp::socket socket)
--- a/proxy/inbound_body.cc
+++ b/proxy/inbound_body.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "proxy/read_error.h"
+
 namespace camphor {
 
 InboundBody::InboundBody(Options options) : options_(std::move(options)) {
@@ -43,6 +45,7 @@
     size = chunk.size() - parser.get().body().size;
     if (error == http::error::need_buffer) error = {};
     too_long_ = error == http::error::body_limit;
+    sender_left_ = IsDisconnect(error);
     if (error) co_return std::nullopt;
   }
   if (size > 0) consumed_ = true;
--- a/proxy/inbound_body.h
+++ b/proxy/inbound_body.h
@@ -54,6 +54,10 @@
   /// Returns true when the body exceeds the parser's limit.
   bool too_long() const { return too_long_; }
 
+  /// Returns true when reading failed because the sender closed or reset the
+  /// connection.
+  bool sender_left() const { return sender_left_; }
+
   /// Returns the Content-Length, if present.
   std::optional<std::uint64_t> length() const;
 
@@ -68,6 +72,7 @@
   bool complete_ = false;
   bool consumed_ = false;
   bool too_long_ = false;
+  bool sender_left_ = false;
 };
 
 }  // namespace camphor
