Recognize a request that kills targets by what its caller repeats

Cause: RequestFingerprint summed all headers but a list of known volatile ones. On the users' platform each attempt has an id and a deadline under names of that platform, so that no two attempts had a fingerprint in common and no record ever had two deaths.

Change: the fingerprint covers what identifies a repetition: route, caller's pool, method, path, body, and the headers by which a target selects what it does. Host, ids, deadlines and whatever else a caller adds are left out.

The same effect elsewhere: - Deaths counted by target id, so that a service of one target, started again under its id, was never protected: a death now has a time. - A record was forgotten after ten minutes, which allowed two more deaths each time.

The opposite: equal requests now share a fingerprint, so a frequent one is running whenever a target dies of another cause. What the host saw answered is let off for the first death since, also when it ran alone, and is not held back as a suspect.

Tests: PoisonAttempts.* (local, remote, other paths and bodies pass), Poison- RecordBlock.*, DeathTrackerOnDeath.*, RequestFingerprintTest.*.

--- a/core/replication/record_hash.cc
+++ b/core/replication/record_hash.cc
@@ -90,8 +90,10 @@
 
 std::uint64_t ContentHash(const PoisonRecord& record) {
   FieldHasher text;
-  text.Add(record.fingerprint).Add(record.expires.time_since_epoch().count());
-  for (const TargetId& target : record.deaths) text.Add(target.value());
+  text.Add(record.fingerprint);
+  for (const TargetDeath& death : record.deaths) {
+    text.Add(death.target.value()).Add(death.at.time_since_epoch().count());
+  }
   return text.Hash(kPoisonSeed);
 }
 
--- a/core/replication/record_store.cc
+++ b/core/replication/record_store.cc
@@ -79,7 +79,7 @@
 }
 
 MergeResult RecordStore::Merge(const PoisonRecord& record) {
-  if (record.expires <= wall_now_) return MergeResult::kUnchanged;
+  if (record.Expires() <= wall_now_) return MergeResult::kUnchanged;
   const auto found = poison_.find(record.fingerprint);
   const bool known = found != poison_.end();
   const PoisonRecord merged =
@@ -131,7 +131,7 @@
   EvictDeadHosts(now);
   EvictInactiveRollouts(now);
   return std::erase_if(poison_, [&](const auto& entry) {
-           if (entry.second.expires > wall_now_) return false;
+           if (entry.second.Expires() > wall_now_) return false;
            UpdateIndex(KeyHash(entry.first), entry.first, std::nullopt);
            return true;
          }) > 0;
--- a/core/routing/death_tracker.cc
+++ b/core/routing/death_tracker.cc
@@ -29,29 +29,12 @@
 }
 
 std::vector<std::uint64_t> DeathTracker::OnDeath(const TargetId& target) {
-  const auto found = running_.find(target);
-  if (found == running_.end()) return {};
-  const std::vector<Running> candidates = std::move(found->second);
-  running_.erase(found);
-  if (candidates.empty()) return {};
-
-  // Retries of one request share a fingerprint and count as one request.
-  const bool alone =
-      std::ranges::all_of(candidates, [&](const Running& running) {
-        return running.fingerprint == candidates.front().fingerprint;
-      });
-  if (alone) return {candidates.front().fingerprint};
-
-  std::vector<std::uint64_t> blamed;
+  const std::vector<Running> candidates = TakeCandidates(target);
   const bool has_suspect = std::ranges::any_of(candidates, &Running::suspect);
+  std::vector<std::uint64_t> blamed;
   for (const Running& running : candidates) {
     if (has_suspect && !running.suspect) continue;
-    if (!has_suspect && WasAnswered(running.fingerprint)) {
-      // A request that has become fatal since its last answer is blamed from
-      // the next death on.
-      answered_[running.fingerprint % kAnsweredSlots] = 0;
-      continue;
-    }
+    // Repetitions of one request count as one.
     if (std::ranges::find(blamed, running.fingerprint) == blamed.end()) {
       blamed.push_back(running.fingerprint);
     }
@@ -59,6 +42,24 @@
   return blamed;
 }
 
+std::vector<DeathTracker::Running> DeathTracker::TakeCandidates(
+    const TargetId& target) {
+  const auto found = running_.find(target);
+  if (found == running_.end()) return {};
+  std::vector<Running> candidates = std::move(found->second);
+  running_.erase(found);
+  const auto forgiven =
+      std::ranges::stable_partition(candidates, [this](const Running& running) {
+        return !WasAnswered(running.fingerprint);
+      });
+  // A request that has become fatal since its last answer is blamed from the
+  // next death on.
+  for (const Running& running : forgiven)
+    answered_[running.fingerprint % kAnsweredSlots] = 0;
+  candidates.erase(forgiven.begin(), forgiven.end());
+  return candidates;
+}
+
 bool DeathTracker::WasAnswered(std::uint64_t fingerprint) const {
   return answered_[fingerprint % kAnsweredSlots] == fingerprint;
 }
--- a/core/routing/routing_builder.cc
+++ b/core/routing/routing_builder.cc
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr std::uint32_t kPartsPerMillion = 1'000'000;
-constexpr std::size_t kPoisonDeaths = 2;
 
 /// A target with the host that announced it.
 struct AnnouncedTarget {
@@ -192,8 +191,8 @@
   EffectiveRouting routing;
   for (const auto& [fingerprint, record] : inputs.poison) {
     if (record.deaths.empty()) continue;
-    const bool poison = record.deaths.size() >= kPoisonDeaths;
-    (poison ? routing.poison : routing.suspects).insert(fingerprint);
+    const bool blocked = record.BlockedUntil() > inputs.wall_now;
+    (blocked ? routing.poison : routing.suspects).insert(fingerprint);
   }
   const auto alive = std::ranges::count_if(inputs.hosts, [](const auto& entry) {
     return entry.second.status == HostStatus::kAlive;
--- a/core/routing/routing_builder.h
+++ b/core/routing/routing_builder.h
@@ -24,7 +24,8 @@
   const std::map<RolloutId, RolloutRecord>&
       rollouts;  ///< rollout records as known to this host
   const std::map<std::uint64_t, PoisonRecord>&
-      poison;  ///< poison records that have not expired
+      poison;           ///< poison records that have not expired
+  WallTime wall_now{};  ///< decides which requests are blocked
   std::set<std::pair<PoolName, TargetVersion>>
       locally_ejected{};  ///< versions that this host has ejected on its own
 };
--- a/mesh/mesh.capnp
+++ b/mesh/mesh.capnp
@@ -58,10 +58,14 @@
   sharePpm @1 :UInt32;
 }
 
+struct TargetDeath {
+  target @0 :Text;
+  atMs @1 :Int64;
+}
+
 struct Poison {
   fingerprint @0 :UInt64;
-  deaths @1 :List(Text);
-  expiresMs @2 :Int64;
+  deaths @1 :List(TargetDeath);
 }
 
 struct Records {
--- a/mesh/mesh.capnp.c++
+++ b/mesh/mesh.capnp.c++
@@ -725,45 +725,96 @@
   0, 2, i_8dcd0f63d452b53e, nullptr, nullptr, { &s_8dcd0f63d452b53e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<68> b_d6aeff0fad3ba2bd = {
+static const ::capnp::_::AlignedData<47> b_db6e96c9f93fd908 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+      8, 217,  63, 249, 201, 150, 110, 219,
+     11,   0,   0,   0,   1,   0,   1,   0,
+    134,  74,  95, 123, 226, 201, 161, 211,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 101, 115, 104,  46,  99,  97, 112,
+    110, 112,  58,  84,  97, 114, 103, 101,
+    116,  68, 101,  97, 116, 104,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    116,  97, 114, 103, 101, 116,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 116,  77, 115,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_db6e96c9f93fd908 = b_db6e96c9f93fd908.words;
+#if !CAPNP_LITE
+static const uint16_t m_db6e96c9f93fd908[] = {1, 0};
+static const uint16_t i_db6e96c9f93fd908[] = {0, 1};
+const ::capnp::_::RawSchema s_db6e96c9f93fd908 = {
+  0xdb6e96c9f93fd908, b_db6e96c9f93fd908.words, 47, nullptr, m_db6e96c9f93fd908,
+  0, 2, i_db6e96c9f93fd908, nullptr, nullptr, { &s_db6e96c9f93fd908, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<52> b_d6aeff0fad3ba2bd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     189, 162,  59, 173,  15, 255, 174, 214,
-     11,   0,   0,   0,   1,   0,   2,   0,
+     11,   0,   0,   0,   1,   0,   1,   0,
     134,  74,  95, 123, 226, 201, 161, 211,
       1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 146,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0, 175,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     109, 101, 115, 104,  46,  99,  97, 112,
     110, 112,  58,  80, 111, 105, 115, 111,
     110,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   4,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     69,   0,   0,   0,  98,   0,   0,   0,
+     41,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     68,   0,   0,   0,   3,   0,   1,   0,
-     80,   0,   0,   0,   2,   0,   1,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     77,   0,   0,   0,  58,   0,   0,   0,
+     49,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     72,   0,   0,   0,   3,   0,   1,   0,
-    100,   0,   0,   0,   2,   0,   1,   0,
-      2,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   2,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,  82,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     96,   0,   0,   0,   3,   0,   1,   0,
-    108,   0,   0,   0,   2,   0,   1,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     72,   0,   0,   0,   2,   0,   1,   0,
     102, 105, 110, 103, 101, 114, 112, 114,
     105, 110, 116,   0,   0,   0,   0,   0,
       9,   0,   0,   0,   0,   0,   0,   0,
@@ -778,30 +829,24 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      8, 217,  63, 249, 201, 150, 110, 219,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    101, 120, 112, 105, 114, 101, 115,  77,
-    115,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_d6aeff0fad3ba2bd = b_d6aeff0fad3ba2bd.words;
 #if !CAPNP_LITE
-static const uint16_t m_d6aeff0fad3ba2bd[] = {1, 2, 0};
-static const uint16_t i_d6aeff0fad3ba2bd[] = {0, 1, 2};
+static const ::capnp::_::RawSchema* const d_d6aeff0fad3ba2bd[] = {
+  &s_db6e96c9f93fd908,
+};
+static const uint16_t m_d6aeff0fad3ba2bd[] = {1, 0};
+static const uint16_t i_d6aeff0fad3ba2bd[] = {0, 1};
 const ::capnp::_::RawSchema s_d6aeff0fad3ba2bd = {
-  0xd6aeff0fad3ba2bd, b_d6aeff0fad3ba2bd.words, 68, nullptr, m_d6aeff0fad3ba2bd,
-  0, 3, i_d6aeff0fad3ba2bd, nullptr, nullptr, { &s_d6aeff0fad3ba2bd, nullptr, nullptr, 0, 0, nullptr }
+  0xd6aeff0fad3ba2bd, b_d6aeff0fad3ba2bd.words, 52, d_d6aeff0fad3ba2bd, m_d6aeff0fad3ba2bd,
+  1, 2, i_d6aeff0fad3ba2bd, nullptr, nullptr, { &s_d6aeff0fad3ba2bd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<90> b_91a3b0790a4899cc = {
@@ -2472,6 +2517,14 @@
 constexpr ::capnp::_::RawSchema const* RouteShare::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// TargetDeath
+constexpr uint16_t TargetDeath::_capnpPrivate::dataWordSize;
+constexpr uint16_t TargetDeath::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind TargetDeath::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* TargetDeath::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Poison
 constexpr uint16_t Poison::_capnpPrivate::dataWordSize;
 constexpr uint16_t Poison::_capnpPrivate::pointerCount;
--- a/mesh/mesh.capnp.h
+++ b/mesh/mesh.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(a07c3f06bd76996e);
 CAPNP_DECLARE_SCHEMA(d086f421cb79d331);
 CAPNP_DECLARE_SCHEMA(8dcd0f63d452b53e);
+CAPNP_DECLARE_SCHEMA(db6e96c9f93fd908);
 CAPNP_DECLARE_SCHEMA(d6aeff0fad3ba2bd);
 CAPNP_DECLARE_SCHEMA(91a3b0790a4899cc);
 CAPNP_DECLARE_SCHEMA(87f8ac695d89cb35);
@@ -143,6 +144,21 @@
   };
 };
 
+struct TargetDeath {
+  TargetDeath() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(db6e96c9f93fd908, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Poison {
   Poison() = delete;
 
@@ -151,7 +167,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6aeff0fad3ba2bd, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d6aeff0fad3ba2bd, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1166,6 +1182,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class TargetDeath::Reader {
+public:
+  typedef TargetDeath Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::int64_t getAtMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TargetDeath::Builder {
+public:
+  typedef TargetDeath Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::int64_t getAtMs();
+  inline void setAtMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TargetDeath::Pipeline {
+public:
+  typedef TargetDeath Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Poison::Reader {
 public:
   typedef Poison Reads;
@@ -1186,9 +1288,7 @@
   inline  ::uint64_t getFingerprint() const;
 
   inline bool hasDeaths() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getDeaths() const;
-
-  inline  ::int64_t getExpiresMs() const;
+  inline  ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>::Reader getDeaths() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1222,15 +1322,11 @@
   inline void setFingerprint( ::uint64_t value);
 
   inline bool hasDeaths();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getDeaths();
-  inline void setDeaths( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setDeaths(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initDeaths(unsigned int size);
-  inline void adoptDeaths(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownDeaths();
-
-  inline  ::int64_t getExpiresMs();
-  inline void setExpiresMs( ::int64_t value);
+  inline  ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>::Builder getDeaths();
+  inline void setDeaths( ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>::Builder initDeaths(unsigned int size);
+  inline void adoptDeaths(::capnp::Orphan< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>> disownDeaths();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3998,6 +4094,54 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool TargetDeath::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TargetDeath::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TargetDeath::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TargetDeath::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TargetDeath::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TargetDeath::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TargetDeath::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TargetDeath::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t TargetDeath::Reader::getAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TargetDeath::Builder::getAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TargetDeath::Builder::setAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Poison::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4020,50 +4164,32 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Poison::Reader::getDeaths() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>::Reader Poison::Reader::getDeaths() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Poison::Builder::getDeaths() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>::Builder Poison::Builder::getDeaths() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Poison::Builder::setDeaths( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void Poison::Builder::setDeaths( ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Poison::Builder::setDeaths(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Poison::Builder::initDeaths(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>::Builder Poison::Builder::initDeaths(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Poison::Builder::adoptDeaths(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Poison::Builder::disownDeaths() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>> Poison::Builder::disownDeaths() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TargetDeath,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Poison::Reader::getExpiresMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Poison::Builder::getExpiresMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Poison::Builder::setExpiresMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Records::Reader::hasHead() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -137,18 +137,21 @@
 
 void Write(const PoisonRecord& record, wire::Poison::Builder out) {
   out.setFingerprint(record.fingerprint);
-  out.setExpiresMs(record.expires.time_since_epoch().count());
   auto deaths = out.initDeaths(record.deaths.size());
   unsigned index = 0;
-  for (const TargetId& target : record.deaths)
-    deaths.set(index++, target.value());
+  for (const TargetDeath& death : record.deaths) {
+    auto row = deaths[index++];
+    row.setTarget(death.target.value());
+    row.setAtMs(death.at.time_since_epoch().count());
+  }
 }
 
 PoisonRecord Read(wire::Poison::Reader in) {
-  PoisonRecord record{.fingerprint = in.getFingerprint(),
-                      .expires = WallTime(Milliseconds(in.getExpiresMs()))};
-  for (auto death : in.getDeaths())
-    record.deaths.insert(TargetId(ToString(death)));
+  PoisonRecord record{.fingerprint = in.getFingerprint()};
+  for (auto death : in.getDeaths()) {
+    record.deaths.insert({.at = WallTime(Milliseconds(death.getAtMs())),
+                          .target = TargetId(ToString(death.getTarget()))});
+  }
   return record;
 }
 
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -16,7 +17,6 @@
 /// to this interval. Changes of the configuration, of poison requests and of
 /// this host's own targets bypass the limit.
 constexpr Milliseconds kMinBuildInterval{20};
-constexpr std::chrono::minutes kPoisonRetention{10};
 
 }  // namespace
 
@@ -115,10 +115,9 @@
   options_.log->Log(LogLevel::kWarning, "targets",
                     "target died while handling a request",
                     {{"target", target.value()}, {"fingerprint", fingerprint}});
-  replicator_->Publish(PoisonRecord{.fingerprint = fingerprint,
-                                    .deaths = {target},
-                                    .expires = wall_now + kPoisonRetention},
-                       now);
+  replicator_->Publish(
+      PoisonRecord{.fingerprint = fingerprint, .deaths = {{wall_now, target}}},
+      now);
 }
 
 bool HostController::Announce(const TargetAnnouncement& announcement,
@@ -179,7 +178,9 @@
 
 void HostController::Tick(MonoTime now, MonoTime boot_now, WallTime wall_now) {
   now_ = now;
+  wall_now_ = wall_now;
   if (registry_.Expire(now)) OnTargetsChanged(now);
+  if (block_ends_ <= wall_now) urgent_ = true;
   replicator_->Tick(now, wall_now);
   if (hosts_changed_) {
     hosts_changed_ = false;
@@ -195,12 +196,14 @@
   routing_changed_ = false;
   urgent_ = false;
   last_built_ = now;
+  block_ends_ = FindNextBlockEnd();
   auto routing = std::make_shared<EffectiveRouting>(
       BuildRouting({.self = options_.settings.host,
                     .snapshot = replicator_->snapshot(),
                     .hosts = replicator_->hosts(),
                     .rollouts = replicator_->rollouts(),
                     .poison = replicator_->poison(),
+                    .wall_now = wall_now_,
                     .locally_ejected = rollouts_->locally_ejected()}));
   const EffectiveRoutingPtr previous = options_.routing->Load();
   if (previous != nullptr && *previous == *routing) return;
@@ -208,6 +211,15 @@
   options_.routing->Store(std::move(routing));
 }
 
+WallTime HostController::FindNextBlockEnd() const {
+  WallTime next = WallTime::max();
+  for (const auto& [fingerprint, record] : replicator_->poison()) {
+    const WallTime end = record.BlockedUntil();
+    if (end > wall_now_) next = std::min(next, end);
+  }
+  return next;
+}
+
 bool HostController::ready() const {
   return replicator_->ready() && options_.routing->Load() != nullptr;
 }
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -96,6 +96,7 @@
   void OnConfigChanged(const ConfigSnapshotPtr& snapshot);
   void OnRolloutChanged(const RolloutRecord& record);
   void OnTargetsChanged(MonoTime now);
+  WallTime FindNextBlockEnd() const;
   void LogRouting(const EffectiveRouting& routing);
   void LogEvaluation(const RolloutEvaluation& evaluation);
 
@@ -108,6 +109,9 @@
   bool urgent_ = false;          ///< routing needs an immediate rebuild
   MonoTime last_built_{};        ///< time of the last routing build
   MonoTime now_{};               ///< time passed to the current call
+  WallTime wall_now_{};          ///< wall time of the latest tick
+  WallTime block_ends_ = WallTime::max();  ///< when the next blocked request is
+                                           ///< admitted again
 };
 
 }  // namespace camphor
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -88,7 +88,6 @@
     : context_(context), options_(std::move(options)) {}
 
 asio::awaitable<CallerRequest::Result> CallerRequest::Run() {
-  fingerprint_ = RequestFingerprint(*options_.header, options_.body->prefix());
   header_ = *options_.header;
   RemoveHopByHopHeaders(header_);
   RemoveInternalHeaders(header_);
@@ -130,6 +129,7 @@
     if (!route) return false;
     routing_ = std::move(routing);
     route_ = *route;
+    fingerprint_ = MakeFingerprint();
     share_ = context_.balancer.ChooseShare(route_);
     tried_.clear();
   }
@@ -151,6 +151,17 @@
       .targets[placement_.target];
 }
 
+std::uint64_t CallerRequest::MakeFingerprint() const {
+  const InboundBody& body = *options_.body;
+  return RequestFingerprint({.route = rule().name.value(),
+                             .caller = context_.options.caller_pool,
+                             .header = *options_.header,
+                             .body_prefix = body.prefix(),
+                             .body_length = body.prefix_is_complete()
+                                                ? std::nullopt
+                                                : body.length()});
+}
+
 std::unique_ptr<RequestRun> CallerRequest::MakeRun() {
   PlacedRequest request{.header = header_,
                         .control = options_.control,
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -59,6 +59,7 @@
   asio::awaitable<std::optional<ProxyError>> Attempt();
   asio::awaitable<Exchange::RelayResult> Relay(Exchange& exchange);
   asio::awaitable<void> WaitForDeathPropagation();
+  std::uint64_t MakeFingerprint() const;
   std::unique_ptr<RequestRun> MakeRun();
   bool MayRetry(ProxyError error);
   bool MayAbandon();
--- a/proxy/header_rules.cc
+++ b/proxy/header_rules.cc
@@ -13,7 +13,6 @@
 namespace camphor {
 namespace {
 
-constexpr std::size_t kFingerprintedBodyBytes = 1024;
 constexpr std::int64_t kMaxDeadlineMs = 24 * 3600 * 1000;
 
 constexpr std::array kHopByHopHeaders = {
@@ -29,25 +28,33 @@
     http::field::expect,
 };
 
-/// Headers that may change when a caller repeats a request, possibly through
-/// another host.
-constexpr std::array<std::string_view, 9> kVolatileHeaders = {
-    "Host", "Idempotency-Key", "X-Request-Id",      "Traceparent", "Tracestate",
-    "Date", "Content-Length",  "Transfer-Encoding", "Connection",
+/// Headers by which a target selects what it does. Callers may change all
+/// others between repetitions.
+constexpr std::array kSelectingHeaders = {
+    http::field::accept,           http::field::accept_encoding,
+    http::field::accept_language,  http::field::authorization,
+    http::field::content_encoding, http::field::content_type,
+    http::field::cookie,           http::field::if_match,
+    http::field::if_none_match,    http::field::range,
 };
 
 std::string_view View(beast::string_view text) {
   return {text.data(), text.size()};
 }
 
-bool IsVolatile(std::string_view name) {
-  return beast::iequals(name.substr(0, kInternalPrefix.size()),
-                        beast::string_view(kInternalPrefix)) ||
-         beast::iequals(name.substr(0, 5), "X-B3-") ||
-         std::ranges::any_of(kVolatileHeaders, [name](std::string_view known) {
-           return beast::iequals(known, name);
-         });
-}
+/// Hashes a sequence of texts, none of which can run into the next.
+class TextHasher {
+ public:
+  TextHasher& Add(std::string_view text) {
+    hash_ = XXH3_64bits_withSeed(text.data(), text.size(), hash_);
+    return *this;
+  }
+
+  std::uint64_t hash() const { return hash_; }
+
+ private:
+  std::uint64_t hash_ = 0;
+};
 
 }  // namespace
 
@@ -213,28 +220,21 @@
   return Milliseconds(milliseconds);
 }
 
-std::uint64_t RequestFingerprint(const http::request_header<>& header,
-                                 std::string_view body_prefix) {
-  const std::string_view body = body_prefix.substr(0, kFingerprintedBodyBytes);
-  const std::string_view method = View(header.method_string());
-  const std::string_view path = View(header.target());
-  std::uint64_t hash = XXH3_64bits(method.data(), method.size());
-  hash = XXH3_64bits_withSeed(path.data(), path.size(), hash);
-  hash = XXH3_64bits_withSeed(body.data(), body.size(), hash);
-
-  // Summed, so that the order of the headers does not matter.
-  std::uint64_t headers = 0;
-  for (const auto& field : header) {
-    const std::string_view name = View(field.name_string());
-    if (IsVolatile(name)) continue;
-    std::uint64_t seed = 0;
-    for (const char letter : name) {
-      seed = seed * 131 + static_cast<unsigned char>(letter | 0x20);
-    }
-    headers +=
-        XXH3_64bits_withSeed(field.value().data(), field.value().size(), seed);
-  }
-  return XXH3_64bits_withSeed(&headers, sizeof headers, hash);
+std::uint64_t RequestFingerprint(const RequestIdentity& identity) {
+  const http::request_header<>& header = identity.header;
+  TextHasher text;
+  text.Add(identity.route)
+      .Add(identity.caller)
+      .Add(View(header.method_string()))
+      .Add(View(header.target()))
+      .Add(identity.body_prefix);
+  if (identity.body_length) text.Add(std::to_string(*identity.body_length));
+  for (const http::field name : kSelectingHeaders) {
+    const auto [first, last] = header.equal_range(name);
+    for (auto field = first; field != last; ++field)
+      text.Add(View(http::to_string(name))).Add(View(field->value()));
+  }
+  return text.hash();
 }
 
 }  // namespace camphor
--- a/proxy/header_rules.h
+++ b/proxy/header_rules.h
@@ -68,11 +68,21 @@
                                          std::string_view name,
                                          Milliseconds fallback);
 
-/// Returns a hash that identifies a repeated (poison) request: method, path,
-/// headers that do not change between repetitions, and the start of the body.
-/// Thread-safe.
-std::uint64_t RequestFingerprint(const http::request_header<>& header,
-                                 std::string_view body_prefix);
+/// What identifies a request when its caller repeats it, through whichever
+/// host. Holds views.
+struct RequestIdentity {
+  std::string_view route;   ///< name of its route
+  std::string_view caller;  ///< pool of the caller; empty if unknown
+  const http::request_header<>& header;
+  std::string_view body_prefix;  ///< its body, or the beginning of a long one
+  std::optional<std::uint64_t>
+      body_length{};  ///< length of its body, if known in advance
+};
+
+/// Returns a hash of a request's identity. Of the headers, it covers those that
+/// select what is done; ids, deadlines, tracing and transport headers differ
+/// between repetitions. Thread-safe.
+std::uint64_t RequestFingerprint(const RequestIdentity& identity);
 
 }  // namespace camphor
 
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -115,7 +115,8 @@
     return ProxyError::kPoison;
   }
   request_.suspect =
-      request_.suspect || routing->suspects.contains(request_.fingerprint);
+      request_.suspect || (routing->suspects.contains(request_.fingerprint) &&
+                           !context_.deaths.WasAnswered(request_.fingerprint));
   if (request_.suspect &&
       !context_.deaths.MayStartSuspect(request_.target, request_.fingerprint)) {
     return ProxyError::kSuspectBusy;
@@ -338,7 +339,8 @@
     co_await DetectTargetDeath();
   }
   if (tracked_) {
-    context_.deaths.OnEnd(request_.target, request_.fingerprint, answered_);
+    context_.deaths.OnEnd(request_.target, request_.fingerprint,
+                          answered_ && !refused_by_target_);
   }
   if (has_slot_) {
     const auto took = std::chrono::duration_cast<Microseconds>(
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -97,7 +97,8 @@
               [this](std::uint64_t fingerprint, const TargetId& target) {
                 const std::scoped_lock lock(mutex_);
                 poison_[fingerprint].fingerprint = fingerprint;
-                poison_[fingerprint].deaths.insert(target);
+                poison_[fingerprint].deaths.insert(
+                    {WallTime(Milliseconds(++deaths_)), target});
                 RebuildLocked();
               },
           .on_target_leaving =
@@ -179,6 +180,7 @@
   HeaderVocabulary vocabulary_;
   CallerLimits caller_limits_;
   std::map<std::uint64_t, PoisonRecord> poison_;
+  int deaths_ = 0;
   std::map<std::string, std::vector<TargetInfo>> host_targets_;
   std::map<TargetId, Endpoint> addresses_;
   std::map<std::string, EffectiveRoutingPtr> routings_;
