Keep what has left a host across the restart of its process

Cause: that a target has left was kept in the memory of one process, and even there for ten seconds (five if it was not listed). TargetRegistry::Report takes the report of an id that it does not know as that of a new target. Ruled out: the routing of other hosts, which follows the host's record.

The opposite: a later start under the same id has a later start time and is added at once; a late request to leave of an earlier run no longer takes out the later one; a target whose lease lapsed without a word of leaving is back with its next report, not ten seconds later.

The test of a late report after an unknown target left now names a start time, and looks 3,000 s later where it looked 3.

--- a/node/admin/admin_api.cc
+++ b/node/admin/admin_api.cc
@@ -191,29 +191,33 @@
       "POST", "/v1/targets/{}/leave", AdminAccess::kLoopback,
       [this](const AdminRouter::Call& call, const AdminRespond& respond) {
         PostToDecisions(respond,
-                        [this, respond, id = TargetId(call.captures[0])] {
-                          options_.controller->Leave(id, Now());
-                          respond(Json(object{}));
+                        [this, respond,
+                         departure = TargetDeparture::Parse(
+                             TargetId(call.captures[0]), call.request.body)] {
+                          options_.controller->Leave(departure, Now());
+                          options_.await_departures_stored(
+                              [respond] { respond(Json(object{})); });
                         });
       });
-  const auto change = [this](bool (HostController::*method)(const TargetId&,
-                                                            MonoTime)) {
-    return [this, method](const AdminRouter::Call& call,
-                          const AdminRespond& respond) {
+  const auto change = [this](std::function<bool(const TargetId&)> apply) {
+    return [this, apply = std::move(apply)](const AdminRouter::Call& call,
+                                            const AdminRespond& respond) {
       PostToDecisions(
-          respond, [this, method, respond, id = TargetId(call.captures[0])] {
-            if ((options_.controller->*method)(id, Now())) {
-              return respond(Json(object{}));
-            }
+          respond, [apply, respond, id = TargetId(call.captures[0])] {
+            if (apply(id)) return respond(Json(object{}));
             respond(AdminError(404, "not_found",
                                "unknown target: it must be announced first"));
           });
     };
   };
   router_.Add("POST", "/v1/targets/{}/renew", AdminAccess::kLoopback,
-              change(&HostController::Renew));
+              change([this](const TargetId& id) {
+                return options_.controller->Renew(id, Now());
+              }));
   router_.Add("DELETE", "/v1/targets/{}", AdminAccess::kLoopback,
-              change(&HostController::Leave));
+              change([this](const TargetId& id) {
+                return options_.controller->Leave({.id = id}, Now());
+              }));
 }
 
 void AdminApi::AddRollouts() {
@@ -359,7 +363,8 @@
           AdminError(503, "too_many_targets",
                      "too many targets are registered on this host"));
     }
-    respond(Json(object{}));
+    // A target may rely on its response when it has said that it leaves.
+    options_.await_departures_stored([respond] { respond(Json(object{})); });
   });
 }
 
--- a/node/admin/admin_api.h
+++ b/node/admin/admin_api.h
@@ -29,6 +29,10 @@
     std::function<void(const ConfigEdit&,
                        std::function<void(const AcceptResult&)>)>
         accept{};  ///< accepts an edit; called on the decisions thread
+    std::function<void(std::function<void()>)>
+        await_departures_stored{};  ///< runs the function once the targets'
+                                    ///< departures are stored, or soon after;
+                                    ///< called on the decisions thread
     std::function<boost::json::object()>
         status{};  ///< process status; called on the decisions thread
     std::function<boost::json::object()>
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -23,7 +23,8 @@
 HostController::HostController(Options options)
     : options_(std::move(options)),
       registry_({.lease = options_.settings.targets.lease,
-                 .warming_limit = options_.settings.targets.warming_limit}) {
+                 .warming_limit = options_.settings.targets.warming_limit,
+                 .await_departures = options_.departures_changed != nullptr}) {
   rollouts_ = std::make_unique<RolloutManager>(ManagerOptions());
   replicator_ = std::make_unique<Replicator>(ReplicatorOptions());
 }
@@ -135,14 +136,15 @@
 
 bool HostController::Report(const TargetAnnouncement& report, MonoTime now) {
   now_ = now;
-  const TargetRegistry::ReportResult result = registry_.Report(report, now);
-  if (result == TargetRegistry::ReportResult::kRenewed) return true;
-  if (result == TargetRegistry::ReportResult::kChanged) OnTargetsChanged(now);
+  using Result = TargetRegistry::ReportResult;
+  const Result result = registry_.Report(report, now);
+  ReportDepartures();
+  if (result == Result::kRenewed) return true;
+  if (result == Result::kChanged) OnTargetsChanged(now);
   options_.log->Log(
       LogLevel::kInfo, "targets",
-      result == TargetRegistry::ReportResult::kChanged
-          ? "target report updated the target's record"
-          : "target report rejected",
+      result == Result::kChanged ? "target report updated the target's record"
+                                 : "target report rejected",
       {{"target", report.id.value()},
        {"pool", report.pool.value()},
        {"version", report.version.value()},
@@ -150,27 +152,59 @@
        {"state", report.leaving ? "leaving" : (report.warm ? "ready" : "cold")},
        {"sequence", report.sequence},
        {"started_ms", report.started_ms},
-       {"outcome", result == TargetRegistry::ReportResult::kTooMany ? "too_many"
-                   : result == TargetRegistry::ReportResult::kStale
-                       ? "stale"
-                       : "taken"}});
-  return result != TargetRegistry::ReportResult::kTooMany;
+       {"outcome", result == Result::kTooMany       ? "too_many"
+                   : result == Result::kStale       ? "stale"
+                   : result == Result::kUnconfirmed ? "unconfirmed"
+                                                    : "taken"}});
+  return result != Result::kTooMany;
 }
 
 bool HostController::Renew(const TargetId& id, MonoTime now) {
   return registry_.Renew(id, now);
 }
 
-bool HostController::Leave(const TargetId& id, MonoTime now) {
+bool HostController::Leave(const TargetDeparture& departure, MonoTime now) {
   now_ = now;
-  if (!registry_.Leave(id, now)) return false;
-  options_.log->Log(LogLevel::kInfo, "targets", "target is leaving",
-                    {{"target", id.value()}});
-  options_.log->History("target_left", {{"id", id.value()}});
+  const bool listed = registry_.Leave(departure, now);
+  if (!listed && departure.started_ms == 0) {
+    // The run that leaves started before now, and any later one starts after.
+    const auto wall_ms = wall_now_.time_since_epoch().count();
+    registry_.Leave(
+        {.id = departure.id, .started_ms = static_cast<std::uint64_t>(wall_ms)},
+        now);
+  }
+  ReportDepartures();
+  options_.log->Log(
+      LogLevel::kInfo, "targets",
+      listed ? "target is leaving" : "target that is not listed is leaving",
+      {{"target", departure.id.value()}, {"started_ms", departure.started_ms}});
+  if (!listed) return false;
+  options_.log->History("target_left", {{"id", departure.id.value()}});
   OnTargetsChanged(now);
   return true;
 }
 
+void HostController::LoadDepartures(
+    const std::vector<TargetDeparture>& departures, MonoTime now) {
+  now_ = now;
+  const bool changed = registry_.LoadDepartures(departures, now);
+  options_.log->Log(LogLevel::kInfo, "targets",
+                    "departures of an earlier process loaded",
+                    {{"departures", departures.size()},
+                     {"targets_changed", changed ? "yes" : "no"}});
+  ReportDepartures();
+  if (changed) OnTargetsChanged(now);
+}
+
+void HostController::ReportDepartures() {
+  if (!options_.departures_changed ||
+      registry_.departures() == reported_departures_) {
+    return;
+  }
+  reported_departures_ = registry_.departures();
+  options_.departures_changed();
+}
+
 void HostController::LeaveMesh(MonoTime now) {
   now_ = now;
   replicator_->Leave(now);
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -42,6 +42,8 @@
         fetch_snapshot{};  ///< requests a snapshot from the platform
     std::function<void(const ConfigSnapshot&)>
         config_changed{};  ///< called after a newer snapshot is activated
+    std::function<void()>
+        departures_changed{};  ///< called after departures() has changed
   };
 
   explicit HostController(Options options);
@@ -65,7 +67,16 @@
   bool Announce(const TargetAnnouncement& announcement, MonoTime now);
   bool Report(const TargetAnnouncement& report, MonoTime now);
   bool Renew(const TargetId& id, MonoTime now);
-  bool Leave(const TargetId& id, MonoTime now);
+  bool Leave(const TargetDeparture& departure, MonoTime now);
+
+  /// Adds the departures that an earlier process of this host recorded.
+  void LoadDepartures(const std::vector<TargetDeparture>& departures,
+                      MonoTime now);
+
+  /// Departures of this host's targets, to be loaded by its next process.
+  const std::vector<TargetDeparture>& departures() const {
+    return registry_.departures();
+  }
 
   /// Announces to the mesh that this host is leaving.
   void LeaveMesh(MonoTime now);
@@ -96,6 +107,7 @@
   void OnConfigChanged(const ConfigSnapshotPtr& snapshot);
   void OnRolloutChanged(const RolloutRecord& record);
   void OnTargetsChanged(MonoTime now);
+  void ReportDepartures();
   WallTime FindNextBlockEnd() const;
   void LogRouting(const EffectiveRouting& routing);
   void LogEvaluation(const RolloutEvaluation& evaluation);
@@ -108,8 +120,10 @@
   bool routing_changed_ = true;  ///< routing needs a rebuild
   bool urgent_ = false;          ///< routing needs an immediate rebuild
   MonoTime last_built_{};        ///< time of the last routing build
-  MonoTime now_{};               ///< time passed to the current call
-  WallTime wall_now_{};          ///< wall time of the latest tick
+  std::vector<TargetDeparture>
+      reported_departures_;  ///< as of the last departures_changed
+  MonoTime now_{};           ///< time passed to the current call
+  WallTime wall_now_{};      ///< wall time of the latest tick
   WallTime block_ends_ = WallTime::max();  ///< when the next blocked request is
                                            ///< admitted again
 };
--- a/node/node.cc
+++ b/node/node.cc
@@ -185,7 +185,7 @@
                     "target says in a response that it is leaving",
                     {{"target", target.value()}});
             decisions.Post(Source::kProxy, [this, target] {
-              controller->Leave(target, Now());
+              controller->Leave({.id = target}, Now());
             });
           },
       .claim =
@@ -267,7 +267,8 @@
           .config_changed =
               [this](const ConfigSnapshot& snapshot) {
                 sync->OnConfigChanged(snapshot);
-              }};
+              },
+          .departures_changed = [this] { sync->OnDeparturesChanged(); }};
 }
 
 PlatformSync::Options Node::State::SyncOptions() {
@@ -305,6 +306,10 @@
                      std::function<void(const AcceptResult&)> done) {
                 sync->Accept(edit, std::move(done));
               },
+          .await_departures_stored =
+              [this](std::function<void()> done) {
+                sync->AwaitDeparturesStored(std::move(done));
+              },
           .status = [this] { return Report().Status(); },
           .dump = [this] { return Report().Dump(); },
           .metrics = [this] { return Report().Metrics(); },
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -19,7 +19,8 @@
       schedule_({.poll = options_.settings.poll,
                  .slow_poll = options_.settings.slow_poll,
                  .random_seed = options_.random_seed}),
-      archive_(ArchiveOptions()) {
+      archive_(ArchiveOptions()),
+      departures_(DepartureOptions()) {
   if (!options_.operator_tables) return;
   feed_.emplace(FeedOptions());
   directory_.emplace(DirectoryOptions());
@@ -64,6 +65,22 @@
           .post = options_.post};
 }
 
+DepartureArchive::Options PlatformSync::DepartureOptions() {
+  HostController* const controller = options_.controller;
+  return {.host = options_.host,
+          .platform = options_.platform,
+          .log = options_.log,
+          .random_seed = options_.random_seed,
+          .departures = [controller]() -> const std::vector<TargetDeparture>& {
+            return controller->departures();
+          },
+          .on_loaded =
+              [controller](const std::vector<TargetDeparture>& departures) {
+                controller->LoadDepartures(departures, Now());
+              },
+          .post = options_.post};
+}
+
 void PlatformSync::OnOperatorSnapshot(const ConfigSnapshot& snapshot) {
   // Pass the snapshot before the head, so that the head triggers no fetch.
   Replicator& replicator = options_.controller->replicator();
@@ -91,6 +108,13 @@
     ReadHead();
   }
   archive_.Tick(replicator.rollouts(), poller, now, wall_now);
+  departures_.Tick(now);
+}
+
+void PlatformSync::OnDeparturesChanged() { departures_.OnChanged(Now()); }
+
+void PlatformSync::AwaitDeparturesStored(std::function<void()> done) {
+  departures_.AwaitStored(std::move(done), Now());
 }
 
 void PlatformSync::OnConfigChanged(const ConfigSnapshot& snapshot) {
--- a/node/platform_sync/platform_sync.h
+++ b/node/platform_sync/platform_sync.h
@@ -11,6 +11,7 @@
 #include "core/config/config_snapshot.h"
 #include "node/decisions/host_controller.h"
 #include "node/log/log_sink.h"
+#include "node/platform_sync/departure_archive.h"
 #include "node/platform_sync/host_directory.h"
 #include "node/platform_sync/operator_feed.h"
 #include "node/platform_sync/poll_schedule.h"
@@ -77,6 +78,14 @@
   /// decisions thread. Must be called from the decisions thread.
   void Accept(ConfigEdit edit, std::function<void(const AcceptResult&)> done);
 
+  /// Stores the departures of this host's targets, which have changed. Must be
+  /// called from the decisions thread.
+  void OnDeparturesChanged();
+
+  /// Calls `done` once the departures are stored, or after a short while. Must
+  /// be called from the decisions thread.
+  void AwaitDeparturesStored(std::function<void()> done);
+
   /// Whether the last read of the configuration succeeded. Must be called from
   /// the decisions thread.
   bool reachable() const {
@@ -90,6 +99,7 @@
   RolloutArchive::Options ArchiveOptions();
   OperatorFeed::Options FeedOptions();
   HostDirectory::Options DirectoryOptions();
+  DepartureArchive::Options DepartureOptions();
   void OnOperatorSnapshot(const ConfigSnapshot& snapshot);
   void ReadHead();
   void OnHead(const HeadResult& result);
@@ -100,6 +110,7 @@
   ConfigRepository repository_;
   PollSchedule schedule_;
   RolloutArchive archive_;
+  DepartureArchive departures_;
   std::optional<OperatorFeed> feed_;        ///< set if operator_tables is set
   std::optional<HostDirectory> directory_;  ///< set if feed_ is set
   std::optional<ConfigHead> fetching_;  ///< head of the snapshot being fetched
--- a/node/targets/target_registry.cc
+++ b/node/targets/target_registry.cc
@@ -1,6 +1,8 @@
 #include "node/targets/target_registry.h"
 
-#include <iterator>
+#include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace camphor {
 
@@ -19,6 +21,7 @@
   if (new_run) entry.first_seen = now;
   entry.announcement = announcement;
   entry.renewed = now;
+  entry.departed = false;
   const bool warming_allowed = now - entry.first_seen < options_.warming_limit;
   entry.status = !announcement.warm && warming_allowed ? TargetStatus::kWarming
                                                        : TargetStatus::kReady;
@@ -29,8 +32,11 @@
     const TargetAnnouncement& report, MonoTime now) {
   const auto found = entries_.find(report.id);
   const Entry* known_entry = found == entries_.end() ? nullptr : &found->second;
-  if (known_entry == nullptr && HasDeparted(report.id, now))
-    return ReportResult::kStale;
+  if (known_entry == nullptr) {
+    if (history_.Includes(report.id, report.started_ms))
+      return ReportResult::kStale;
+    if (!IsConfirmed(report, now)) return ReportResult::kUnconfirmed;
+  }
   const bool returned =
       known_entry != nullptr &&
       report.started_ms > known_entry->announcement.started_ms;
@@ -40,34 +46,73 @@
         report.sequence <= known_entry->announcement.sequence) {
       return ReportResult::kStale;
     }
-    if (known_entry->status == TargetStatus::kLeaving) {
+    if (known_entry->departed) {
       found->second.announcement.sequence = report.sequence;
       return ReportResult::kRenewed;
     }
   }
-  // A newer target at the address of a listed one has replaced it.
-  for (auto& [id, entry] : entries_) {
-    if (id == report.id || entry.status == TargetStatus::kLeaving ||
-        entry.announcement.address != report.address) {
-      continue;
-    }
-    if (entry.announcement.started_ms > report.started_ms)
-      return ReportResult::kStale;
-    entry.status = TargetStatus::kLeaving;
-    entry.left_at = now;
-  }
+  if (IsReplacedAtItsAddress(report)) return ReportResult::kStale;
+  ReplaceTargetsAt(report, now);
   // A leaving target stays listed, so that a delayed report cannot add it
   // again.
   const TargetStatus previous_status =
       known_entry == nullptr ? TargetStatus::kLeaving : known_entry->status;
   if (returned) entries_.erase(found);
   if (!Announce(report, now)) return ReportResult::kTooMany;
-  if (report.leaving) Leave(report.id, now);
+  if (report.leaving)
+    Leave({.id = report.id, .started_ms = report.started_ms}, now);
   const bool unchanged =
       entries_.at(report.id).status == previous_status && !returned;
   return unchanged ? ReportResult::kRenewed : ReportResult::kChanged;
 }
 
+bool TargetRegistry::IsConfirmed(const TargetAnnouncement& report,
+                                 MonoTime now) {
+  if (departures_known_ || report.leaving) return true;
+  // A target that runs reports periodically; one that has left may have a
+  // single report under way.
+  const auto [first, added] =
+      unconfirmed_.try_emplace(report.id, UnconfirmedReport{report, now});
+  if (added) {
+    if (unconfirmed_.size() > options_.max_targets) unconfirmed_.erase(first);
+    return false;
+  }
+  UnconfirmedReport& known = first->second;
+  const bool newer = std::tie(report.started_ms, report.sequence) >
+                     std::tie(known.report.started_ms, known.report.sequence);
+  if (!newer) return false;
+  known.report = report;
+  if (now - known.first_at < options_.confirm_after) return false;
+  unconfirmed_.erase(first);
+  return true;
+}
+
+bool TargetRegistry::IsReplacedAtItsAddress(
+    const TargetAnnouncement& report) const {
+  return std::ranges::any_of(entries_, [&report](const auto& row) {
+    const auto& [id, entry] = row;
+    const bool ran_last =
+        entry.status != TargetStatus::kLeaving || entry.departed;
+    return id != report.id && ran_last &&
+           entry.announcement.address == report.address &&
+           entry.announcement.started_ms > report.started_ms;
+  });
+}
+
+void TargetRegistry::ReplaceTargetsAt(const TargetAnnouncement& report,
+                                      MonoTime now) {
+  for (auto& [id, entry] : entries_) {
+    if (id == report.id || entry.status == TargetStatus::kLeaving) continue;
+    if (entry.announcement.address == report.address) MarkLeaving(entry, now);
+  }
+}
+
+void TargetRegistry::MarkLeaving(Entry& entry, MonoTime now) {
+  if (entry.status == TargetStatus::kLeaving) return;
+  entry.status = TargetStatus::kLeaving;
+  entry.left_at = now;
+}
+
 bool TargetRegistry::Renew(const TargetId& id, MonoTime now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return false;
@@ -76,29 +121,47 @@
   return true;
 }
 
-bool TargetRegistry::Leave(const TargetId& id, MonoTime now) {
-  const auto found = entries_.find(id);
+bool TargetRegistry::Leave(const TargetDeparture& departure, MonoTime now) {
+  unconfirmed_.erase(departure.id);
+  const auto found = entries_.find(departure.id);
   if (found == entries_.end()) {
-    if (departed_.size() < options_.max_targets) departed_[id] = now;
+    history_.Add(departure);
     return false;
   }
-  if (found->second.status == TargetStatus::kLeaving) return true;
-  found->second.status = TargetStatus::kLeaving;
-  found->second.left_at = now;
+  Entry& entry = found->second;
+  const std::uint64_t listed_ms = entry.announcement.started_ms;
+  if (departure.started_ms > 0 && departure.started_ms < listed_ms)
+    return false;  // a delayed request of an earlier run
+  history_.Add({.id = departure.id,
+                .started_ms = std::max(departure.started_ms, listed_ms)});
+  entry.departed = true;
+  MarkLeaving(entry, now);
   return true;
 }
 
-bool TargetRegistry::HasDeparted(const TargetId& id, MonoTime now) const {
-  const auto found = departed_.find(id);
-  return found != departed_.end() &&
-         now - found->second < options_.departed_retention;
+bool TargetRegistry::LoadDepartures(
+    const std::vector<TargetDeparture>& departures, MonoTime now) {
+  for (const TargetDeparture& departure : departures) history_.Add(departure);
+  bool changed = false;
+  for (auto& [id, entry] : entries_) {
+    if (entry.departed ||
+        !history_.Includes(id, entry.announcement.started_ms)) {
+      continue;
+    }
+    entry.departed = true;
+    MarkLeaving(entry, now);
+    changed = true;
+  }
+  departures_known_ = true;
+  for (const auto& [id, unconfirmed] : std::exchange(unconfirmed_, {})) {
+    const ReportResult result = Report(unconfirmed.report, now);
+    changed = changed || result == ReportResult::kChanged;
+  }
+  return changed;
 }
 
 bool TargetRegistry::Expire(MonoTime now) {
   bool changed = false;
-  std::erase_if(departed_, [&](const auto& entry) {
-    return now - entry.second >= options_.departed_retention;
-  });
   for (auto next = entries_.begin(); next != entries_.end();) {
     const auto current = next++;
     Entry& entry = current->second;
@@ -107,8 +170,7 @@
       entries_.erase(current);
       changed = true;
     } else if (now - entry.renewed >= options_.lease) {
-      entry.status = TargetStatus::kLeaving;
-      entry.left_at = now;
+      MarkLeaving(entry, now);
       changed = true;
     } else if (entry.status == TargetStatus::kWarming &&
                now - entry.first_seen >= options_.warming_limit) {
--- a/node/targets/target_registry.h
+++ b/node/targets/target_registry.h
@@ -7,15 +7,19 @@
 #include "core/base/endpoint.h"
 #include "core/base/time.h"
 #include "core/membership/target_announcement.h"
+#include "core/membership/target_departure.h"
 #include "core/replication/host_record.h"
+#include "node/targets/departure_history.h"
 
 namespace camphor {
 
 /// Registry of the targets of this host, based on leases.
 ///
 /// A target that leaves or whose lease expires stays listed as leaving for a
-/// while, so that all hosts learn of it before the entry is removed. Must be
-/// used from one thread; the caller passes in the current time.
+/// while, so that all hosts learn of it before the entry is removed. A run of a
+/// target that has left never becomes available again, however late one of its
+/// reports arrives. Must be used from one thread; the caller passes in the
+/// current time.
 class TargetRegistry {
  public:
   struct Options {
@@ -23,13 +27,16 @@
     Milliseconds warming_limit{60000};  ///< maximum duration of the warm-up
     Milliseconds leaving_retention{
         10000};  ///< time for which leaving targets stay listed
-    Milliseconds departed_retention{
-        5000};  ///< time for which reports of a target that left unknown are
-                ///< ignored
     std::uint32_t max_targets = 256;  ///< maximum number of targets
+    bool await_departures = false;    ///< departures of an earlier process will
+                                    ///< be passed to LoadDepartures
+    Milliseconds confirm_after{
+        1000};  ///< until then, an unknown target is added only by a second
+                ///< report, at least this long after its first
   };
 
-  explicit TargetRegistry(Options options) : options_(options) {}
+  explicit TargetRegistry(Options options)
+      : options_(options), departures_known_(!options.await_departures) {}
 
   /// Adds or updates a target and renews its lease. Returns false if there are
   /// too many targets. Must be called from one thread.
@@ -40,7 +47,8 @@
     kRenewed,
     kChanged,
     kStale,
-    kTooMany
+    kTooMany,
+    kUnconfirmed,  ///< departures are not known yet; see Options
   };
 
   /// Processes a periodic report, which announces a target, renews its lease or
@@ -53,9 +61,20 @@
   bool Renew(const TargetId& id, MonoTime now);
 
   /// Marks a target as leaving, so that it receives no new requests. Returns
-  /// false if it is unknown, for example after a restart of this host; reports
-  /// that it sent before are then ignored. Must be called from one thread.
-  bool Leave(const TargetId& id, MonoTime now);
+  /// false if that run is not listed, for example after a restart of this host;
+  /// its reports are ignored all the same if the start time is known. Must be
+  /// called from one thread.
+  bool Leave(const TargetDeparture& departure, MonoTime now);
+
+  /// Adds the departures that an earlier process of this host recorded. Returns
+  /// true if the list of targets changed. Must be called from one thread.
+  bool LoadDepartures(const std::vector<TargetDeparture>& departures,
+                      MonoTime now);
+
+  /// All departures that are known. Must be called from one thread.
+  const std::vector<TargetDeparture>& departures() const {
+    return history_.departures();
+  }
 
   /// Ends expired leases and warm-ups and removes targets that have left.
   /// Returns true if anything changed. Must be called from one thread.
@@ -73,16 +92,27 @@
   struct Entry {
     TargetAnnouncement announcement;  ///< latest announcement or report
     TargetStatus status = TargetStatus::kReady;  ///< current status
-    MonoTime first_seen;  ///< first announcement of this run
-    MonoTime renewed;     ///< last renewal of the lease
-    MonoTime left_at{};   ///< time at which it was marked as leaving
+    MonoTime first_seen;    ///< first announcement of this run
+    MonoTime renewed;       ///< last renewal of the lease
+    MonoTime left_at{};     ///< time at which it was marked as leaving
+    bool departed = false;  ///< it said that it leaves
+  };
+
+  struct UnconfirmedReport {
+    TargetAnnouncement report;
+    MonoTime first_at;  ///< arrival of the target's first report
   };
 
-  bool HasDeparted(const TargetId& id, MonoTime now) const;
+  bool IsConfirmed(const TargetAnnouncement& report, MonoTime now);
+  bool IsReplacedAtItsAddress(const TargetAnnouncement& report) const;
+  void ReplaceTargetsAt(const TargetAnnouncement& report, MonoTime now);
+  static void MarkLeaving(Entry& entry, MonoTime now);
 
   Options options_;
+  bool departures_known_;
   std::map<TargetId, Entry> entries_;
-  std::map<TargetId, MonoTime> departed_;  ///< when unknown targets left
+  DepartureHistory history_;
+  std::map<TargetId, UnconfirmedReport> unconfirmed_;
 };
 
 }  // namespace camphor
--- a/unit_tests/node/node_test.cc
+++ b/unit_tests/node/node_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <memory>
 #include <optional>
@@ -25,6 +26,11 @@
  protected:
   NodeTest() {
     EXPECT_TRUE(platform_.Start());
+    StartNode();
+  }
+
+  /// Starts a process of the host. It knows what the platform keeps.
+  void StartNode() {
     const std::string address = addresses_->Address(1);
     Settings settings{
         .host = HostId("h1"),
@@ -64,6 +70,32 @@
     return answer.has_value() ? answer->status : 0;
   }
 
+  /// Sends a periodic report of a target. Returns the status.
+  int Report(const std::string& id, std::uint64_t started_ms, int sequence) {
+    const boost::json::object report{
+        {"pool", "billing"},
+        {"address", id == "t1" ? "127.0.0.1:1" : "127.0.0.1:2"},
+        {"version", "v1"},
+        {"slots", 10},
+        {"state", "ready"},
+        {"sequence", sequence},
+        {"born", started_ms}};
+    const auto answer = Admin({.method = "POST",
+                               .target = "/v1/targets/" + id + "/report",
+                               .body = boost::json::serialize(report)});
+    return answer.has_value() ? answer->status : 0;
+  }
+
+  /// Returns true if the target is listed as ready.
+  bool IsReady(const std::string& id) {
+    const boost::json::value view = boost::json::parse(Get("/v1/targets"));
+    const auto& targets = view.at("targets").as_array();
+    return std::ranges::any_of(targets, [&id](const auto& target) {
+      return target.at("id").as_string() == id &&
+             target.at("status") == "ready";
+    });
+  }
+
   std::string Get(const std::string& path) {
     const auto answer = Admin({.method = "GET", .target = path});
     return answer.has_value() ? answer->body : "";
@@ -107,6 +139,7 @@
 using NodeAdminRead = NodeTest;
 using NodeServe = NodeTest;
 using NodeDrain = NodeTest;
+using NodeRestart = NodeTest;
 
 TEST_F(NodeAdminEdit, WithWrongToken_401AndVersionUnchanged) {
   EXPECT_EQ(Put(kTables, "", "0"), 401);
@@ -179,6 +212,27 @@
   node_->Stop();
 }
 
+// Guards against a target that has left and is taken for a new one by the next
+// process of its host.
+TEST_F(NodeRestart, LateReportOfTargetThatLeft_DoesNotBringItBack) {
+  ASSERT_EQ(Report("t1", 10, 1), 200);
+  ASSERT_TRUE(WaitUntil(kMaxWait, [this] { return IsReady("t1"); }));
+  ASSERT_EQ(Admin({.method = "POST", .target = "/v1/targets/t1/leave"})->status,
+            200);
+  for (int restart = 0; restart < 2; ++restart) {
+    node_.reset();
+    StartNode();
+    EXPECT_EQ(Report("t1", 10, 2), 200);
+    // A target that is new is added, whatever the process knows by now.
+    EXPECT_EQ(Report("t2", 9, 1), 200);
+    ASSERT_TRUE(WaitUntil(kMaxWait, [this] { return IsReady("t2"); }));
+    EXPECT_EQ(Report("t1", 10, 3), 200);
+    EXPECT_FALSE(IsReady("t1"));
+  }
+  ASSERT_EQ(Report("t1", 11, 1), 200);
+  EXPECT_TRUE(WaitUntil(kMaxWait, [this] { return IsReady("t1"); }));
+}
+
 TEST(NodeStart, AddressInUse_FailsWithReason) {
   PlatformStandIn platform{{}};
   ASSERT_TRUE(platform.Start());
--- a/unit_tests/node/targets/target_registry_test.cc
+++ b/unit_tests/node/targets/target_registry_test.cc
@@ -64,7 +64,7 @@
 
 TEST_F(TargetRegistryLeave, LeavingTarget_HasNoAddressAndIsRemovedLater) {
   registry_.Announce(Announcement(true), start_);
-  EXPECT_TRUE(registry_.Leave(TargetId("t1"), start_));
+  EXPECT_TRUE(registry_.Leave({.id = TargetId("t1")}, start_));
   EXPECT_EQ(status(), TargetStatus::kLeaving);
   EXPECT_TRUE(registry_.addresses().empty());
   EXPECT_FALSE(registry_.Renew(TargetId("t1"), start_));
@@ -152,18 +152,61 @@
 
 // A host that has restarted knows none of its targets.
 TEST_F(TargetRegistryReport, LateReportAfterUnknownTargetLeft_IsNotAnnounced) {
-  EXPECT_FALSE(registry_.Leave(TargetId("t1"), start_));
-  EXPECT_EQ(registry_.Report(Report("t1", 10, 19), start_ + seconds(3)),
+  EXPECT_FALSE(
+      registry_.Leave({.id = TargetId("t1"), .started_ms = 10}, start_));
+  for (const auto late : {seconds(3), seconds(30), seconds(3000)}) {
+    registry_.Expire(start_ + late);
+    EXPECT_EQ(registry_.Report(Report("t1", 10, 19), start_ + late),
+              ReportResult::kStale);
+    EXPECT_TRUE(registry_.targets().empty());
+  }
+  EXPECT_EQ(registry_.Report(Report("t1", 20, 1), start_ + seconds(6)),
+            ReportResult::kChanged);
+  EXPECT_EQ(Status("t1"), TargetStatus::kReady);
+}
+
+// Guards against a report so late that the leaving entry is gone.
+TEST_F(TargetRegistryReport, ReportLaterThanRetention_DoesNotBringTargetBack) {
+  registry_.Report(Report("t1", 10, 1), start_);
+  registry_.Leave({.id = TargetId("t1")}, start_);
+  EXPECT_TRUE(registry_.Expire(start_ + seconds(20)));
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 2), start_ + seconds(20)),
             ReportResult::kStale);
   EXPECT_TRUE(registry_.targets().empty());
-  EXPECT_EQ(registry_.Report(Report("t1", 20, 1), start_ + seconds(6)),
+  EXPECT_EQ(registry_.Report(Report("t1", 11, 1), start_ + seconds(20)),
+            ReportResult::kChanged);
+}
+
+// Guards against a late request to leave that takes out a later run.
+TEST_F(TargetRegistryReport, LateDepartureOfEarlierRun_LaterRunStays) {
+  registry_.Report(Report("t1", 20, 1), start_);
+  EXPECT_FALSE(
+      registry_.Leave({.id = TargetId("t1"), .started_ms = 10}, start_));
+  EXPECT_EQ(Status("t1"), TargetStatus::kReady);
+}
+
+// Guards against keeping out a target that only missed its renewals.
+TEST_F(TargetRegistryReport, LeaseLapsed_NextReportBringsTargetBack) {
+  registry_.Report(Report("t1", 10, 1), start_);
+  EXPECT_TRUE(registry_.Expire(start_ + seconds(7)));
+  EXPECT_EQ(Status("t1"), TargetStatus::kLeaving);
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 2), start_ + seconds(7)),
             ReportResult::kChanged);
   EXPECT_EQ(Status("t1"), TargetStatus::kReady);
 }
 
+TEST_F(TargetRegistryReport, DelayedReportAfterNewerRunLeft_AddsNoTarget) {
+  registry_.Report(Report("t1", 10, 1), start_);
+  registry_.Report(Report("t2", 20, 1), start_);
+  registry_.Leave({.id = TargetId("t2")}, start_);
+  EXPECT_EQ(registry_.Report(Report("t1", 10, 2), start_),
+            ReportResult::kStale);
+  EXPECT_EQ(Status("t1"), TargetStatus::kLeaving);
+}
+
 TEST_F(TargetRegistryReport, RestartWithSameId_RestartsSequence) {
   registry_.Report(Report("t1", 10, 9), start_);
-  registry_.Leave(TargetId("t1"), start_);
+  registry_.Leave({.id = TargetId("t1")}, start_);
   EXPECT_EQ(registry_.Report(Report("t1", 20, 1), start_),
             ReportResult::kChanged);
   EXPECT_EQ(Status("t1"), TargetStatus::kReady);
@@ -187,5 +230,51 @@
   EXPECT_EQ(Status("t2"), TargetStatus::kReady);
 }
 
+// A new process of a host whose earlier one recorded departures.
+class TargetRegistryRestart : public TargetRegistryReport {
+ protected:
+  const std::vector<TargetDeparture> departures_{
+      {.id = TargetId("t1"), .started_ms = 10}};
+  TargetRegistry restarted_{{.lease = seconds(6), .await_departures = true}};
+};
+
+TEST_F(TargetRegistryRestart, DeparturesLoaded_DelayedReportAddsNoTarget) {
+  restarted_.LoadDepartures(departures_, start_);
+  EXPECT_EQ(restarted_.Report(Report("t1", 10, 2), start_ + seconds(60)),
+            ReportResult::kStale);
+  EXPECT_EQ(restarted_.Report(Report("t1", 11, 1), start_ + seconds(60)),
+            ReportResult::kChanged);
+  EXPECT_EQ(restarted_.Report(Report("t2", 9, 1, 8081), start_ + seconds(60)),
+            ReportResult::kChanged);
+}
+
+TEST_F(TargetRegistryRestart, NotLoadedYet_OneReportAddsNoTarget) {
+  EXPECT_EQ(restarted_.Report(Report("t1", 10, 2), start_),
+            ReportResult::kUnconfirmed);
+  EXPECT_TRUE(restarted_.targets().empty());
+  EXPECT_FALSE(restarted_.LoadDepartures(departures_, start_));
+  EXPECT_TRUE(restarted_.targets().empty());
+}
+
+TEST_F(TargetRegistryRestart, LoadedAfterFirstReport_TargetIsAddedAtOnce) {
+  restarted_.Report(Report("t2", 9, 1), start_);
+  EXPECT_TRUE(restarted_.LoadDepartures(departures_, start_));
+  EXPECT_EQ(restarted_.targets().size(), 1U);
+}
+
+TEST_F(TargetRegistryRestart, CannotBeLoaded_TargetThatGoesOnReportingIsAdded) {
+  restarted_.Report(Report("t2", 9, 1), start_);
+  EXPECT_EQ(restarted_.Report(Report("t2", 9, 2), start_ + seconds(2)),
+            ReportResult::kChanged);
+  EXPECT_EQ(restarted_.targets().size(), 1U);
+}
+
+TEST_F(TargetRegistryRestart, LoadedLate_DepartedTargetIsTakenOut) {
+  restarted_.Report(Report("t1", 10, 1), start_);
+  restarted_.Report(Report("t1", 10, 2), start_ + seconds(2));
+  EXPECT_TRUE(restarted_.LoadDepartures(departures_, start_ + seconds(3)));
+  EXPECT_EQ(restarted_.targets().at(0).status, TargetStatus::kLeaving);
+}
+
 }  // namespace
 }  // namespace camphor
