--- a/core/routing/death_tracker.cc
+++ b/core/routing/death_tracker.cc
@@ -48,15 +48,15 @@
   if (found == running_.end()) return {};
   std::vector<Running> candidates = std::move(found->second);
   running_.erase(found);
-  const auto forgiven =
-      std::ranges::stable_partition(candidates, [this](const Running& running) {
+  const auto forgiven = std::stable_partition(
+      candidates.begin(), candidates.end(), [this](const Running& running) {
         return !WasAnswered(running.fingerprint);
       });
   // A request that has become fatal since its last answer is blamed from the
   // next death on.
-  for (const Running& running : forgiven)
-    answered_[running.fingerprint % kAnsweredSlots] = 0;
-  candidates.erase(forgiven.begin(), forgiven.end());
+  for (auto running = forgiven; running != candidates.end(); ++running)
+    answered_[running->fingerprint % kAnsweredSlots] = 0;
+  candidates.erase(forgiven, candidates.end());
   return candidates;
 }
 
