--- a/proxy/exchange.cc
+++ b/proxy/exchange.cc
@@ -23,6 +23,8 @@
 // body of a response to another request.
 constexpr std::uint32_t kMaxInterimResponses = 1000;
 constexpr std::size_t kMaxSkippedBytes = 1024 * 1024;
+/// Each chunk of a chunked body takes a read of its own.
+constexpr std::uint32_t kMaxSkippedReads = 16 * 1024;
 
 /// Writes what a serializer has to write now: until the message is complete or
 /// it needs more of the body.
@@ -189,8 +191,9 @@
   skipped_mismatched_response_ = true;
   std::array<char, kMaxDiscardedBytes> chunk{};
   std::size_t total = 0;
+  std::uint32_t reads = 0;
   while (!response_->is_done()) {
-    if (total > kMaxSkippedBytes) co_return false;
+    if (total > kMaxSkippedBytes || ++reads > kMaxSkippedReads) co_return false;
     response_->get().body().data = chunk.data();
     response_->get().body().size = chunk.size();
     auto [error, bytes] = co_await http::async_read_some(
