--- a/unit_tests/proxy/early_response_test.cc
+++ b/unit_tests/proxy/early_response_test.cc
@@ -23,6 +23,8 @@
 constexpr std::size_t kBodyBytes = 300'000;
 // Longer than what a proxy reads of a response before it relays it.
 constexpr std::size_t kResponseBytes = 30'000;
+// Longer than what the kernel's buffers hold.
+constexpr std::size_t kLongBodyBytes = 12'000'000;
 constexpr std::size_t kPieceBytes = 10'000;
 constexpr Milliseconds kPiecePause{3};
 constexpr Seconds kPatience{20};
@@ -172,10 +174,10 @@
     socket_.connect({boost::asio::ip::make_address(proxy.address), proxy.port});
   }
 
-  void SendHeader(bool chunked) {
+  void SendHeader(bool chunked, std::size_t size = kBodyBytes) {
     Send("POST /stream HTTP/1.1\r\nHost: example\r\n" +
          (chunked ? std::string("Transfer-Encoding: chunked")
-                  : "Content-Length: " + std::to_string(kBodyBytes)) +
+                  : "Content-Length: " + std::to_string(size)) +
          "\r\n\r\n");
   }
 
@@ -334,6 +336,28 @@
   EXPECT_EQ(target_->bodies_complete(), 0);
 }
 
+// Guards against a rejection that is lost because the caller is still sending
+// when its connection is closed.
+TEST_P(EarlyResponse, TargetRejectsAndCloses_CallerGetsTheRejection) {
+  const std::string body(500, 'r');
+  ScriptedTarget rejecting([&](const std::string&) -> ScriptedResponse {
+    return {.bytes = MakeResponse("413 Content Too Large",
+                                  "Connection: close\r\n", body),
+            .close = true};
+  });
+  AddTargetAt(GetParam().host, "t1", rejecting.endpoint());
+  StartHosts();
+  for (int call = 0; call < 5; ++call) {
+    StreamingCaller caller(proxy());
+    caller.SendHeader(GetParam().chunked_body, kLongBodyBytes);
+    caller.SendBody(GetParam().chunked_body, kLongBodyBytes);
+    const Received received = caller.Read();
+    EXPECT_TRUE(received.complete);
+    EXPECT_EQ(received.body, body);
+  }
+  TwoHosts::TearDown();
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Framings, EarlyResponse,
     testing::Values(EarlyCase{"LocalLength", "h1", false, false},
