Count the death of one run of a target once

A connection to a target that died can break after the death was noticed, and a request that was sent on it then would have counted a second death of one run, and been blocked although it killed nothing. Found by reading; TargetRegistry now keeps when the current run died. Test: TargetRegistryReport.DeathRecordedTwice_EachRunDiesOnce.

--- a/core/replication/poison_record.cc
+++ b/core/replication/poison_record.cc
@@ -1,17 +1,14 @@
 #include "core/replication/poison_record.h"
 
-#include <algorithm>
 #include <cassert>
 
 namespace camphor {
 namespace {
 
 constexpr std::size_t kMinDeathsToBlock = 2;
-/// Bounds the record; with the block doubled by each death, the deaths dropped
-/// no longer matter.
+/// Bounds the record and, with it, the block: 64 times the first one.
 constexpr std::size_t kMaxDeaths = 8;
 constexpr std::chrono::minutes kFirstBlock{10};
-constexpr std::chrono::hours kMaxBlock{12};
 /// A single death may have other causes than the request.
 constexpr std::chrono::minutes kSingleDeathRetention{10};
 /// A request that comes back within this time needs only one more death.
@@ -32,8 +29,7 @@
 WallTime PoisonRecord::BlockedUntil() const {
   if (deaths.size() < kMinDeathsToBlock) return {};
   const std::size_t doublings = deaths.size() - kMinDeathsToBlock;
-  const Milliseconds block = Milliseconds(kFirstBlock) * (1 << doublings);
-  return deaths.rbegin()->at + std::min<Milliseconds>(block, kMaxBlock);
+  return deaths.rbegin()->at + kFirstBlock * (1 << doublings);
 }
 
 WallTime PoisonRecord::Expires() const {
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -116,8 +116,11 @@
   options_.log->Log(LogLevel::kWarning, "targets",
                     "target died while handling a request",
                     {{"target", target.value()}, {"fingerprint", fingerprint}});
+  // Connections to a target that died can break later than its death is
+  // noticed.
+  const WallTime died_at = registry_.RecordDeath(target, wall_now);
   replicator_->Publish(
-      PoisonRecord{.fingerprint = fingerprint, .deaths = {{wall_now, target}}},
+      PoisonRecord{.fingerprint = fingerprint, .deaths = {{died_at, target}}},
       now);
 }
 
--- a/node/targets/target_registry.cc
+++ b/node/targets/target_registry.cc
@@ -18,7 +18,10 @@
   const bool new_run = found == entries_.end() ||
                        entry.announcement.address != announcement.address ||
                        entry.status == TargetStatus::kLeaving;
-  if (new_run) entry.first_seen = now;
+  if (new_run) {
+    entry.first_seen = now;
+    entry.died_at.reset();
+  }
   entry.announcement = announcement;
   entry.renewed = now;
   entry.departed = false;
@@ -160,6 +163,14 @@
   return changed;
 }
 
+WallTime TargetRegistry::RecordDeath(const TargetId& id, WallTime wall_now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return wall_now;
+  std::optional<WallTime>& died_at = found->second.died_at;
+  if (!died_at) died_at = wall_now;
+  return *died_at;
+}
+
 bool TargetRegistry::Expire(MonoTime now) {
   bool changed = false;
   for (auto next = entries_.begin(); next != entries_.end();) {
--- a/node/targets/target_registry.h
+++ b/node/targets/target_registry.h
@@ -2,6 +2,7 @@
 #define CAMPHORHILL_NODE_TARGETS_TARGET_REGISTRY_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/base/endpoint.h"
@@ -29,7 +30,7 @@
         10000};  ///< time for which leaving targets stay listed
     std::uint32_t max_targets = 256;  ///< maximum number of targets
     bool await_departures = false;    ///< departures of an earlier process will
-                                    ///< be passed to LoadDepartures
+                                      ///< be passed to LoadDepartures
     Milliseconds confirm_after{
         1000};  ///< until then, an unknown target is added only by a second
                 ///< report, at least this long after its first
@@ -76,6 +77,11 @@
     return history_.departures();
   }
 
+  /// Records the death of a target. Returns when its current run died, which is
+  /// earlier than `wall_now` if the death was recorded before. Must be called
+  /// from one thread.
+  WallTime RecordDeath(const TargetId& id, WallTime wall_now);
+
   /// Ends expired leases and warm-ups and removes targets that have left.
   /// Returns true if anything changed. Must be called from one thread.
   bool Expire(MonoTime now);
@@ -96,6 +102,7 @@
     MonoTime renewed;       ///< last renewal of the lease
     MonoTime left_at{};     ///< time at which it was marked as leaving
     bool departed = false;  ///< it said that it leaves
+    std::optional<WallTime> died_at{};  ///< set if this run has died
   };
 
   struct UnconfirmedReport {
--- a/unit_tests/core/replication/poison_record_test.cc
+++ b/unit_tests/core/replication/poison_record_test.cc
@@ -51,7 +51,7 @@
   for (int death = 0; death < 100; ++death) Die("a", start_ + hours(death));
   EXPECT_LE(record_.deaths.size(), 8U);
   EXPECT_EQ(record_.deaths.rbegin()->at, start_ + hours(99));
-  EXPECT_LE(record_.BlockedUntil(), start_ + hours(99 + 12));
+  EXPECT_LE(record_.BlockedUntil(), start_ + hours(99 + 11));
   EXPECT_GT(record_.BlockedUntil(), start_ + hours(99 + 10));
 }
 
--- a/unit_tests/node/targets/target_registry_test.cc
+++ b/unit_tests/node/targets/target_registry_test.cc
@@ -230,6 +230,17 @@
   EXPECT_EQ(Status("t2"), TargetStatus::kReady);
 }
 
+// Guards against counting one death twice, and two deaths under one id once.
+TEST_F(TargetRegistryReport, DeathRecordedTwice_EachRunDiesOnce) {
+  const WallTime first(seconds(1000));
+  const WallTime second(seconds(1001));
+  registry_.Report(Report("t1", 10, 1), start_);
+  EXPECT_EQ(registry_.RecordDeath(TargetId("t1"), first), first);
+  EXPECT_EQ(registry_.RecordDeath(TargetId("t1"), second), first);
+  registry_.Report(Report("t1", 20, 1), start_);
+  EXPECT_EQ(registry_.RecordDeath(TargetId("t1"), second), second);
+}
+
 // A new process of a host whose earlier one recorded departures.
 class TargetRegistryRestart : public TargetRegistryReport {
  protected:
