Await the sample of a relayed response in its test

EarlyResponse.BodyStillArrives_* failed under TSan beside load in 2 of 6 cases: 2 samples where 3 were expected. Trace: the proxy reports the sample after it has written the last byte, so a caller can have the whole response first. The test now waits for the third sample, and checks besides that no request counted as cancelled, which the untouched code reports for a cut response.

--- a/unit_tests/proxy/early_response_test.cc
+++ b/unit_tests/proxy/early_response_test.cc
@@ -280,7 +280,10 @@
     EXPECT_TRUE(received.complete);
     EXPECT_EQ(received.body, Pattern(kResponseBytes));
   }
-  EXPECT_EQ(Samples(RequestOutcome::kSuccess), 3U);
+  // The caller has the last byte before the proxy counts the request.
+  EXPECT_TRUE(
+      Eventually([&] { return Samples(RequestOutcome::kSuccess) == 3; }));
+  EXPECT_EQ(Samples(RequestOutcome::kCancelled), 0U);
 }
 
 // Guards against a body that is cut because its response was already relayed.
