--- a/unit_tests/proxy/early_response_test.cc
+++ b/unit_tests/proxy/early_response_test.cc
@@ -358,7 +358,7 @@
     EXPECT_TRUE(received.complete);
     EXPECT_EQ(received.body, body);
   }
-  TwoHosts::TearDown();
+  TearDown();
 }
 
 INSTANTIATE_TEST_SUITE_P(
