Let all tests of poison requests share the fixture's targets

The two older tests, which moved here from proxy_faults_test.cc, built and counted their targets by themselves beside AddMortalTargets and deaths(), and the default response stood twice.

--- a/unit_tests/proxy/poison_request_test.cc
+++ b/unit_tests/proxy/poison_request_test.cc
@@ -20,7 +20,7 @@
   }
 
   void AddMortalTargets(const std::string& host, int count,
-                        const std::string& response = kOk) {
+                        const std::string& response = RawTarget::kOk) {
     for (int number = 0; number < count; ++number) {
       mortal_targets_.push_back(std::make_unique<RawTarget>(response));
       AddTargetAt(host, host + "t" + std::to_string(number),
@@ -33,17 +33,11 @@
         mortal_targets_, [](const auto& target) { return target->dead(); });
   }
 
-  static constexpr const char* kOk =
-      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
   std::vector<std::unique_ptr<RawTarget>> mortal_targets_;
 };
 
 TEST_F(PoisonRequestTest, OtherHostName_IsRefusedBeforeTheThirdDeath) {
-  std::vector<std::unique_ptr<RawTarget>> targets;
-  for (const std::string id : {"t1", "t2", "t3", "t4"}) {
-    targets.push_back(std::make_unique<RawTarget>());
-    AddTargetAt("h2", id, targets.back()->endpoint());
-  }
+  AddMortalTargets("h2", 4);
   StartHosts();
   std::optional<HttpResponse> response;
   for (int call = 0; call < 8; ++call) {
@@ -55,29 +49,19 @@
   }
   EXPECT_EQ(response->status, 422);
   EXPECT_EQ(response->fields.at("x-camphor-reason"), "poison");
-  EXPECT_EQ(std::ranges::count_if(
-                targets, [](const auto& target) { return target->dead(); }),
-            2);
+  EXPECT_EQ(deaths(), 2);
   const auto innocent = Call({.method = "POST", .target = "/a"});
   ASSERT_TRUE(innocent);
   EXPECT_EQ(innocent->status, 200);
-  proxies_.clear();
 }
 
 TEST_F(PoisonRequestTest, RepeatablePoison_IsNotSentAThirdTime) {
-  std::vector<std::unique_ptr<RawTarget>> targets;
-  for (const std::string id : {"t1", "t2", "t3", "t4"}) {
-    targets.push_back(std::make_unique<RawTarget>());
-    AddTargetAt("h2", id, targets.back()->endpoint());
-  }
+  AddMortalTargets("h2", 4);
   StartHosts();
   const auto response = Call({.method = "GET", .target = "/get/poison"});
   ASSERT_TRUE(response);
   EXPECT_EQ(response->fields.at("x-camphor-outcome"), "unknown");
-  EXPECT_EQ(std::ranges::count_if(
-                targets, [](const auto& target) { return target->dead(); }),
-            2);
-  proxies_.clear();
+  EXPECT_EQ(deaths(), 2);
 }
 
 /// Callers that send an id of their own with each attempt.
--- a/unit_tests/proxy/raw_target.h
+++ b/unit_tests/proxy/raw_target.h
@@ -19,8 +19,10 @@
 /// before its connections.
 class RawTarget {
  public:
-  explicit RawTarget(
-      std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+  static constexpr const char* kOk =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+  explicit RawTarget(std::string response = kOk)
       : response_(std::move(response)),
         acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
     endpoint_ = {.address = "127.0.0.1",
