Tell changed departures by a count, not by a copy

HostController compared a copy of all departures with the current ones at each report of each target. DepartureHistory now counts what it records; the copy and the comparison go.

--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -201,10 +201,10 @@
 
 void HostController::ReportDepartures() {
   if (!options_.departures_changed ||
-      registry_.departures() == reported_departures_) {
+      registry_.departures_recorded() == reported_departures_) {
     return;
   }
-  reported_departures_ = registry_.departures();
+  reported_departures_ = registry_.departures_recorded();
   options_.departures_changed();
 }
 
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -120,10 +120,10 @@
   bool routing_changed_ = true;  ///< routing needs a rebuild
   bool urgent_ = false;          ///< routing needs an immediate rebuild
   MonoTime last_built_{};        ///< time of the last routing build
-  std::vector<TargetDeparture>
-      reported_departures_;  ///< as of the last departures_changed
-  MonoTime now_{};           ///< time passed to the current call
-  WallTime wall_now_{};      ///< wall time of the latest tick
+  std::uint64_t reported_departures_ =
+      0;                 ///< as of the last departures_changed
+  MonoTime now_{};       ///< time passed to the current call
+  WallTime wall_now_{};  ///< wall time of the latest tick
   WallTime block_ends_ = WallTime::max();  ///< when the next blocked request is
                                            ///< admitted again
 };
--- a/node/targets/departure_history.cc
+++ b/node/targets/departure_history.cc
@@ -11,6 +11,7 @@
     return known.id == departure.id;
   });
   departures_.push_back(departure);
+  ++recorded_;
   if (departures_.size() > kMaxDepartures)
     departures_.erase(departures_.begin());
   return true;
--- a/node/targets/departure_history.h
+++ b/node/targets/departure_history.h
@@ -2,6 +2,7 @@
 #define CAMPHORHILL_NODE_TARGETS_DEPARTURE_HISTORY_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 #include "core/membership/target_departure.h"
@@ -24,10 +25,14 @@
 
   const std::vector<TargetDeparture>& departures() const { return departures_; }
 
+  /// Number of departures recorded so far, also of those dropped.
+  std::uint64_t recorded() const { return recorded_; }
+
  private:
   static constexpr std::size_t kMaxDepartures = 128;
 
   std::vector<TargetDeparture> departures_;
+  std::uint64_t recorded_ = 0;
 };
 
 }  // namespace camphor
--- a/node/targets/target_registry.h
+++ b/node/targets/target_registry.h
@@ -77,6 +77,9 @@
     return history_.departures();
   }
 
+  /// Increases whenever departures() changes. Must be called from one thread.
+  std::uint64_t departures_recorded() const { return history_.recorded(); }
+
   /// Records the death of a target. Returns when its current run died, which is
   /// earlier than `wall_now` if the death was recorded before. Must be called
   /// from one thread.
