--- a/core/base/identifier.h
+++ b/core/base/identifier.h
@@ -36,6 +36,7 @@
 using TargetVersion = Identifier<struct TargetVersionTag>;
 using PoolName = Identifier<struct PoolNameTag>;
 using RouteName = Identifier<struct RouteNameTag>;
+using TeamName = Identifier<struct TeamNameTag>;
 using RolloutId = Identifier<struct RolloutIdTag>;
 
 }  // namespace camphor
--- a/core/config/config_codec.cc
+++ b/core/config/config_codec.cc
@@ -50,7 +50,18 @@
   std::ranges::sort(snapshot.pools, {}, &PoolSpec::name);
   CheckUnique(snapshot.routes, "routes", errors);
   CheckUnique(snapshot.pools, "pools", errors);
+  CheckUnique(snapshot.teams.teams(), "teams", errors);
   CheckPoolReferences(snapshot, errors);
+  if (const TeamSpec* team = snapshot.teams.FindAmbiguousTeam()) {
+    errors.push_back(
+        {.kind = ConfigError::Kind::kDuplicate,
+         .field = "teams",
+         .message = fmt::format("an API key of team {} is listed twice",
+                                team->name.value())});
+  }
+  std::ranges::sort(snapshot.evacuated_domains);
+  const auto repeated = std::ranges::unique(snapshot.evacuated_domains);
+  snapshot.evacuated_domains.erase(repeated.begin(), repeated.end());
 }
 
 /// Passes the canonical encoding to `write` in pieces, one row at a time. A
@@ -69,6 +80,15 @@
   write(R"(],"pools":[)");
   write_rows(snapshot.pools, WritePool);
   write("]");
+  if (!snapshot.teams.empty()) {
+    write(R"(,"teams":[)");
+    write_rows(snapshot.teams.teams(), WriteTeam);
+    write("]");
+  }
+  if (!snapshot.evacuated_domains.empty()) {
+    write(R"(,"evacuated_domains":)");
+    write(boost::json::serialize(WriteNames(snapshot.evacuated_domains)));
+  }
   if (snapshot.limits != CallerLimits{}) {
     write(R"(,"limits":)");
     write(boost::json::serialize(snapshot.limits.Write()));
@@ -104,6 +124,12 @@
   fields.Objects("pools", [&](JsonFields& row) {
     snapshot.pools.push_back(ReadPool(row));
   });
+  std::vector<TeamSpec> teams;
+  fields.Objects("teams",
+                 [&](JsonFields& row) { teams.push_back(ReadTeam(row)); });
+  snapshot.teams = TeamTable(std::move(teams));
+  snapshot.evacuated_domains =
+      ReadNames<FailureDomain>(fields.Strings("evacuated_domains"));
   fields.Object("limits", [&](JsonFields& row) {
     snapshot.limits = CallerLimits::Read(row);
   });
--- a/core/config/config_codec.h
+++ b/core/config/config_codec.h
@@ -14,7 +14,8 @@
 /// Encodes and decodes configuration snapshots as JSON, and validates them.
 ///
 /// A document has the form {"routes": [...], "pools": [...], "limits": {...}},
-/// where "limits" is optional, and may contain comments. The encoding is
+/// where "limits", "teams" and "evacuated_domains" are optional, and may
+/// contain comments. The encoding is
 /// canonical: equal tables have equal bytes and therefore equal digests.
 ///
 /// If a call returns std::nullopt, last_reason() has the first error and
--- a/core/config/config_delta.cc
+++ b/core/config/config_delta.cc
@@ -48,25 +48,18 @@
   return out;
 }
 
-template <typename Name>
-boost::json::array WriteNames(const std::vector<Name>& names) {
-  boost::json::array out;
-  for (const Name& name : names) out.emplace_back(name.value());
-  return out;
-}
-
-template <typename Name>
-std::vector<Name> ReadNames(const std::vector<std::string>& names) {
-  return {names.begin(), names.end()};
-}
-
 }  // namespace
 
 ConfigDelta ConfigDelta::Between(const ConfigSnapshot& from,
                                  const ConfigSnapshot& to) {
-  ConfigDelta delta{.base = from.head, .head = to.head, .limits = to.limits};
+  ConfigDelta delta{.base = from.head,
+                    .head = to.head,
+                    .limits = to.limits,
+                    .evacuated_domains = to.evacuated_domains};
   DiffRows(from.routes, to.routes, delta.routes, delta.removed_routes);
   DiffRows(from.pools, to.pools, delta.pools, delta.removed_pools);
+  DiffRows(from.teams.teams(), to.teams.teams(), delta.teams,
+           delta.removed_teams);
   return delta;
 }
 
@@ -82,7 +75,9 @@
   std::optional<ConfigSnapshot> result = codec.BuildVerifiedSnapshot(
       {.routes = ApplyRows(from.routes, routes, removed_routes),
        .pools = ApplyRows(from.pools, pools, removed_pools),
-       .limits = limits},
+       .limits = limits,
+       .teams = TeamTable(ApplyRows(from.teams.teams(), teams, removed_teams)),
+       .evacuated_domains = evacuated_domains},
       head);
   if (!result) reason = codec.last_reason();
   return result;
@@ -98,6 +93,15 @@
                                {"routes", std::move(route_rows)},
                                {"pools", std::move(pool_rows)}};
   if (limits != CallerLimits{}) document["limits"] = limits.Write();
+  if (!removed_teams.empty())
+    document["removed_teams"] = WriteNames(removed_teams);
+  if (!teams.empty()) {
+    boost::json::array team_rows;
+    for (const TeamSpec& team : teams) team_rows.push_back(WriteTeam(team));
+    document["teams"] = std::move(team_rows);
+  }
+  if (!evacuated_domains.empty())
+    document["evacuated_domains"] = WriteNames(evacuated_domains);
   return boost::json::serialize(document);
 }
 
@@ -123,6 +127,11 @@
   });
   fields.Objects(
       "pools", [&](JsonFields& row) { delta.pools.push_back(ReadPool(row)); });
+  delta.removed_teams = ReadNames<TeamName>(fields.Strings("removed_teams"));
+  fields.Objects(
+      "teams", [&](JsonFields& row) { delta.teams.push_back(ReadTeam(row)); });
+  delta.evacuated_domains =
+      ReadNames<FailureDomain>(fields.Strings("evacuated_domains"));
   fields.Object("limits", [&](JsonFields& row) {
     delta.limits = CallerLimits::Read(row);
   });
--- a/core/config/config_delta.h
+++ b/core/config/config_delta.h
@@ -24,6 +24,9 @@
   std::vector<RouteRule> routes{};          ///< new or changed, sorted by name
   CallerLimits limits{};                    ///< limits of the result
   std::vector<PoolSpec> pools{};            ///< new or changed, sorted by name
+  std::vector<TeamName> removed_teams{};    ///< sorted
+  std::vector<TeamSpec> teams{};            ///< new or changed, sorted by name
+  std::vector<FailureDomain> evacuated_domains{};  ///< of the result, sorted
 
   /// Returns the delta that turns `from` into `to`. Thread-safe.
   static ConfigDelta Between(const ConfigSnapshot& from,
--- a/core/config/pool_spec.h
+++ b/core/config/pool_spec.h
@@ -46,6 +46,9 @@
       20;  ///< maximum requests waiting for a slot of a target
   std::uint32_t max_ejected_percent =
       30;  ///< maximum percentage of targets ejected as outliers
+  double cold_requests_per_second =
+      0;  ///< rate that a cold target tolerates, from all hosts together; 0:
+          ///< unlimited
 
   auto operator<=>(const PoolSpec&) const = default;
 };
--- a/core/config/route_rule.h
+++ b/core/config/route_rule.h
@@ -46,6 +46,7 @@
   Milliseconds target_latency{0};  ///< latency objective: responses within it
                                    ///< have their full value; 0: none
   std::uint32_t priority = 0;      ///< priority under overload; 0 is highest
+  bool is_public = false;  ///< whether requests need no API key of a team
 
   auto operator<=>(const RouteRule&) const = default;
 };
--- a/core/config/table_diff.cc
+++ b/core/config/table_diff.cc
@@ -72,6 +72,25 @@
   return table;
 }
 
+Table TeamRows(const ConfigSnapshot& snapshot) {
+  Table table;
+  for (const TeamSpec& team : snapshot.teams.teams())
+    table.emplace(team.name.value(), RowFields(WriteTeam(team)));
+  return table;
+}
+
+/// One row, so that an edit of the limits alone is shown as well.
+Table LimitsTable(const ConfigSnapshot& snapshot) {
+  return {{"limits", RowFields(snapshot.limits.Write())}};
+}
+
+Table EvacuationTable(const ConfigSnapshot& snapshot) {
+  Table table;
+  for (const FailureDomain& domain : snapshot.evacuated_domains)
+    table.emplace(domain.value(), Fields{{"evacuated", "true"}});
+  return table;
+}
+
 const char* KindName(RowChange::Kind kind) {
   switch (kind) {
     case RowChange::Kind::kAdded:
@@ -103,6 +122,10 @@
   TableDiff diff;
   DiffTable("routes", RouteTable(before), RouteTable(after), diff.rows);
   DiffTable("pools", PoolTable(before), PoolTable(after), diff.rows);
+  DiffTable("teams", TeamRows(before), TeamRows(after), diff.rows);
+  DiffTable("limits", LimitsTable(before), LimitsTable(after), diff.rows);
+  DiffTable("evacuated_domains", EvacuationTable(before),
+            EvacuationTable(after), diff.rows);
   return diff;
 }
 
--- a/core/config/table_rows.cc
+++ b/core/config/table_rows.cc
@@ -18,6 +18,7 @@
 constexpr std::int64_t kMaxRolloutMs = 7LL * 24 * 3600 * 1000;
 constexpr std::int64_t kMaxWeight = 1'000'000;
 constexpr std::int64_t kLowestPriority = 1'000;
+constexpr double kMaxColdRate = 1e6;
 
 RolloutSpec ReadRollout(JsonFields& fields) {
   const RolloutSpec defaults;
@@ -86,6 +87,7 @@
   rule.target_latency =
       Milliseconds(fields.Integer("target_latency_ms", 0, kMaxTimeoutMs, 0));
   rule.priority = ReadCount(fields, "priority", 0, kLowestPriority, 0);
+  rule.is_public = fields.Boolean("public", defaults.is_public);
   if (rule.repeatable && rule.at_most_once)
     fields.Report("at_most_once", "cannot be combined with repeatable");
   return rule;
@@ -110,6 +112,9 @@
                                     defaults.queue_per_target);
   pool.max_ejected_percent = ReadCount(fields, "max_ejected_percent", 0, 100,
                                        defaults.max_ejected_percent);
+  pool.cold_requests_per_second =
+      fields.Number("cold_requests_per_second", 0, kMaxColdRate,
+                    defaults.cold_requests_per_second);
   return pool;
 }
 
@@ -137,6 +142,7 @@
   if (rule.target_latency.count() > 0)
     out["target_latency_ms"] = rule.target_latency.count();
   if (rule.priority > 0) out["priority"] = rule.priority;
+  if (rule.is_public) out["public"] = true;
   return out;
 }
 
@@ -149,6 +155,8 @@
   out["connections_per_target"] = pool.connections_per_target;
   out["queue_per_target"] = pool.queue_per_target;
   out["max_ejected_percent"] = pool.max_ejected_percent;
+  if (pool.cold_requests_per_second > 0)
+    out["cold_requests_per_second"] = pool.cold_requests_per_second;
   return out;
 }
 
--- a/core/config/table_rows.h
+++ b/core/config/table_rows.h
@@ -1,7 +1,9 @@
 #ifndef CAMPHORHILL_CORE_CONFIG_TABLE_ROWS_H_
 #define CAMPHORHILL_CORE_CONFIG_TABLE_ROWS_H_
 
-#include <boost/json/fwd.hpp>
+#include <boost/json/array.hpp>
+#include <string>
+#include <vector>
 
 #include "core/base/json_fields.h"
 #include "core/config/pool_spec.h"
@@ -25,6 +27,20 @@
 /// Thread-safe.
 boost::json::object WritePool(const PoolSpec& pool);
 
+/// Writes identifiers as a list of strings. Thread-safe.
+template <typename Name>
+boost::json::array WriteNames(const std::vector<Name>& names) {
+  boost::json::array out;
+  for (const Name& name : names) out.emplace_back(name.value());
+  return out;
+}
+
+/// Converts strings to identifiers. Thread-safe.
+template <typename Name>
+std::vector<Name> ReadNames(const std::vector<std::string>& names) {
+  return {names.begin(), names.end()};
+}
+
 }  // namespace camphor
 
 #endif  // CAMPHORHILL_CORE_CONFIG_TABLE_ROWS_H_
--- a/core/routing/effective_routing.h
+++ b/core/routing/effective_routing.h
@@ -14,6 +14,7 @@
 #include "core/config/config_head.h"
 #include "core/config/pool_spec.h"
 #include "core/config/route_rule.h"
+#include "core/config/team_table.h"
 #include "core/replication/host_record.h"
 
 namespace camphor {
@@ -84,6 +85,9 @@
   std::vector<RoutedRule> routes{};  ///< in match order: the first match wins
   std::vector<PoolRouting> pools{};  ///< sorted by name
   CallerLimits limits{};             ///< limits on the requests of callers
+  std::shared_ptr<const TeamTable>
+      teams{};  ///< owned jointly with the snapshot; null: no team is
+                ///< configured, and requests need no API key
   std::set<std::uint64_t> poison{};  ///< fingerprints to reject
   std::size_t hosts = 1;  ///< alive hosts that accept requests of callers,
                           ///< including this one
--- a/core/routing/routing_builder.cc
+++ b/core/routing/routing_builder.cc
@@ -210,6 +210,8 @@
 
   // Routes refer to their pools by index. A route without its pool is omitted.
   routing.limits = inputs.snapshot->limits;
+  if (!inputs.snapshot->teams.empty())
+    routing.teams = {inputs.snapshot, &inputs.snapshot->teams};
   for (const RouteRule& rule : inputs.snapshot->routes) {
     const std::optional<RoutedShare> main =
         ResolveShare(inputs, routing, rule, {.pool = rule.pool});
--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -21,6 +21,7 @@
         {"slow_request", "the caller took too long to send it"},
         {"key_missing",
          "its route requires an idempotency key and it had none"},
+        {"unknown_key", "its API key belongs to no team"},
         {"no_route", "no route of the current configuration matched it"},
         {"not_ready",
          "this host had just started and had no configuration yet"},
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -24,6 +24,10 @@
 constexpr int kSilenceLatencyFactor = 8;
 constexpr unsigned kMinServerErrorStatus = 500;
 
+/// Number of priorities that a route can have. The priority of a team goes
+/// before that of the route.
+constexpr std::uint32_t kRoutePriorities = 1001;
+
 /// Maps an error to the outcome reported for the chosen target.
 RequestOutcome ToRequestOutcome(ProxyError error) {
   switch (error) {
@@ -94,6 +98,7 @@
   const HeaderVocabulary& vocabulary = context_.options.vocabulary;
   if (!vocabulary.caller_pool.empty())
     header_.set(vocabulary.caller_pool, context_.options.caller_pool);
+  if (context_.Routing()->teams) SetTeamHeader();
   ProxyError error = ProxyError::kNoTarget;
   while (Place()) {
     const std::optional<ProxyError> failed = co_await Attempt();
@@ -108,6 +113,14 @@
   co_return Refuse(error);
 }
 
+void CallerRequest::SetTeamHeader() {
+  const HeaderVocabulary& vocabulary = context_.options.vocabulary;
+  if (vocabulary.team_key.empty()) return;
+  header_.erase(vocabulary.team_key);
+  header_.erase(vocabulary.team);
+  if (options_.team) header_.set(vocabulary.team, options_.team->name.value());
+}
+
 asio::awaitable<void> CallerRequest::WaitForDeathPropagation() {
   asio::steady_timer timer(*context_.io);
   timer.expires_after(
@@ -359,7 +372,9 @@
   const MonoTime wanted = options_.arrival + rule().target_latency;
   const bool useful = rule().target_latency.count() > 0 && wanted < deadline &&
                       wanted > std::chrono::steady_clock::now();
-  return {.priority = rule().priority,
+  const std::uint32_t team_priority =
+      options_.team ? options_.team->priority : 0;
+  return {.priority = team_priority * kRoutePriorities + rule().priority,
           .soft_deadline = useful ? wanted : deadline,
           .deadline = deadline,
           .work_class =
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/config/team_table.h"
 #include "core/routing/route_matcher.h"
 #include "proxy/exchange.h"
 #include "proxy/placed_request.h"
@@ -30,11 +31,12 @@
  public:
   struct Options {
     const http::request_header<>* header =
-        nullptr;                        ///< as received from the caller
-    InboundBody* body = nullptr;        ///< its prefix is already buffered
-    RequestControl* control = nullptr;  ///< deadline and cancellation
-    Exchange::Receiver receiver{};      ///< where the response is written
-    MonoTime arrival{};                 ///< when the header was complete
+        nullptr;                             ///< as received from the caller
+    InboundBody* body = nullptr;             ///< its prefix is already buffered
+    RequestControl* control = nullptr;       ///< deadline and cancellation
+    Exchange::Receiver receiver{};           ///< where the response is written
+    MonoTime arrival{};                      ///< when the header was complete
+    std::shared_ptr<const TeamSpec> team{};  ///< of the caller; null: none
     std::function<bool()>
         keep_alive{};  ///< returns true if the connection stays open after the
                        ///< response; called once, before its header is written
@@ -66,6 +68,7 @@
   const PoolName& CurrentPool() const;
   bool MissedLatencyTarget(Microseconds latency) const;
   Urgency MakeUrgency() const;
+  void SetTeamHeader();
   Milliseconds AbandonTimeout() const;
   std::uint32_t MaxAttempts() const;
   void OnError(ProxyError error);
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -32,6 +32,16 @@
              key, [](char letter) { return letter > ' ' && letter < 127; });
 }
 
+/// Returns the team that the request's API key belongs to; null if there is no
+/// such team or the key is missing or repeated.
+std::shared_ptr<const TeamSpec> FindTeam(const EffectiveRouting& routing,
+                                         const http::request_header<>& header,
+                                         const HeaderVocabulary& vocabulary) {
+  if (!routing.teams || header.count(vocabulary.team_key) != 1) return nullptr;
+  return {routing.teams,
+          routing.teams->FindByKey(HeaderValue(header, vocabulary.team_key))};
+}
+
 }  // namespace
 
 // A request whose header was read, until its response is complete.
@@ -43,8 +53,9 @@
   MonoTime arrival{};
   bool keep = false;  ///< the caller requested keep-alive
   EffectiveRoutingPtr routing{};
-  bool repeatable = false;     ///< according to its route
-  Milliseconds time_limit{0};  ///< of the caller and of the route
+  bool repeatable = false;                 ///< according to its route
+  std::shared_ptr<const TeamSpec> team{};  ///< of the caller's key
+  Milliseconds time_limit{0};              ///< of the caller and of the route
   std::shared_ptr<RequestControl> control{};
   std::optional<InboundBody> body{};
   ResponseSequencer::ResponsePtr response{};
@@ -134,6 +145,12 @@
   }
   const RouteRule& rule = *routing->routes[*route].rule;
   const HeaderVocabulary& vocabulary = context_.options.vocabulary;
+  request.team = FindTeam(*routing, header, vocabulary);
+  if (routing->teams && !request.team && !rule.is_public) {
+    context_.metrics.Count(Counter::kUnauthorized);
+    ReportRefusal(request, ProxyError::kUnknownKey);
+    return ErrorReply{.error = ProxyError::kUnknownKey, .keep = keep};
+  }
   const std::optional<Milliseconds> limit =
       ReadDeadline(header, vocabulary.deadline, rule.timeout);
   const std::string_view key = HeaderValue(header, kIdempotencyKeyHeader);
@@ -258,6 +275,7 @@
              return responses_.Write(response, bytes);
            },
        .arrival = request->arrival,
+       .team = request->team,
        .keep_alive =
            [this, &request] {
              return KeepsOpen(request->response,
--- a/proxy/error_response.cc
+++ b/proxy/error_response.cc
@@ -30,6 +30,8 @@
     {status::bad_request, "key_missing",
      "this route requires an Idempotency-Key header", true},
     {status::not_found, "no_route", "no route matches this request", true},
+    {status::unauthorized, "unknown_key",
+     "this route requires an API key of a team", true},
     {status::service_unavailable, "not_ready",
      "this host has no configuration yet", true},
     {status::service_unavailable, "no_target", "no target is available", true},
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -19,6 +19,7 @@
   kSlowRequest,    ///< the caller did not send it in time
   kKeyMissing,     ///< the route requires an Idempotency-Key
   kNoRoute,        ///< no route matches
+  kUnknownKey,     ///< the API key belongs to no team
   kNotReady,       ///< this proxy has no configuration yet
   kNoTarget,       ///< no target is available
   kFull,           ///< the target's slots and queue are full
--- a/proxy/header_vocabulary.h
+++ b/proxy/header_vocabulary.h
@@ -18,6 +18,8 @@
       expected_target{};  ///< id of the target that the request is meant for
   std::string
       caller_pool{};  ///< pool of the host where the request entered the mesh
+  std::string team_key{};  ///< API key of the caller's team; never forwarded
+  std::string team{};      ///< name of the caller's team, sent to the target
   std::string not_run = "X-Camphor-Not-Run";  ///< response header of a target
                                               ///< that did not run the request
   std::string receipt{};        ///< required in a target's successful response
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -18,14 +18,29 @@
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99};
 constexpr double kMicrosPerSecond = 1e6;
 
-constexpr std::array<std::string_view, 22> kCounterNames = {
-    "caller_requests", "pipelined_requests", "forward_requests",
-    "answered",        "refused_not_run",    "outcome_unknown",
-    "bad_requests",    "cut_answers",        "cancelled",
-    "retries",         "retries_denied",     "poison_refused",
-    "target_deaths",   "silent_connections", "connects",
-    "strangers",       "slow_callers",       "connections_refused",
-    "claims_granted",  "claims_held",        "claims_not_made",
+constexpr std::array<std::string_view, 23> kCounterNames = {
+    "caller_requests",
+    "pipelined_requests",
+    "forward_requests",
+    "answered",
+    "refused_not_run",
+    "outcome_unknown",
+    "bad_requests",
+    "unauthorized",
+    "cut_answers",
+    "cancelled",
+    "retries",
+    "retries_denied",
+    "poison_refused",
+    "target_deaths",
+    "silent_connections",
+    "connects",
+    "strangers",
+    "slow_callers",
+    "connections_refused",
+    "claims_granted",
+    "claims_held",
+    "claims_not_made",
     "claims_unknown",
 };
 static_assert(kCounterNames.size() ==
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -28,6 +28,7 @@
     kRefusedNotRun,   ///< caller requests refused and known not to have run
     kOutcomeUnknown,  ///< caller requests that may have run
     kBadRequests,     ///< malformed requests
+    kUnauthorized,    ///< caller requests without an API key of a team
     kCutAnswers,      ///< truncated responses
     kCancelled,       ///< caller requests whose caller disconnected
     kRetries,         ///< attempts after the first
