Test keys, kinds and deltas of teams; name the cause unknown_key

The unit tests guard against keys that reach a target, a log or an encoding, and against kinds that take a configuration from the fleet.

--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kMicrosecondsPerMs = 1000;
 
 /// Sentence for each reason code of a request log line.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 26>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 27>
     kReasonSentences = {{
         {"bad_request", "the request was malformed"},
         {"header_too_long", "its header exceeded the configured limit"},
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -131,6 +131,7 @@
     snapshot->routes = routes_;
     snapshot->pools = {pool_};
     snapshot->limits = caller_limits_;
+    snapshot->teams = teams_;
     std::map<HostId, HostRecord> hosts;
     for (const auto& [host, proxy] : proxies_) {
       hosts[HostId(host)] = {.host = HostId(host),
@@ -179,6 +180,7 @@
   PoolSpec pool_;
   HeaderVocabulary vocabulary_;
   CallerLimits caller_limits_;
+  TeamTable teams_;
   std::map<std::uint64_t, PoisonRecord> poison_;
   int deaths_ = 0;
   std::map<std::string, std::vector<TargetInfo>> host_targets_;
--- a/unit_tests/proxy/vocabulary_fixture.h
+++ b/unit_tests/proxy/vocabulary_fixture.h
@@ -19,6 +19,8 @@
                    .request_id = "T-Id",
                    .expected_target = "T-Expected",
                    .caller_pool = "T-Caller",
+                   .team_key = "T-Key",
+                   .team = "T-Team",
                    .not_run = "T-Not-Run",
                    .receipt = "T-Receipt",
                    .request_limit = "T-Limit",
