--- /dev/null
+++ b/core/quota/quota_allocator.cc
@@ -0,0 +1,289 @@
+#include "core/quota/quota_allocator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace camphor {
+namespace {
+
+using DoubleSeconds = std::chrono::duration<double>;
+
+// A host that stopped reporting without a last report of zero requests may be
+// cut off and go on with its last share. Its share is reserved until membership
+// has declared the host lost, which takes 12 s.
+constexpr Seconds kReserveTime{15};
+
+// State of a team is kept this long after another host has become its
+// allocator, because a suspicion is often refuted.
+constexpr Seconds kReleasedRetention{10};
+
+// A team without use is forgotten once its bucket is certainly full.
+constexpr Seconds kIdleRetention{15};
+
+// A new allocator grants the hosts what they already have until all of them
+// have reported.
+constexpr Milliseconds kLearningTime{1000};
+
+// Demand counted for a shorter time is too noisy.
+constexpr DoubleSeconds kShortestDemandPeriod{0.25};
+
+constexpr Milliseconds kMinLimitedTime{1000};
+constexpr Milliseconds kNotifyPeriod{200};
+constexpr Milliseconds kNotifyAgain{2000};
+
+// Part of a limited rate that is divided evenly, for hosts without demand.
+constexpr double kEvenPart = 0.1;
+
+// The limit of the window allows this excess in the long run; it makes up for
+// hosts that are dead rather than cut off.
+constexpr double kLostHostsAllowance = 1.04;
+
+// A host may go on with this multiple of its demand when its lease expires, as
+// long as the sum is within the team's rate.
+constexpr double kSpareShare = 1.3;
+
+// Time constant of the team's demand.
+constexpr DoubleSeconds kDemandTime{1};
+
+// The demand of a team may exceed its rate by this much, which may be noise,
+// when its limit ends.
+constexpr double kDemandNoise = 1.1;
+
+double Ceiling(const TeamQuota& quota) {
+  return quota.burst + 0.15 * quota.Overage();
+}
+
+// Below this level the team is limited; what is left until -Overage() is for
+// requests that are admitted before the hosts know. Below 0 for rates up to 10
+// per second, so that the empty bucket of a new allocator limits no team whose
+// hosts see only a few requests each.
+double LimitLevel(const TeamQuota& quota) {
+  return std::min(0.4 * quota.burst + 0.2 * quota.rate - 6,
+                  0.5 * Ceiling(quota));
+}
+
+// Level that a limited team is kept at.
+double TargetLevel(const TeamQuota& quota) { return -0.1 * quota.Overage(); }
+
+}  // namespace
+
+void QuotaAllocator::SetTeams(const TeamTable& teams) {
+  std::map<TeamHash, Team> updated;
+  for (const TeamSpec& spec : teams.teams()) {
+    if (spec.requests_per_second <= 0) continue;
+    const TeamHash hash = HashTeam(spec.name);
+    const auto [entry, added] = updated.try_emplace(hash);
+    if (!added) continue;
+    const auto known = teams_.find(hash);
+    if (known != teams_.end()) entry->second = std::move(known->second);
+    entry->second.quota = {.rate = spec.requests_per_second,
+                           .burst = std::max(0.0, spec.burst)};
+    Team& team = entry->second;
+    team.level = std::min(team.level, Ceiling(team.quota));
+  }
+  teams_ = std::move(updated);
+}
+
+void QuotaAllocator::SetHosts(std::vector<Endpoint> hosts, std::size_t known) {
+  hosts_ = std::move(hosts);
+  alive_ = std::max<double>(1, static_cast<double>(hosts_.size()));
+  const double all = std::max(alive_, static_cast<double>(known));
+  part_ = std::min(1.0, kLostHostsAllowance * alive_ / all);
+}
+
+void QuotaAllocator::SetOwned(const std::set<TeamHash>& teams, MonoTime now) {
+  for (auto& [hash, team] : teams_) {
+    const bool owned = teams.contains(hash);
+    if (owned == team.owned) continue;
+    team.owned = owned;
+    if (!owned) {
+      team.released = now;
+      continue;
+    }
+    const bool kept = team.used && now - team.released < kReleasedRetention;
+    if (kept) continue;
+    team = Team{.quota = team.quota, .owned = true, .owned_since = now};
+  }
+}
+
+QuotaGrants QuotaAllocator::OnReport(const Endpoint& from,
+                                     const QuotaReport& report, MonoTime now) {
+  QuotaGrants reply{
+      .sequence = report.sequence,
+      .lease_ms = static_cast<std::uint32_t>(kQuotaLease.count())};
+  for (const TeamUsage& usage : report.teams) {
+    const auto found = teams_.find(usage.team);
+    if (found == teams_.end() || !found->second.owned) continue;
+    Team& team = found->second;
+    Count(team, from, report.incarnation, usage, now);
+    UpdateLimited(team, now);
+    if (IsLearning(team, now)) {
+      const double rate =
+          std::max(1.25 * usage.share, team.quota.rate * part_ / alive_);
+      reply.teams.push_back(
+          {.team = usage.team,
+           .limited = true,
+           .rate = static_cast<float>(std::min(rate, team.quota.rate))});
+    } else {
+      reply.teams.push_back(
+          MakeGrant(usage.team, team, team.hosts[from].demand));
+    }
+  }
+  // A notification that waits for the next tick would admit more in between.
+  Notify(now);
+  return reply;
+}
+
+void QuotaAllocator::Count(Team& team, const Endpoint& from,
+                           std::uint64_t incarnation, const TeamUsage& usage,
+                           MonoTime now) {
+  // The bucket of a team that was not in use during the last window is full. A
+  // new allocator does not know the use before, so its bucket starts empty.
+  const bool known_idle = now - team.owned_since > 2 * kQuotaWindow;
+  if (!team.used) {
+    team.used = true;
+    team.first_use = now;
+    team.refilled = now;
+    team.level = known_idle ? Ceiling(team.quota) * part_ : 0;
+    team.arrivals = 0;
+    team.limited = false;
+  }
+  Refill(team, now);
+  const auto [entry, added] = team.hosts.try_emplace(from);
+  HostUse& host = entry->second;
+  std::uint64_t before = host.admitted;
+  if (added || host.incarnation != incarnation)
+    before = known_idle ? usage.acknowledged : usage.admitted;
+  const bool was_silent = !added && now - host.reported > kQuotaLease;
+  if (usage.admitted > before)
+    team.level -= static_cast<double>(usage.admitted - before);
+  // What a host admitted while it was cut off was reserved for it, and most of
+  // it is older than the window.
+  const double lowest =
+      -(was_silent ? 1.0 : 3.0) * team.quota.Overage() * part_;
+  team.level = std::max(team.level, lowest);
+  const DoubleSeconds period = std::max<DoubleSeconds>(
+      Milliseconds(usage.period_ms), kShortestDemandPeriod);
+  const double demand = usage.demand / period.count();
+  host.demand = demand == 0 ? 0 : std::max(demand, (host.demand + demand) / 2);
+  team.arrivals += usage.demand / kDemandTime.count();
+  host.incarnation = incarnation;
+  host.admitted = usage.admitted;
+  host.reported = now;
+  DropSilentHosts(team, now);
+  team.demand = 0;
+  for (const auto& [endpoint, use] : team.hosts) team.demand += use.demand;
+}
+
+void QuotaAllocator::Refill(Team& team, MonoTime now) const {
+  if (now <= team.refilled) return;
+  const DoubleSeconds elapsed = now - team.refilled;
+  team.refilled = now;
+  team.arrivals *= std::exp(-elapsed / kDemandTime);
+  team.level = std::min(Ceiling(team.quota) * part_,
+                        team.level + elapsed.count() * team.quota.rate * part_);
+}
+
+void QuotaAllocator::DropSilentHosts(Team& team, MonoTime now) const {
+  std::erase_if(team.hosts, [&](const auto& entry) {
+    return now - entry.second.reported > kReserveTime;
+  });
+}
+
+void QuotaAllocator::UpdateLimited(Team& team, MonoTime now) const {
+  const TeamQuota& quota = team.quota;
+  const double rate = quota.rate * part_;
+  if (!team.limited) {
+    if (team.level >= LimitLevel(quota) * part_) return;
+    team.limited_since = now;
+  } else {
+    const double enough = 0.8 * LimitLevel(quota) + 0.2 * Ceiling(quota);
+    if (team.level < enough * part_ || team.arrivals > kDemandNoise * rate ||
+        now - team.limited_since < kMinLimitedTime)
+      return;
+  }
+  team.limited = !team.limited;
+  team.notify = true;
+}
+
+bool QuotaAllocator::IsLearning(const Team& team, MonoTime now) const {
+  return team.limited && team.first_use - team.owned_since < 2 * kQuotaWindow &&
+         now - team.first_use < kLearningTime;
+}
+
+TeamGrant QuotaAllocator::MakeGrant(TeamHash hash, const Team& team,
+                                    double demand) const {
+  const double rate = team.quota.rate * part_;
+  if (!team.limited) {
+    // The sum of these rates is at most the team's rate.
+    const double share =
+        demand * std::min(kSpareShare, rate / std::max(team.demand, 1e-9));
+    const double credit = std::max(2.0, 0.5 * team.level);
+    return {.team = hash,
+            .limited = false,
+            .rate = static_cast<float>(share),
+            .credit = static_cast<float>(credit)};
+  }
+  const double total =
+      std::max(0.0, rate + (team.level - TargetLevel(team.quota) * part_));
+  const double part = team.demand > 0 ? demand / team.demand : 1 / alive_;
+  const double granted = total * ((1 - kEvenPart) * part + kEvenPart / alive_);
+  return {.team = hash, .limited = true, .rate = static_cast<float>(granted)};
+}
+
+void QuotaAllocator::Tick(MonoTime now) {
+  for (auto& [hash, team] : teams_) {
+    if (!team.owned || !team.used) continue;
+    Refill(team, now);
+    UpdateLimited(team, now);
+    MonoTime newest{};
+    for (const auto& [endpoint, use] : team.hosts)
+      newest = std::max(newest, use.reported);
+    if (now - newest <= kIdleRetention || team.limited) continue;
+    team.used = false;
+    team.hosts.clear();
+  }
+  Notify(now);
+}
+
+void QuotaAllocator::Notify(MonoTime now) {
+  std::vector<std::pair<TeamHash, const Team*>> changed;
+  for (auto& [hash, team] : teams_) {
+    if (!team.owned || !team.used) continue;
+    const auto silence = now - team.notified;
+    const bool due =
+        (team.notify && silence >= kNotifyPeriod) ||
+        (team.limited && silence >= kNotifyAgain && !IsLearning(team, now));
+    if (!due) continue;
+    team.notify = false;
+    team.notified = now;
+    changed.emplace_back(hash, &team);
+  }
+  if (changed.empty()) return;
+  for (const Endpoint& host : hosts_) {
+    QuotaGrants grants{
+        .lease_ms = static_cast<std::uint32_t>(kQuotaNoticeLease.count())};
+    for (const auto& [hash, team] : changed) {
+      const auto use = team->hosts.find(host);
+      const double demand = use == team->hosts.end() ? 0 : use->second.demand;
+      grants.teams.push_back(MakeGrant(hash, *team, demand));
+    }
+    options_.send(host, grants);
+  }
+}
+
+std::vector<QuotaAllocator::TeamState> QuotaAllocator::Teams() const {
+  std::vector<TeamState> states;
+  for (const auto& [hash, team] : teams_) {
+    if (!team.owned || !team.used) continue;
+    states.push_back({.team = hash,
+                      .limited = team.limited,
+                      .level = team.level,
+                      .demand = team.arrivals,
+                      .hosts = team.hosts.size()});
+  }
+  return states;
+}
+
+}  // namespace camphor
--- a/core/replication/mesh_message.h
+++ b/core/replication/mesh_message.h
@@ -10,6 +10,7 @@
 
 #include "core/base/endpoint.h"
 #include "core/config/config_head.h"
+#include "core/quota/quota_message.h"
 #include "core/replication/host_record.h"
 #include "core/replication/poison_record.h"
 #include "core/replication/rollout_record.h"
@@ -131,7 +132,7 @@
 using MeshMessage =
     std::variant<RecordsMessage, SnapshotRequest, SnapshotReply, EvidenceReport,
                  Heartbeat, SyncDigest, SyncEntries, SyncWanted, SyncBusy,
-                 SuspicionReport, AppliedVersions>;
+                 SuspicionReport, AppliedVersions, QuotaReport, QuotaGrants>;
 
 }  // namespace camphor
 
--- a/core/replication/replicator.h
+++ b/core/replication/replicator.h
@@ -45,10 +45,14 @@
         evidence{};  ///< evidence for this host was received
     std::function<void(const ConfigHead&)>
         fetch_snapshot{};  ///< requests a snapshot from the platform
+    std::function<void(const Endpoint&, const QuotaReport&)>
+        quota_report{};  ///< a host reported its use of quotas; may be null
+    std::function<void(const Endpoint&, const QuotaGrants&)>
+        quota_grants{};  ///< an allocator granted quotas; may be null
   };
 
   /// @pre options.self has a host id, an incarnation above 0 and a mesh
-  /// endpoint; all callbacks are set.
+  /// endpoint; all callbacks are set, except those that may be null.
   explicit Replicator(Options options);
   ~Replicator();
 
--- a/core/replication/replicator_state.cc
+++ b/core/replication/replicator_state.cc
@@ -113,6 +113,14 @@
   }
 }
 
+void Replicator::State::On(const Endpoint& from, const QuotaReport& report) {
+  if (options.quota_report) options.quota_report(from, report);
+}
+
+void Replicator::State::On(const Endpoint& from, const QuotaGrants& grants) {
+  if (options.quota_grants) options.quota_grants(from, grants);
+}
+
 Heartbeat Replicator::State::MakeHeartbeat(bool reply_wanted) const {
   return {.version = config.head().version,
           .fingerprint = store.fingerprint(),
--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kMicrosecondsPerMs = 1000;
 
 /// Sentence for each reason code of a request log line.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 26>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 27>
     kReasonSentences = {{
         {"bad_request", "the request was malformed"},
         {"header_too_long", "its header exceeded the configured limit"},
@@ -22,6 +22,7 @@
         {"key_missing",
          "its route requires an idempotency key and it had none"},
         {"unknown_key", "its API key belongs to no team"},
+        {"over_quota", "the quota of its team over all hosts was used up"},
         {"no_route", "no route of the current configuration matched it"},
         {"not_ready",
          "this host had just started and had no configuration yet"},
--- a/mesh/mesh.capnp
+++ b/mesh/mesh.capnp
@@ -141,6 +141,34 @@
   hosts @1 :List(UInt32);
 }
 
+struct TeamUsage {
+  team @0 :UInt32;
+  demand @1 :UInt32;
+  admitted @2 :UInt64;
+  acknowledged @3 :UInt64;
+  periodMs @4 :UInt16;
+  share @5 :Float32;
+}
+
+struct QuotaReport {
+  incarnation @0 :UInt64;
+  sequence @1 :UInt32;
+  teams @2 :List(TeamUsage);
+}
+
+struct TeamGrant {
+  team @0 :UInt32;
+  limited @1 :Bool;
+  rate @2 :Float32;
+  credit @3 :Float32;
+}
+
+struct QuotaGrants {
+  sequence @0 :UInt32;
+  leaseMs @1 :UInt32;
+  teams @2 :List(TeamGrant);
+}
+
 struct Message {
   union {
     records @0 :Records;
@@ -154,6 +182,10 @@
     syncBusy @8 :SyncBusy;
     suspicion @9 :Suspicion;
     applied @10 :Applied;
+    reserved11 @11 :Void;
+    reserved12 @12 :Void;
+    quotaReport @13 :QuotaReport;
+    quotaGrants @14 :QuotaGrants;
   }
 }
 
--- a/mesh/mesh.capnp.h
+++ b/mesh/mesh.capnp.h
@@ -38,6 +38,10 @@
 CAPNP_DECLARE_SCHEMA(d4a7c2164903bc05);
 CAPNP_DECLARE_SCHEMA(9353c69f63e39a7e);
 CAPNP_DECLARE_SCHEMA(e48f408167724f03);
+CAPNP_DECLARE_SCHEMA(a5f832bc11b87c65);
+CAPNP_DECLARE_SCHEMA(943f848d54a61abd);
+CAPNP_DECLARE_SCHEMA(d6b5592e0f5a88b1);
+CAPNP_DECLARE_SCHEMA(bc3f940d56e5cef2);
 CAPNP_DECLARE_SCHEMA(b8f137a1442be7e5);
 CAPNP_DECLARE_SCHEMA(b3e21d9c387bc5df);
 CAPNP_DECLARE_SCHEMA(b73314146fe4774f);
@@ -339,6 +343,66 @@
   };
 };
 
+struct TeamUsage {
+  TeamUsage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5f832bc11b87c65, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaReport {
+  QuotaReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(943f848d54a61abd, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TeamGrant {
+  TeamGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d6b5592e0f5a88b1, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaGrants {
+  QuotaGrants() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc3f940d56e5cef2, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -357,6 +421,10 @@
     SYNC_BUSY,
     SUSPICION,
     APPLIED,
+    RESERVED11,
+    RESERVED12,
+    QUOTA_REPORT,
+    QUOTA_GRANTS,
   };
 
   struct _capnpPrivate {
@@ -2442,6 +2510,380 @@
 };
 #endif  // !CAPNP_LITE
 
+class TeamUsage::Reader {
+public:
+  typedef TeamUsage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getTeam() const;
+
+  inline  ::uint32_t getDemand() const;
+
+  inline  ::uint64_t getAdmitted() const;
+
+  inline  ::uint64_t getAcknowledged() const;
+
+  inline  ::uint16_t getPeriodMs() const;
+
+  inline float getShare() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TeamUsage::Builder {
+public:
+  typedef TeamUsage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getTeam();
+  inline void setTeam( ::uint32_t value);
+
+  inline  ::uint32_t getDemand();
+  inline void setDemand( ::uint32_t value);
+
+  inline  ::uint64_t getAdmitted();
+  inline void setAdmitted( ::uint64_t value);
+
+  inline  ::uint64_t getAcknowledged();
+  inline void setAcknowledged( ::uint64_t value);
+
+  inline  ::uint16_t getPeriodMs();
+  inline void setPeriodMs( ::uint16_t value);
+
+  inline float getShare();
+  inline void setShare(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TeamUsage::Pipeline {
+public:
+  typedef TeamUsage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaReport::Reader {
+public:
+  typedef QuotaReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getSequence() const;
+
+  inline bool hasTeams() const;
+  inline  ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>::Reader getTeams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaReport::Builder {
+public:
+  typedef QuotaReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline bool hasTeams();
+  inline  ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>::Builder getTeams();
+  inline void setTeams( ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>::Builder initTeams(unsigned int size);
+  inline void adoptTeams(::capnp::Orphan< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>> disownTeams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaReport::Pipeline {
+public:
+  typedef QuotaReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TeamGrant::Reader {
+public:
+  typedef TeamGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getTeam() const;
+
+  inline bool getLimited() const;
+
+  inline float getRate() const;
+
+  inline float getCredit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TeamGrant::Builder {
+public:
+  typedef TeamGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getTeam();
+  inline void setTeam( ::uint32_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline float getRate();
+  inline void setRate(float value);
+
+  inline float getCredit();
+  inline void setCredit(float value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TeamGrant::Pipeline {
+public:
+  typedef TeamGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaGrants::Reader {
+public:
+  typedef QuotaGrants Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence() const;
+
+  inline  ::uint32_t getLeaseMs() const;
+
+  inline bool hasTeams() const;
+  inline  ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>::Reader getTeams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaGrants::Builder {
+public:
+  typedef QuotaGrants Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSequence();
+  inline void setSequence( ::uint32_t value);
+
+  inline  ::uint32_t getLeaseMs();
+  inline void setLeaseMs( ::uint32_t value);
+
+  inline bool hasTeams();
+  inline  ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>::Builder getTeams();
+  inline void setTeams( ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>::Builder initTeams(unsigned int size);
+  inline void adoptTeams(::capnp::Orphan< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>> disownTeams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaGrants::Pipeline {
+public:
+  typedef QuotaGrants Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -2504,6 +2946,20 @@
   inline bool hasApplied() const;
   inline  ::camphor::wire::Applied::Reader getApplied() const;
 
+  inline bool isReserved11() const;
+  inline  ::capnp::Void getReserved11() const;
+
+  inline bool isReserved12() const;
+  inline  ::capnp::Void getReserved12() const;
+
+  inline bool isQuotaReport() const;
+  inline bool hasQuotaReport() const;
+  inline  ::camphor::wire::QuotaReport::Reader getQuotaReport() const;
+
+  inline bool isQuotaGrants() const;
+  inline bool hasQuotaGrants() const;
+  inline  ::camphor::wire::QuotaGrants::Reader getQuotaGrants() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2623,6 +3079,30 @@
   inline void adoptApplied(::capnp::Orphan< ::camphor::wire::Applied>&& value);
   inline ::capnp::Orphan< ::camphor::wire::Applied> disownApplied();
 
+  inline bool isReserved11();
+  inline  ::capnp::Void getReserved11();
+  inline void setReserved11( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isReserved12();
+  inline  ::capnp::Void getReserved12();
+  inline void setReserved12( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isQuotaReport();
+  inline bool hasQuotaReport();
+  inline  ::camphor::wire::QuotaReport::Builder getQuotaReport();
+  inline void setQuotaReport( ::camphor::wire::QuotaReport::Reader value);
+  inline  ::camphor::wire::QuotaReport::Builder initQuotaReport();
+  inline void adoptQuotaReport(::capnp::Orphan< ::camphor::wire::QuotaReport>&& value);
+  inline ::capnp::Orphan< ::camphor::wire::QuotaReport> disownQuotaReport();
+
+  inline bool isQuotaGrants();
+  inline bool hasQuotaGrants();
+  inline  ::camphor::wire::QuotaGrants::Builder getQuotaGrants();
+  inline void setQuotaGrants( ::camphor::wire::QuotaGrants::Reader value);
+  inline  ::camphor::wire::QuotaGrants::Builder initQuotaGrants();
+  inline void adoptQuotaGrants(::capnp::Orphan< ::camphor::wire::QuotaGrants>&& value);
+  inline ::capnp::Orphan< ::camphor::wire::QuotaGrants> disownQuotaGrants();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5183,6 +5663,270 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t TeamUsage::Reader::getTeam() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TeamUsage::Builder::getTeam() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TeamUsage::Builder::setTeam( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t TeamUsage::Reader::getDemand() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TeamUsage::Builder::getDemand() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TeamUsage::Builder::setDemand( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TeamUsage::Reader::getAdmitted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TeamUsage::Builder::getAdmitted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TeamUsage::Builder::setAdmitted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TeamUsage::Reader::getAcknowledged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TeamUsage::Builder::getAcknowledged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TeamUsage::Builder::setAcknowledged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t TeamUsage::Reader::getPeriodMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t TeamUsage::Builder::getPeriodMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void TeamUsage::Builder::setPeriodMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline float TeamUsage::Reader::getShare() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline float TeamUsage::Builder::getShare() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void TeamUsage::Builder::setShare(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReport::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaReport::Reader::hasTeams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaReport::Builder::hasTeams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>::Reader QuotaReport::Reader::getTeams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>::Builder QuotaReport::Builder::getTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaReport::Builder::setTeams( ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>::Builder QuotaReport::Builder::initTeams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaReport::Builder::adoptTeams(
+    ::capnp::Orphan< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>> QuotaReport::Builder::disownTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamUsage,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t TeamGrant::Reader::getTeam() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TeamGrant::Builder::getTeam() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TeamGrant::Builder::setTeam( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TeamGrant::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool TeamGrant::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void TeamGrant::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline float TeamGrant::Reader::getRate() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline float TeamGrant::Builder::getRate() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TeamGrant::Builder::setRate(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline float TeamGrant::Reader::getCredit() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float TeamGrant::Builder::getCredit() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void TeamGrant::Builder::setCredit(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaGrants::Reader::getSequence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaGrants::Builder::getSequence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaGrants::Builder::setSequence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QuotaGrants::Reader::getLeaseMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaGrants::Builder::getLeaseMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaGrants::Builder::setLeaseMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaGrants::Reader::hasTeams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaGrants::Builder::hasTeams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>::Reader QuotaGrants::Reader::getTeams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>::Builder QuotaGrants::Builder::getTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaGrants::Builder::setTeams( ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>::Builder QuotaGrants::Builder::initTeams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaGrants::Builder::adoptTeams(
+    ::capnp::Orphan< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>> QuotaGrants::Builder::disownTeams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphor::wire::TeamGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::camphor::wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5798,6 +6542,166 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isReserved11() const {
+  return which() == Message::RESERVED11;
+}
+inline bool Message::Builder::isReserved11() {
+  return which() == Message::RESERVED11;
+}
+inline  ::capnp::Void Message::Reader::getReserved11() const {
+  KJ_IREQUIRE((which() == Message::RESERVED11),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Message::Builder::getReserved11() {
+  KJ_IREQUIRE((which() == Message::RESERVED11),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setReserved11( ::capnp::Void value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RESERVED11);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Message::Reader::isReserved12() const {
+  return which() == Message::RESERVED12;
+}
+inline bool Message::Builder::isReserved12() {
+  return which() == Message::RESERVED12;
+}
+inline  ::capnp::Void Message::Reader::getReserved12() const {
+  KJ_IREQUIRE((which() == Message::RESERVED12),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void Message::Builder::getReserved12() {
+  KJ_IREQUIRE((which() == Message::RESERVED12),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setReserved12( ::capnp::Void value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::RESERVED12);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Message::Reader::isQuotaReport() const {
+  return which() == Message::QUOTA_REPORT;
+}
+inline bool Message::Builder::isQuotaReport() {
+  return which() == Message::QUOTA_REPORT;
+}
+inline bool Message::Reader::hasQuotaReport() const {
+  if (which() != Message::QUOTA_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasQuotaReport() {
+  if (which() != Message::QUOTA_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::camphor::wire::QuotaReport::Reader Message::Reader::getQuotaReport() const {
+  KJ_IREQUIRE((which() == Message::QUOTA_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::QuotaReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::camphor::wire::QuotaReport::Builder Message::Builder::getQuotaReport() {
+  KJ_IREQUIRE((which() == Message::QUOTA_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::QuotaReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setQuotaReport( ::camphor::wire::QuotaReport::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_REPORT);
+  ::capnp::_::PointerHelpers< ::camphor::wire::QuotaReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::camphor::wire::QuotaReport::Builder Message::Builder::initQuotaReport() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_REPORT);
+  return ::capnp::_::PointerHelpers< ::camphor::wire::QuotaReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptQuotaReport(
+    ::capnp::Orphan< ::camphor::wire::QuotaReport>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_REPORT);
+  ::capnp::_::PointerHelpers< ::camphor::wire::QuotaReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::camphor::wire::QuotaReport> Message::Builder::disownQuotaReport() {
+  KJ_IREQUIRE((which() == Message::QUOTA_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::QuotaReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isQuotaGrants() const {
+  return which() == Message::QUOTA_GRANTS;
+}
+inline bool Message::Builder::isQuotaGrants() {
+  return which() == Message::QUOTA_GRANTS;
+}
+inline bool Message::Reader::hasQuotaGrants() const {
+  if (which() != Message::QUOTA_GRANTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasQuotaGrants() {
+  if (which() != Message::QUOTA_GRANTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::camphor::wire::QuotaGrants::Reader Message::Reader::getQuotaGrants() const {
+  KJ_IREQUIRE((which() == Message::QUOTA_GRANTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::QuotaGrants>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::camphor::wire::QuotaGrants::Builder Message::Builder::getQuotaGrants() {
+  KJ_IREQUIRE((which() == Message::QUOTA_GRANTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::QuotaGrants>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setQuotaGrants( ::camphor::wire::QuotaGrants::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_GRANTS);
+  ::capnp::_::PointerHelpers< ::camphor::wire::QuotaGrants>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::camphor::wire::QuotaGrants::Builder Message::Builder::initQuotaGrants() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_GRANTS);
+  return ::capnp::_::PointerHelpers< ::camphor::wire::QuotaGrants>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptQuotaGrants(
+    ::capnp::Orphan< ::camphor::wire::QuotaGrants>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::QUOTA_GRANTS);
+  ::capnp::_::PointerHelpers< ::camphor::wire::QuotaGrants>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::camphor::wire::QuotaGrants> Message::Builder::disownQuotaGrants() {
+  KJ_IREQUIRE((which() == Message::QUOTA_GRANTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::QuotaGrants>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Inbox::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -3,6 +3,7 @@
 #include <kj/debug.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -202,6 +203,45 @@
   return {.key = in.getKey(), .fingerprint = in.getFingerprint()};
 }
 
+void Write(const TeamUsage& usage, wire::TeamUsage::Builder out) {
+  out.setTeam(usage.team);
+  out.setDemand(usage.demand);
+  out.setAdmitted(usage.admitted);
+  out.setAcknowledged(usage.acknowledged);
+  out.setPeriodMs(usage.period_ms);
+  out.setShare(usage.share);
+}
+
+TeamUsage Read(wire::TeamUsage::Reader in) {
+  const TeamUsage usage{.team = in.getTeam(),
+                        .demand = in.getDemand(),
+                        .period_ms = in.getPeriodMs(),
+                        .share = in.getShare(),
+                        .admitted = in.getAdmitted(),
+                        .acknowledged = in.getAcknowledged()};
+  KJ_REQUIRE(std::isfinite(usage.share) && usage.share >= 0,
+             "share is negative or not finite");
+  return usage;
+}
+
+void Write(const TeamGrant& grant, wire::TeamGrant::Builder out) {
+  out.setTeam(grant.team);
+  out.setLimited(grant.limited);
+  out.setRate(grant.rate);
+  out.setCredit(grant.credit);
+}
+
+TeamGrant Read(wire::TeamGrant::Reader in) {
+  const TeamGrant grant{.team = in.getTeam(),
+                        .limited = in.getLimited(),
+                        .rate = in.getRate(),
+                        .credit = in.getCredit()};
+  KJ_REQUIRE(std::isfinite(grant.rate) && grant.rate >= 0 &&
+                 std::isfinite(grant.credit) && grant.credit >= 0,
+             "grant is negative or not finite");
+  return grant;
+}
+
 template <typename Row, typename List>
 void WriteRows(const std::vector<Row>& rows, List out) {
   for (unsigned index = 0; index < out.size(); ++index)
@@ -299,6 +339,18 @@
     applied.setVersion(message.version);
     WriteNumbers(message.hosts, applied.initHosts(message.hosts.size()));
   }
+  void operator()(const QuotaReport& message) {
+    auto report = out.initQuotaReport();
+    report.setIncarnation(message.incarnation);
+    report.setSequence(message.sequence);
+    WriteRows(message.teams, report.initTeams(message.teams.size()));
+  }
+  void operator()(const QuotaGrants& message) {
+    auto grants = out.initQuotaGrants();
+    grants.setSequence(message.sequence);
+    grants.setLeaseMs(message.lease_ms);
+    WriteRows(message.teams, grants.initTeams(message.teams.size()));
+  }
 };
 
 RecordsMessage ReadRecords(wire::Records::Reader in) {
@@ -339,6 +391,18 @@
           .reached = in.getReached()};
 }
 
+QuotaReport ReadQuotaReport(wire::QuotaReport::Reader in) {
+  return {.incarnation = in.getIncarnation(),
+          .sequence = in.getSequence(),
+          .teams = ReadRows<TeamUsage>(in.getTeams())};
+}
+
+QuotaGrants ReadQuotaGrants(wire::QuotaGrants::Reader in) {
+  return {.sequence = in.getSequence(),
+          .lease_ms = in.getLeaseMs(),
+          .teams = ReadRows<TeamGrant>(in.getTeams())};
+}
+
 }  // namespace
 
 void WriteWireMessage(const MeshMessage& message, wire::Message::Builder out) {
@@ -376,6 +440,13 @@
       return AppliedVersions{
           .version = in.getApplied().getVersion(),
           .hosts = ReadNumbers<std::uint32_t>(in.getApplied().getHosts())};
+    case wire::Message::RESERVED11:
+    case wire::Message::RESERVED12:
+      break;
+    case wire::Message::QUOTA_REPORT:
+      return ReadQuotaReport(in.getQuotaReport());
+    case wire::Message::QUOTA_GRANTS:
+      return ReadQuotaGrants(in.getQuotaGrants());
   }
   KJ_FAIL_REQUIRE("unknown message type");
 }
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -26,6 +26,7 @@
                  .warming_limit = options_.settings.targets.warming_limit,
                  .await_departures = options_.departures_changed != nullptr}) {
   rollouts_ = std::make_unique<RolloutManager>(ManagerOptions());
+  quotas_ = std::make_unique<QuotaManager>(QuotaOptions());
   replicator_ = std::make_unique<Replicator>(ReplicatorOptions());
 }
 
@@ -33,36 +34,70 @@
 
 Replicator::Options HostController::ReplicatorOptions() {
   const Settings& settings = options_.settings;
+  return {.settings = settings.replication,
+          .self = {.host = settings.host,
+                   .incarnation = options_.incarnation,
+                   .domain = settings.failure_domain,
+                   .mesh = settings.mesh_advertise,
+                   .forward = options_.forward},
+          .seeds = settings.mesh_seeds,
+          .random_seed = options_.incarnation,
+          .send =
+              [this](const Endpoint& to, const MeshMessage& message) {
+                options_.send(to, message);
+              },
+          .config_changed =
+              [this](const ConfigSnapshotPtr& snapshot) {
+                OnConfigChanged(snapshot);
+              },
+          .hosts_changed =
+              [this] {
+                hosts_changed_ = true;
+                routing_changed_ = true;
+              },
+          .rollout_changed =
+              [this](const RolloutRecord& record) { OnRolloutChanged(record); },
+          .poison_changed = [this] { urgent_ = true; },
+          .evidence =
+              [this](const EvidenceReport& report) {
+                rollouts_->OnEvidence(report, now_);
+              },
+          .fetch_snapshot =
+              [this](const ConfigHead& head) { options_.fetch_snapshot(head); },
+          .quota_report =
+              [this](const Endpoint& from, const QuotaReport& report) {
+                quotas_->OnReport(from, report, now_);
+              },
+          .quota_grants =
+              [this](const Endpoint& from, const QuotaGrants& grants) {
+                quotas_->OnGrants(from, grants, now_);
+              }};
+}
+
+QuotaManager::Options HostController::QuotaOptions() {
   return {
-      .settings = settings.replication,
-      .self = {.host = settings.host,
-               .incarnation = options_.incarnation,
-               .domain = settings.failure_domain,
-               .mesh = settings.mesh_advertise,
-               .forward = options_.forward},
-      .seeds = settings.mesh_seeds,
-      .random_seed = options_.incarnation,
-      .send = [this](
-                  const Endpoint& to,
-                  const MeshMessage& message) { options_.send(to, message); },
-      .config_changed =
-          [this](const ConfigSnapshotPtr& snapshot) {
-            OnConfigChanged(snapshot);
-          },
-      .hosts_changed =
-          [this] {
-            hosts_changed_ = true;
-            routing_changed_ = true;
+      .host = options_.settings.host,
+      .mesh = options_.settings.mesh_advertise,
+      .incarnation = options_.incarnation,
+      .with_limiter = options_.with_limiter,
+      .send_report =
+          [this](const Endpoint& to, const QuotaReport& report) {
+            options_.send(to, report);
           },
-      .rollout_changed =
-          [this](const RolloutRecord& record) { OnRolloutChanged(record); },
-      .poison_changed = [this] { urgent_ = true; },
-      .evidence =
-          [this](const EvidenceReport& report) {
-            rollouts_->OnEvidence(report, now_);
+      .send_grants =
+          [this](const Endpoint& to, const QuotaGrants& grants) {
+            options_.send(to, grants);
           },
-      .fetch_snapshot =
-          [this](const ConfigHead& head) { options_.fetch_snapshot(head); }};
+      .limited_changed =
+          [this](const TeamName& team, bool limited, double rate) {
+            options_.log->Log(
+                LogLevel::kInfo, "quota",
+                limited ? "team is near its quota: limited on this host"
+                        : "team is no longer limited on this host",
+                {{"team", team.value()},
+                 {"per_second", fmt::format("{:.3f}", rate)},
+                 {"allocator", quotas_->AllocatorOf(HashTeam(team)).value()}});
+          }};
 }
 
 RolloutManager::Options HostController::ManagerOptions() {
@@ -222,7 +257,9 @@
   if (hosts_changed_) {
     hosts_changed_ = false;
     rollouts_->SetHosts(replicator_->hosts());
+    quotas_->SetHosts(replicator_->hosts(), now);
   }
+  quotas_->Tick(now);
   rollouts_->Tick(boot_now, wall_now);
 }
 
@@ -269,6 +306,7 @@
   options_.log->History("serving", {{"version", snapshot->head.version},
                                     {"digest", snapshot->head.digest.hex()}});
   rollouts_->SetConfig(snapshot);
+  quotas_->SetTeams(snapshot->teams, now_);
   options_.config_changed(*snapshot);
 }
 
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "core/base/endpoint.h"
+#include "core/quota/quota_manager.h"
 #include "core/replication/replicator.h"
 #include "core/rollout/rollout_manager.h"
 #include "core/routing/effective_routing.h"
@@ -32,6 +33,9 @@
     std::uint64_t incarnation = 0;  ///< increases with each process start
     Endpoint forward{};             ///< listener for proxies of other hosts
     LogSink* log = nullptr;         ///< must outlive this object
+    std::function<void(const std::function<void(QuotaLimiter&)>&)>
+        with_limiter{};  ///< calls back at once with the limiter of teams,
+                         ///< locked against the proxy thread
     Published<EffectiveRouting>* routing =
         nullptr;  ///< must outlive this object
     Published<TargetAddresses>* addresses =
@@ -100,10 +104,12 @@
 
   Replicator& replicator() { return *replicator_; }
   RolloutManager& rollouts() { return *rollouts_; }
+  const QuotaManager& quotas() const { return *quotas_; }
 
  private:
   Replicator::Options ReplicatorOptions();
   RolloutManager::Options ManagerOptions();
+  QuotaManager::Options QuotaOptions();
   void OnConfigChanged(const ConfigSnapshotPtr& snapshot);
   void OnRolloutChanged(const RolloutRecord& record);
   void OnTargetsChanged(MonoTime now);
@@ -115,6 +121,7 @@
   Options options_;
   TargetRegistry registry_;
   std::unique_ptr<RolloutManager> rollouts_;
+  std::unique_ptr<QuotaManager> quotas_;
   std::unique_ptr<Replicator> replicator_;
   bool hosts_changed_ = false;   ///< rollout manager needs an update
   bool routing_changed_ = true;  ///< routing needs a rebuild
--- a/node/node.cc
+++ b/node/node.cc
@@ -7,9 +7,12 @@
 #include <boost/json.hpp>
 #include <chrono>
 #include <ctime>
+#include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 
+#include "core/quota/quota_limiter.h"
 #include "mesh/mesh_transport.h"
 #include "node/admin/admin_api.h"
 #include "node/admin/admin_server.h"
@@ -81,6 +84,7 @@
         incarnation(NewIncarnation()),
         started(Now()),
         request_log({.log = &log}),
+        limiter({.random_seed = incarnation}),
         admin(AdminOptions()),
         decisions(DecisionOptions()),
         proxy(ProxyOptions()),
@@ -98,7 +102,10 @@
   std::atomic<bool> draining{false};
   std::atomic<MonoTime::rep> last_tick{0};
   Published<EffectiveRouting> routing;
-  RequestLog request_log;  ///< used on the proxy thread
+  RequestLog request_log;    ///< used on the proxy thread
+  std::mutex limiter_mutex;  ///< guards `limiter`
+  QuotaLimiter limiter;      ///< admits on the proxy thread; the decisions
+                             ///< thread reads its use and stores grants
   Published<TargetAddresses> addresses;
 
   // Members are destroyed in reverse order: callers before the components that
@@ -163,6 +170,11 @@
             const auto found = known->find(id);
             return found == known->end() ? Endpoint{} : found->second;
           },
+      .admit = [this](const TeamSpec& team) -> std::optional<Milliseconds> {
+        if (team.requests_per_second <= 0) return std::nullopt;
+        const std::lock_guard lock(limiter_mutex);
+        return limiter.Admit(team.name, Now());
+      },
       .on_sample =
           [this](RequestSample&& sample) { decisions.PostSample(sample); },
       .on_target_death =
@@ -256,6 +268,11 @@
                          ? proxy.forward_endpoint()
                          : settings.forward_advertise,
           .log = &log,
+          .with_limiter =
+              [this](const std::function<void(QuotaLimiter&)>& use) {
+                const std::lock_guard lock(limiter_mutex);
+                use(limiter);
+              },
           .routing = &routing,
           .addresses = &addresses,
           .send =
--- a/node/node_report.cc
+++ b/node/node_report.cc
@@ -1,6 +1,7 @@
 #include "node/node_report.h"
 
 #include <boost/json.hpp>
+#include <chrono>
 #include <utility>
 
 #include "node/admin/state_view.h"
@@ -37,6 +38,8 @@
   return {{"node", Status()},
           {"proxy", ParseJsonOrText(parts_.proxy.DumpJson())},
           {"mesh", MeshState()},
+          {"quotas", ParseJsonOrText(parts_.controller.quotas().DumpJson(
+                         std::chrono::steady_clock::now()))},
           {"platform", PlatformState()},
           {"rings", std::move(rings)},
           {"decisions",
@@ -63,6 +66,8 @@
                           .mesh = parts_.mesh.counters(),
                           .admin_requests = parts_.admin.requests(),
                           .log_dropped = parts_.log.dropped()}) +
+         parts_.controller.quotas().MetricsText(
+             std::chrono::steady_clock::now()) +
          parts_.proxy.MetricsText() + parts_.claims.MetricsText();
 }
 
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -174,6 +174,17 @@
     ReportRefusal(request, ProxyError::kDraining);
     return ErrorReply{.error = ProxyError::kDraining};
   }
+  // Only requests that nothing else refuses count against the quota.
+  if (request.team && !rule.is_public && context_.options.admit) {
+    const std::optional<Milliseconds> wait =
+        context_.options.admit(*request.team);
+    if (wait) {
+      context_.metrics.Count(Counter::kOverQuota);
+      ReportRefusal(request, ProxyError::kOverQuota);
+      return ErrorReply{
+          .error = ProxyError::kOverQuota, .keep = keep, .retry_after = *wait};
+    }
+  }
   return std::nullopt;
 }
 
--- a/proxy/error_response.cc
+++ b/proxy/error_response.cc
@@ -32,6 +32,8 @@
     {status::not_found, "no_route", "no route matches this request", true},
     {status::unauthorized, "unknown_key",
      "this route requires an API key of a team", true},
+    {status::too_many_requests, "over_quota",
+     "the quota of this team is used up", true},
     {status::service_unavailable, "not_ready",
      "this host has no configuration yet", true},
     {status::service_unavailable, "no_target", "no target is available", true},
@@ -103,7 +105,8 @@
   } else {
     response.set(kOutcomeHeader, "unknown");
   }
-  if (traits.not_run && traits.status == status::service_unavailable) {
+  if (traits.not_run && (traits.status == status::service_unavailable ||
+                         traits.status == status::too_many_requests)) {
     response.set(http::field::retry_after, RetryAfterText(detail));
   }
   const std::string_view message =
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -20,6 +20,7 @@
   kKeyMissing,     ///< the route requires an Idempotency-Key
   kNoRoute,        ///< no route matches
   kUnknownKey,     ///< the API key belongs to no team
+  kOverQuota,      ///< the team's quota is used up
   kNotReady,       ///< this proxy has no configuration yet
   kNoTarget,       ///< no target is available
   kFull,           ///< the target's slots and queue are full
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -52,9 +52,10 @@
   /// when they are part of a temporary in a co_await expression.
   struct ErrorReply {
     ProxyError error = ProxyError::kBadRequest;
-    bool keep = false;          ///< the connection can be used further
-    bool head_request = false;  ///< a response to HEAD has no body
-    std::string_view detail{};  ///< replaces the default message
+    bool keep = false;            ///< the connection can be used further
+    bool head_request = false;    ///< a response to HEAD has no body
+    std::string_view detail{};    ///< replaces the default message
+    Milliseconds retry_after{0};  ///< value of Retry-After; 0: the default
   };
 
   /// Writes an error response. Returns true when the connection stays open.
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -18,7 +18,7 @@
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99};
 constexpr double kMicrosPerSecond = 1e6;
 
-constexpr std::array<std::string_view, 23> kCounterNames = {
+constexpr std::array<std::string_view, 24> kCounterNames = {
     "caller_requests",
     "pipelined_requests",
     "forward_requests",
@@ -27,6 +27,7 @@
     "outcome_unknown",
     "bad_requests",
     "unauthorized",
+    "over_quota",
     "cut_answers",
     "cancelled",
     "retries",
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -29,6 +29,7 @@
     kOutcomeUnknown,  ///< caller requests that may have run
     kBadRequests,     ///< malformed requests
     kUnauthorized,    ///< caller requests without an API key of a team
+    kOverQuota,       ///< caller requests over the quota of their team
     kCutAnswers,      ///< truncated responses
     kCancelled,       ///< caller requests whose caller disconnected
     kRetries,         ///< attempts after the first
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/base/endpoint.h"
@@ -42,6 +43,10 @@
     std::function<Endpoint(const TargetId&)>
         local_target{};  ///< returns the address of a local target; port 0 if
                          ///< it is gone
+    std::function<std::optional<Milliseconds>(const TeamSpec&)>
+        admit{};  ///< counts a request against its team's quota; returns the
+                  ///< time after which to repeat it if it is refused; null: no
+                  ///< quotas
     std::function<void(RequestSample&&)>
         on_sample{};  ///< called when an attempt ends
     std::function<void(std::uint64_t fingerprint, const TargetId&)>
--- a/unit_tests/mesh/message_codec_test.cc
+++ b/unit_tests/mesh/message_codec_test.cc
@@ -77,7 +77,19 @@
                       .incarnation = 3,
                       .sequence = 4,
                       .reached = true},
-      AppliedVersions{.version = 7, .hosts = {1, 2, 3}}};
+      AppliedVersions{.version = 7, .hosts = {1, 2, 3}},
+      QuotaReport{.incarnation = 5,
+                  .sequence = 6,
+                  .teams = {{.team = 7,
+                             .demand = 8,
+                             .period_ms = 500,
+                             .share = 1.5F,
+                             .admitted = 10,
+                             .acknowledged = 9}}},
+      QuotaGrants{.sequence = 6,
+                  .lease_ms = 1500,
+                  .teams = {{.team = 7, .limited = true, .rate = 2.5F},
+                            {.team = 8, .rate = 1, .credit = 3}}}};
 }
 
 TEST(DecodeMeshMessage, EachMessageType_RoundTrips) {
