Reserve the shares of silent hosts and renew the credit of idle ones

The bucket now refills without the silent hosts' part, and a host that returned its grant starts with a new credit shortly before the lease ends.

--- a/core/quota/quota_allocator.cc
+++ b/core/quota/quota_allocator.cc
@@ -14,6 +14,13 @@
 // has declared the host lost, which takes 12 s.
 constexpr Seconds kReserveTime{15};
 
+// A host with demand reports more often than this.
+constexpr DoubleSeconds kSilentAfter{1};
+
+// Largest debt, in overages. A larger one is already outside of the window
+// before it is repaid.
+constexpr double kLargestDebt = 3;
+
 // State of a team is kept this long after another host has become its
 // allocator, because a suspicion is often refuted.
 constexpr Seconds kReleasedRetention{10};
@@ -155,13 +162,13 @@
   std::uint64_t before = host.admitted;
   if (added || host.incarnation != incarnation)
     before = known_idle ? usage.acknowledged : usage.admitted;
-  const bool was_silent = !added && now - host.reported > kQuotaLease;
+  // What a host admitted while it was cut off was reserved for it.
+  const DoubleSeconds silence =
+      added ? MonoTime::duration{0} : now - host.reported;
+  const double counted = silence > kSilentAfter ? kSilentAfter / silence : 1;
   if (usage.admitted > before)
-    team.level -= static_cast<double>(usage.admitted - before);
-  // What a host admitted while it was cut off was reserved for it, and most of
-  // it is older than the window.
-  const double lowest =
-      -(was_silent ? 1.0 : 3.0) * team.quota.Overage() * part_;
+    team.level -= counted * static_cast<double>(usage.admitted - before);
+  const double lowest = -kLargestDebt * team.quota.Overage() * part_;
   team.level = std::max(team.level, lowest);
   const DoubleSeconds period = std::max<DoubleSeconds>(
       Milliseconds(usage.period_ms), kShortestDemandPeriod);
@@ -180,9 +187,16 @@
   if (now <= team.refilled) return;
   const DoubleSeconds elapsed = now - team.refilled;
   team.refilled = now;
+  // Hosts that may be cut off are using their shares without reporting.
+  double reserved = 0;
+  for (const auto& [endpoint, use] : team.hosts)
+    if (now - use.reported > kSilentAfter) reserved += use.demand;
+  const double reporting =
+      reserved > 0 ? std::max(0.0, 1 - reserved / team.demand) : 1;
   team.arrivals *= std::exp(-elapsed / kDemandTime);
-  team.level = std::min(Ceiling(team.quota) * part_,
-                        team.level + elapsed.count() * team.quota.rate * part_);
+  team.level = std::min(
+      Ceiling(team.quota) * part_,
+      team.level + elapsed.count() * team.quota.rate * part_ * reporting);
 }
 
 void QuotaAllocator::DropSilentHosts(Team& team, MonoTime now) const {
--- a/core/quota/quota_limiter.cc
+++ b/core/quota/quota_limiter.cc
@@ -120,8 +120,11 @@
       !team.reported && team.demand == 0 && team.admitted <= team.acknowledged;
   // Notifications about a limited team are repeated. If they stop, this host is
   // cut off; the limit then goes on for a time.
-  const MonoTime::duration hold =
-      team.limited ? kLimitHold : MonoTime::duration{0};
+  // Otherwise, a lease that ends before the reply to the next report would
+  // leave a host without credit that starts to see requests again.
+  const MonoTime::duration hold = team.limited
+                                      ? MonoTime::duration(kLimitHold)
+                                      : -MonoTime::duration(kFirstReplyTimeout);
   return returned && now > team.lease_ends + hold;
 }
 
