--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -88,6 +88,7 @@
                 const std::scoped_lock lock(mutex_);
                 return addresses_[id];
               },
+          .admit = admit_,
           .on_sample =
               [this](RequestSample&& sample) {
                 const std::scoped_lock lock(mutex_);
@@ -181,6 +182,7 @@
   HeaderVocabulary vocabulary_;
   CallerLimits caller_limits_;
   TeamTable teams_;
+  std::function<std::optional<Milliseconds>(const TeamSpec&)> admit_;
   std::map<std::uint64_t, PoisonRecord> poison_;
   int deaths_ = 0;
   std::map<std::string, std::vector<TargetInfo>> host_targets_;
