Place requests by the speed and load that the hosts of targets report

Callers saw late and refused responses while other targets had room: with targets that differ in speed by a factor of three, fast and slow ones got about the same share, since each host sees only its own requests in flight, and hosts kept to a full failure domain.

The host of a target now reports slots in use, queue and mean service time (LoadReport, from the averages of ConcurrencyLimiter). FinishModel predicts the end of a request from the last report; PowerOfTwoBalancer draws targets in proportion to their speed, keeps the one that ends earlier, and crosses failure domains only if the local choice would use up half of the objective and the other end is clearly earlier. Without recent reports the decision is the previous one. Failed requests no longer make a target look fast.

--- a/core/routing/concurrency_limiter.cc
+++ b/core/routing/concurrency_limiter.cc
@@ -77,10 +77,26 @@
   return result;
 }
 
+std::optional<LoadReport> ConcurrencyLimiter::Report(
+    std::uint32_t work_class) const {
+  if (service_.mean_us < 1) return std::nullopt;
+  const auto found =
+      std::ranges::find(by_class_, work_class, &ServiceTime::work_class);
+  return LoadReport{.running = running_,
+                    .waiting = static_cast<std::uint32_t>(queue_.size()),
+                    .service = ToMicroseconds(service_.mean_us),
+                    .class_service = found == by_class_.end()
+                                         ? Microseconds(0)
+                                         : ToMicroseconds(found->mean_us)};
+}
+
 bool ConcurrencyLimiter::Cancel(std::uint64_t id) { return queue_.Remove(id); }
 
 void ConcurrencyLimiter::Record(const ServiceSample& sample) {
   const auto took_us = static_cast<double>(sample.took.count());
+  // A target that fails quickly must not appear to be fast.
+  if (sample.failed && took_us <= ClassServiceTime(sample.work_class).mean_us)
+    return;
   service_.Record(took_us);
   const auto found =
       std::ranges::find(by_class_, sample.work_class, &ServiceTime::work_class);
--- a/core/routing/concurrency_limiter.h
+++ b/core/routing/concurrency_limiter.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/base/time.h"
+#include "core/routing/load_report.h"
 #include "core/routing/urgency_queue.h"
 
 namespace camphor {
@@ -58,6 +59,8 @@
   struct ServiceSample {
     std::uint32_t work_class = 0;  ///< work class of the request
     Microseconds took{0};          ///< service time
+    bool failed = false;  ///< no good response: the request may show that the
+                          ///< target is slow, but not that it is fast
   };
 
   /// Releases a slot and grants it to the next queued request, if any. `sample`
@@ -69,6 +72,11 @@
   /// Removes a request from the queue. Returns false if it is not queued.
   bool Cancel(std::uint64_t id);
 
+  /// Returns the load and the measured speed, for the hosts of callers;
+  /// std::nullopt before the first sample. `work_class` selects the class whose
+  /// service time is reported.
+  std::optional<LoadReport> Report(std::uint32_t work_class) const;
+
   std::uint32_t running() const { return running_; }
   std::size_t waiting() const { return queue_.size(); }
 
--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -25,12 +25,25 @@
 // before another domain is considered.
 constexpr double kObjectiveFraction = 0.6;
 
+// The same, for an expected end that is based on reports. It doesn't contain
+// the noise of the service time, for which half of the objective is left.
+constexpr double kReportedFraction = 0.5;
+
+// Another domain must be better by this factor, including the crossing, since
+// bytes between domains are charged.
+constexpr double kClearlyBetter = 0.9;
+
 // Failure rate that justifies the traffic cost of crossing failure domains.
 constexpr double kCrossingFailureRate = 0.2;
 
 // Round-trip time to another failure domain.
 constexpr double kCrossingUs = 8000;
 
+// Speed relative to the pool beyond which a target is not drawn more often, and
+// the number of draws after which the last one is kept.
+constexpr double kMaxRelativeSpeed = 2;
+constexpr int kMaxRedraws = 8;
+
 // Backoff after a target refuses a request; doubles with each refusal.
 constexpr Milliseconds kInitialRefusalBackoff{20};
 constexpr Milliseconds kMaxRefusalBackoff{1000};
@@ -130,10 +143,12 @@
   const RoutedShare part = GetShare(route, share);
   const std::uint32_t pool = part.pool;
   const RouteRule& rule = *routing_->routes[route].rule;
-  const ChoiceParams params{.tried = tried,
-                            .objective = rule.target_latency,
-                            .typical_us = latency_.TypicalUs(rule.name),
-                            .now = now};
+  const ChoiceParams params{
+      .tried = tried,
+      .objective = rule.target_latency,
+      .typical_us = latency_.TypicalUs(rule.name),
+      .service_us = finish_.HasReports(now) ? finish_.TypicalUs(rule.name) : 0,
+      .now = now};
   const std::optional<std::uint32_t> group = ChooseGroup(route, part);
   if (!group) return std::nullopt;
   const std::optional<Placement> chosen =
@@ -189,16 +204,20 @@
 std::optional<Placement> PowerOfTwoBalancer::ChooseTarget(
     const Placement& group, const ChoiceParams& params) {
   const GroupView& view = pools_[group.pool].groups[group.group];
+  const std::vector<RoutedTarget>& targets =
+      routing_->pools[group.pool].groups[group.group].targets;
   // Preference: local failure domain with capacity, other domains with
   // capacity, then any target that is not ejected.
   std::optional<std::uint32_t> target =
       ChooseBetterOfTwo(view.local_domain, group, params, true);
   if (!target) {
     target = ChooseBetterOfTwo(view.others, group, params, true);
-  } else if (MissesObjective(*view.stats[*target], params)) {
+  } else if (MissesObjective(targets[*target], *view.stats[*target], params)) {
     const auto other = ChooseBetterOfTwo(view.others, group, params, true);
-    if (other &&
-        ShouldCrossDomain(*view.stats[*target], *view.stats[*other], params))
+    if (other && ShouldCrossDomain(
+                     ExpectedUs(targets[*target], *view.stats[*target], params),
+                     ExpectedUs(targets[*other], *view.stats[*other], params),
+                     params.service_us > 0))
       target = other;
   }
   if (!target)
@@ -208,29 +227,48 @@
   return Placement{.pool = group.pool, .group = group.group, .target = *target};
 }
 
-bool PowerOfTwoBalancer::MissesObjective(const TargetStats& stats,
+bool PowerOfTwoBalancer::MissesObjective(const RoutedTarget& target,
+                                         const TargetStats& stats,
                                          const ChoiceParams& params) {
   if (params.objective.count() == 0) return false;
   if (stats.failure_rate > kCrossingFailureRate) return true;
   const double bound_us =
       kObjectiveFraction *
       static_cast<double>(std::chrono::microseconds(params.objective).count());
-  return LatencyModel::ExpectedUs(params.typical_us, stats) > bound_us;
+  if (params.service_us == 0)
+    return LatencyModel::ExpectedUs(params.typical_us, stats) > bound_us;
+  // A retry has already used up part of its objective.
+  if (!params.tried.empty()) return true;
+  return ExpectedUs(target, stats, params) >
+         bound_us * kReportedFraction / kObjectiveFraction;
 }
 
-bool PowerOfTwoBalancer::ShouldCrossDomain(const TargetStats& own,
-                                           const TargetStats& other,
-                                           const ChoiceParams& params) {
-  const double own_us = PenalizedLatencyUs(own, params.typical_us);
-  const double other_us =
-      PenalizedLatencyUs(other, params.typical_us) + kCrossingUs;
-  if (other_us >= own_us) return false;
+bool PowerOfTwoBalancer::ShouldCrossDomain(double own_us, double other_us,
+                                           bool reported) {
+  const double there_us = other_us + kCrossingUs;
+  // The reports of all targets stay recent without the draw below, since each
+  // target is also chosen by the hosts of its own domain.
+  if (reported) return there_us < kClearlyBetter * own_us;
+  if (there_us >= own_us) return false;
   // Randomised in proportion to the latencies: the slower target still gets
   // samples, and the proxies do not all move to the same target.
-  std::uniform_real_distribution<double> draw(0, own_us + other_us);
+  std::uniform_real_distribution<double> draw(0, own_us + there_us);
   return draw(random_) < own_us;
 }
 
+double PowerOfTwoBalancer::ExpectedUs(const RoutedTarget& target,
+                                      const TargetStats& stats,
+                                      const ChoiceParams& params) {
+  if (params.service_us == 0)
+    return PenalizedLatencyUs(stats, params.typical_us);
+  return FinishModel::FinishUs(
+             {.typical_us = params.service_us,
+              .slots = std::max<std::uint32_t>(target.info.slots, 1),
+              .now = params.now},
+             stats) *
+         (1 + kFailurePenalty * stats.failure_rate);
+}
+
 double PowerOfTwoBalancer::PenalizedLatencyUs(const TargetStats& stats,
                                               double typical_us) {
   const double known = LatencyModel::ExpectedUs(typical_us, stats);
@@ -265,9 +303,11 @@
     }
     return count;
   };
-  const std::size_t first = first_usable(random_() % count, count);
+  const std::size_t first =
+      first_usable(DrawBySpeed(candidates, view, params), count);
   if (first == count) return std::nullopt;
-  const std::size_t second = first_usable(random_() % count, first);
+  const std::size_t second =
+      first_usable(DrawBySpeed(candidates, view, params), first);
   if (second == count) return candidates[first];
   const std::uint32_t left = candidates[first];
   const std::uint32_t right = candidates[second];
@@ -276,15 +316,35 @@
   return keep_left ? left : right;
 }
 
+std::size_t PowerOfTwoBalancer::DrawBySpeed(
+    const std::vector<std::uint32_t>& candidates, const GroupView& view,
+    const ChoiceParams& params) {
+  std::size_t position = random_() % candidates.size();
+  if (params.service_us == 0) return position;
+  // Draws again with a probability that falls with the speed of the target, so
+  // that the arrivals follow the speeds even where the load is not known. The
+  // cost does not depend on the number of targets.
+  std::uniform_real_distribution<double> draw(0, kMaxRelativeSpeed);
+  for (int redraw = 0; redraw < kMaxRedraws; ++redraw) {
+    const TargetStats& stats = *view.stats[candidates[position]];
+    const double speed = 1 / FinishModel::RelativeService(stats, params.now);
+    if (draw(random_) * (1 + kFailurePenalty * stats.failure_rate) < speed)
+      break;
+    position = random_() % candidates.size();
+  }
+  return position;
+}
+
 double PowerOfTwoBalancer::Cost(const RoutedTarget& target,
                                 const TargetStats& stats,
                                 const ChoiceParams& params) const {
-  const double slots = std::max<double>(target.info.slots, 1);
-  const double queue = (stats.in_flight + 1) / slots;
   const double age =
       std::chrono::duration<double>(params.now - stats.first_seen) /
       std::chrono::duration<double>(options_.slow_start);
   const double part = std::clamp(age, kMinSlowStartFactor, 1.0);
+  if (params.service_us > 0) return ExpectedUs(target, stats, params) / part;
+  const double slots = std::max<double>(target.info.slots, 1);
+  const double queue = (stats.in_flight + 1) / slots;
   return queue * PenalizedLatencyUs(stats, params.typical_us) / part;
 }
 
@@ -314,7 +374,16 @@
 
 void PowerOfTwoBalancer::OnSent(const TargetId& target) {
   const auto found = stats_.find(target);
-  if (found != stats_.end()) ++found->second.in_flight;
+  if (found == stats_.end()) return;
+  ++found->second.in_flight;
+  ++found->second.sent_since_report;
+}
+
+void PowerOfTwoBalancer::OnReport(const RouteName& route,
+                                  const TargetId& target,
+                                  const LoadReport& report, MonoTime now) {
+  const auto found = stats_.find(target);
+  if (found != stats_.end()) finish_.Record(route, found->second, report, now);
 }
 
 void PowerOfTwoBalancer::OnEnded(const RequestInfo& request,
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -11,7 +11,9 @@
 
 #include "core/base/time.h"
 #include "core/routing/effective_routing.h"
+#include "core/routing/finish_model.h"
 #include "core/routing/latency_model.h"
+#include "core/routing/load_report.h"
 #include "core/routing/outlier_detector.h"
 #include "core/routing/request_sample.h"
 #include "core/routing/target_stats.h"
@@ -32,6 +34,10 @@
 /// traffic share, then the better of two random targets, based on the
 /// statistics of this proxy.
 ///
+/// While the hosts of targets report their load (OnReport), targets are drawn
+/// in proportion to their speed, and the one of the two with the earlier
+/// expected end is chosen. Without reports, own statistics decide alone.
+///
 /// Prefers targets of the local failure domain while they have capacity and are
 /// likely to meet the latency objective of the route. Newly announced targets
 /// get a reduced share at first (slow start). Ejected outliers get no requests;
@@ -95,6 +101,11 @@
   void OnEnded(const RequestInfo& request, RequestOutcome outcome,
                Microseconds latency, MonoTime now);
 
+  /// Takes over the report of a target's host, which came with the response to
+  /// a request of the route.
+  void OnReport(const RouteName& route, const TargetId& target,
+                const LoadReport& report, MonoTime now);
+
   /// Returns the expected latency of a request of the route at the target; 0 if
   /// unknown.
   Microseconds ExpectedLatency(const RouteName& route,
@@ -128,15 +139,21 @@
     std::span<const Placement> tried;  ///< placements to exclude
     Milliseconds objective{0};         ///< latency objective; 0: none
     double typical_us = 0;             ///< of the route; 0: unknown
+    double service_us = 0;  ///< mean service time of the route as reported; 0:
+                            ///< no recent report, own statistics decide
     MonoTime now{};
   };
 
   std::optional<Placement> ChooseTarget(const Placement& group,
                                         const ChoiceParams& params);
-  static bool MissesObjective(const TargetStats& stats,
+  static bool MissesObjective(const RoutedTarget& target,
+                              const TargetStats& stats,
                               const ChoiceParams& params);
-  bool ShouldCrossDomain(const TargetStats& own, const TargetStats& other,
-                         const ChoiceParams& params);
+  bool ShouldCrossDomain(double own_us, double other_us, bool reported);
+  static double ExpectedUs(const RoutedTarget& target, const TargetStats& stats,
+                           const ChoiceParams& params);
+  std::size_t DrawBySpeed(const std::vector<std::uint32_t>& candidates,
+                          const GroupView& view, const ChoiceParams& params);
   static double PenalizedLatencyUs(const TargetStats& stats, double typical_us);
   std::optional<std::uint32_t> ChooseBetterOfTwo(
       const std::vector<std::uint32_t>& candidates, const Placement& group,
@@ -157,6 +174,7 @@
   std::unordered_map<RouteName, double> saved_credit_;
   std::unordered_map<TargetId, TargetStats> stats_;
   LatencyModel latency_;
+  FinishModel finish_;
 };
 
 }  // namespace camphor
--- a/core/routing/target_stats.h
+++ b/core/routing/target_stats.h
@@ -22,6 +22,18 @@
   MonoTime first_seen{};        ///< start of the slow start
   MonoTime full_until{};  ///< after a refusal: treated as full until this time
   MonoTime ejected_until{};  ///< ejected as an outlier until this time
+
+  // From the reports of the target's host; see FinishModel.
+  double relative_service = 0;     ///< service time relative to that of the
+                                   ///< pool, moving average; 0: no report yet
+  MonoTime speed_reported_at{};    ///< last update of relative_service
+  double reported_load = 0;        ///< slots in use plus queue, as reported
+  double mean_load = 0;            ///< moving average of reported_load
+  double reported_service_us = 0;  ///< mean of all requests of the target; 0:
+                                   ///< no report yet
+  MonoTime load_reported_at{};     ///< last update of reported_load
+  std::uint32_t sent_since_report =
+      0;  ///< requests sent from this proxy since that update
 };
 
 }  // namespace camphor
