Compare targets without recent reports by own statistics

Tests of the placing found two faults of the first version: a failed request counted as the first sample of the speed of a target, and targets whose host had not reported for 10 s were compared without the own requests in flight. Both would have sent callers to targets that fail or that are full.

--- a/core/routing/concurrency_limiter.cc
+++ b/core/routing/concurrency_limiter.cc
@@ -95,8 +95,8 @@
 void ConcurrencyLimiter::Record(const ServiceSample& sample) {
   const auto took_us = static_cast<double>(sample.took.count());
   // A target that fails quickly must not appear to be fast.
-  if (sample.failed && took_us <= ClassServiceTime(sample.work_class).mean_us)
-    return;
+  const double known_us = ClassServiceTime(sample.work_class).mean_us;
+  if (sample.failed && (known_us == 0 || took_us <= known_us)) return;
   service_.Record(took_us);
   const auto found =
       std::ranges::find(by_class_, sample.work_class, &ServiceTime::work_class);
--- a/core/routing/finish_model.cc
+++ b/core/routing/finish_model.cc
@@ -85,7 +85,12 @@
       request.typical_us * RelativeService(target, request.now);
   const bool known = target.reported_service_us > 0 &&
                      request.now - target.load_reported_at <= kMaxSpeedAge;
-  if (!known) return service_us;
+  const double slots = request.slots;
+  if (!known) {
+    // Only the own requests are known.
+    const double own_excess = std::max(0.0, target.in_flight + 1 - slots);
+    return service_us * (1 + own_excess / slots);
+  }
   const double age_us = std::chrono::duration<double, std::micro>(
                             request.now - target.load_reported_at)
                             .count();
@@ -95,7 +100,6 @@
                        kept * (target.reported_load - target.mean_load) +
                        target.sent_since_report;
   const double variance = (1 - kept * kept) * std::max(1.0, target.mean_load);
-  const double slots = request.slots;
   const double excess = ExpectedExcess(ahead + 1 - slots, std::sqrt(variance));
   return service_us + excess / slots * target.reported_service_us;
 }
--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -49,6 +49,12 @@
 constexpr Milliseconds kMaxRefusalBackoff{1000};
 constexpr std::uint32_t kMaxDoublings = 6;
 
+// Returns true if the host of the target has reported recently.
+bool HasRecentReport(const TargetStats& stats, MonoTime now) {
+  return stats.reported_service_us > 0 &&
+         now - stats.load_reported_at <= FinishModel::kMaxSpeedAge;
+}
+
 }  // namespace
 
 PowerOfTwoBalancer::PowerOfTwoBalancer(Options options)
@@ -235,7 +241,7 @@
   const double bound_us =
       kObjectiveFraction *
       static_cast<double>(std::chrono::microseconds(params.objective).count());
-  if (params.service_us == 0)
+  if (params.service_us == 0 || !HasRecentReport(stats, params.now))
     return LatencyModel::ExpectedUs(params.typical_us, stats) > bound_us;
   // A retry has already used up part of its objective.
   if (!params.tried.empty()) return true;
@@ -311,8 +317,13 @@
   if (second == count) return candidates[first];
   const std::uint32_t left = candidates[first];
   const std::uint32_t right = candidates[second];
-  const bool keep_left = Cost(targets[left], *view.stats[left], params) <=
-                         Cost(targets[right], *view.stats[right], params);
+  // Two targets without a recent report are compared by own statistics.
+  ChoiceParams compared = params;
+  if (!HasRecentReport(*view.stats[left], params.now) &&
+      !HasRecentReport(*view.stats[right], params.now))
+    compared.service_us = 0;
+  const bool keep_left = Cost(targets[left], *view.stats[left], compared) <=
+                         Cost(targets[right], *view.stats[right], compared);
   return keep_left ? left : right;
 }
 
--- a/performance_test/placing/placing_model.cc
+++ b/performance_test/placing/placing_model.cc
@@ -72,10 +72,7 @@
       std::make_unique<ConcurrencyLimiter>(ConcurrencyLimiter::Options{
           .slots = options_.slots, .queue = options_.queue});
   for (std::uint64_t id = 0; id < requests_.size(); ++id) {
-    Request& request = requests_[id];
-    if (request.done || request.target != target || request.tried.empty())
-      continue;
-    if (request.run + 1 == targets_[target].run)
+    if (requests_[id].at_target && requests_[id].target == target)
       ReplyFromTarget(id, RequestOutcome::kError);
   }
 }
@@ -102,7 +99,6 @@
     });
   }
   while (!events_.empty()) {
-    // The event is moved out before it is removed from the queue.
     const Event event = events_.top();
     events_.pop();
     now_ = event.time;
@@ -239,6 +235,10 @@
 
 void PlacingModel::Place(std::uint64_t id) {
   Request& request = requests_[id];
+  if (request.routing != routing_) {
+    request.routing = routing_;
+    request.tried.clear();
+  }
   const std::optional<Placement> placement =
       hosts_[request.host]->Choose(request.kind, request.tried, now_);
   if (!placement) return End(id, &Counts::refused);
@@ -246,9 +246,9 @@
       routing_->pools[0].groups[0].targets[placement->target];
   hosts_[request.host]->OnSent(target.info.id);
   request.tried.push_back(*placement);
+  ++request.attempts;
   request.target =
       static_cast<std::uint32_t>(std::stoul(target.info.id.value().substr(2)));
-  request.run = targets_[request.target].run;
   request.sent = now_;
   request.started = false;
   ++CountsOf(request).attempts;
@@ -261,7 +261,7 @@
   Request& request = requests_[id];
   Target& target = targets_[request.target];
   if (now_ >= kStart + options_.warm_up) ++target.arrivals;
-  request.run = target.run;
+  request.at_target = true;
   if (!target.up) return ReplyFromTarget(id, RequestOutcome::kRefused);
   const auto result =
       target.limiter->Acquire(id, MakeUrgency(request, now_), now_);
@@ -272,12 +272,12 @@
       return Start(id);
     case ConcurrencyLimiter::AdmitResult::kQueued: {
       const std::uint64_t run = target.run;
-      const std::size_t attempt = request.tried.size();
+      const std::uint32_t attempt = request.attempts;
       Schedule(request.arrival + options_.deadline, [this, id, run, attempt] {
         Request& waiting = requests_[id];
         Target& owner = targets_[waiting.target];
         if (waiting.done || waiting.started || owner.run != run ||
-            waiting.tried.size() != attempt)
+            waiting.attempts != attempt)
           return;
         if (owner.limiter->Cancel(id))
           ReplyFromTarget(id, RequestOutcome::kRefused);
@@ -294,7 +294,6 @@
   Request& request = requests_[id];
   Target& target = targets_[request.target];
   request.started = true;
-  ++target.run_requests;
   const double work =
       std::chrono::duration<double>(options_.kinds[request.kind].work).count();
   // The mean of the log-normal distribution is 1.
@@ -337,6 +336,7 @@
 
 void PlacingModel::ReplyFromTarget(std::uint64_t id, RequestOutcome outcome) {
   Request& request = requests_[id];
+  request.at_target = false;
   request.outcome = outcome;
   request.report.reset();
   if (options_.reports && targets_[request.target].up)
@@ -361,7 +361,7 @@
     }
     case RequestOutcome::kRefused:
       ++CountsOf(request).refusals;
-      if (request.tried.size() < options_.attempts &&
+      if (request.attempts < options_.attempts &&
           now_ < request.arrival + options_.deadline)
         return Place(id);
       return End(id, &Counts::refused);
--- a/performance_test/placing/placing_model.h
+++ b/performance_test/placing/placing_model.h
@@ -91,9 +91,8 @@
     bool fails_fast = false;  ///< answers each request with an error in 5 ms
     bool up = true;           ///< false: refuses all, as its host is gone
     std::unique_ptr<ConcurrencyLimiter> limiter;
-    std::uint64_t run = 0;           ///< raised by a restart
-    std::uint64_t arrivals = 0;      ///< since the end of the warm-up
-    std::uint64_t run_requests = 0;  ///< requests that got a slot
+    std::uint64_t run = 0;       ///< raised by a restart
+    std::uint64_t arrivals = 0;  ///< since the end of the warm-up
   };
 
   explicit PlacingModel(Options options);
@@ -136,9 +135,12 @@
     std::uint32_t kind = 0;
     MonoTime arrival{};
     MonoTime sent{};
+    EffectiveRoutingPtr routing{};  ///< that `tried` refers to
     std::vector<Placement> tried{};
-    std::uint64_t run = 0;  ///< of the target
+    std::uint32_t attempts = 0;
     std::uint32_t target = 0;
+    bool at_target = false;  ///< it has reached the target, which has not
+                             ///< replied yet
     bool started = false;
     bool done = false;
     RequestOutcome outcome = RequestOutcome::kSuccess;
