Send load reports with the responses on the hop between two hosts

The balancer of a caller's host gets the load and the speed of a target from the header X-Camphor-Load, about 40 bytes, which the target's host adds to responses and refusals of routes that have a latency objective. Routes without one add no byte. For local targets the report is read directly. Hosts that don't send the header are placed on by own statistics, as before.

Tests: compiles; proxy_tests not run yet.

--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -212,6 +212,10 @@
   });
   const std::unique_ptr<RequestRun> run = MakeRun();
   const std::optional<ProxyError> error = co_await run->Begin();
+  if (const std::optional<LoadReport> load = run->load_report()) {
+    context_.balancer.OnReport(rule().name, target().info.id, *load,
+                               std::chrono::steady_clock::now());
+  }
   if (error) {
     co_await run->End(false);
     OnError(*error);
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -144,18 +144,21 @@
   LocalRun run(context_, std::move(request));
   const std::optional<ProxyError> error = co_await run.Begin();
   heartbeat_.Clear();
+  const std::optional<LoadReport> load = run.load_report();
   if (error) {
     ReportRefusal(run, *error);
     co_await run.End(false);
     if (*error == ProxyError::kCallerGone) co_return false;
     const bool more = co_await WriteError({.error = *error,
                                            .keep = keep && body.complete(),
-                                           .head_request = head_request});
+                                           .head_request = head_request,
+                                           .load = load});
     co_return more;
   }
   http::response_header<> header = run.exchange().response();
   RemoveHopByHopHeaders(header);
   RemoveInternalHeaders(header);
+  if (load) header.set(kLoadHeader, load->ToString());
   const bool keeps = keep && body.complete() && !context_.draining;
   if (!keeps) header.set(http::field::connection, "close");
   const Exchange::Receiver to_sender = receiver();
--- a/proxy/header_names.h
+++ b/proxy/header_names.h
@@ -31,6 +31,7 @@
 inline constexpr std::string_view kPriorityHeader = "X-Camphor-Priority";
 inline constexpr std::string_view kWantedHeader = "X-Camphor-Wanted-Ms";
 inline constexpr std::string_view kWorkClassHeader = "X-Camphor-Work-Class";
+inline constexpr std::string_view kLoadHeader = "X-Camphor-Load";
 inline constexpr std::string_view kSuspectHeader = "X-Camphor-Suspect";
 inline constexpr std::string_view kTargetDiedHeader = "X-Camphor-Target-Died";
 
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "proxy/header_names.h"
 #include "proxy/read_error.h"
 
 namespace camphor {
@@ -170,6 +171,7 @@
                     .retry_after = context_.options.limits.retry_after,
                     .fractional_retry_after =
                         context_.options.vocabulary.fractional_retry_after});
+  if (reply.load) response.set(kLoadHeader, reply.load->ToString());
   response.keep_alive(reply.keep);
   if (reply.head_request) response.body().clear();
   return response;
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "core/config/caller_limits.h"
+#include "core/routing/load_report.h"
 #include "proxy/asio_types.h"
 #include "proxy/error_response.h"
 #include "proxy/exchange.h"
@@ -55,6 +56,8 @@
     bool keep = false;          ///< the connection can be used further
     bool head_request = false;  ///< a response to HEAD has no body
     std::string_view detail{};  ///< replaces the default message
+    std::optional<LoadReport>
+        load{};  ///< sent to the host of the caller; never to a caller
   };
 
   /// Writes an error response. Returns true when the connection stays open.
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -16,6 +16,8 @@
 
 using Counter = ProxyMetrics::Counter;
 
+constexpr unsigned kMinServerErrorStatus = 500;
+
 /// Delays before each check whether a target died.
 constexpr std::array<Milliseconds, 4> kDeathProbeDelays = {
     Milliseconds(0), Milliseconds(5), Milliseconds(15), Milliseconds(30)};
@@ -323,6 +325,16 @@
   return std::nullopt;
 }
 
+std::optional<LoadReport> LocalRun::load_report() const {
+  const Urgency& urgency = request_.urgency;
+  if (!target_ || urgency.soft_deadline >= urgency.deadline)
+    return std::nullopt;
+  std::optional<LoadReport> report = target_->gate().Report(urgency.work_class);
+  // The slot of this request is about to be released.
+  if (report && has_slot_ && report->running > 0) --report->running;
+  return report;
+}
+
 asio::awaitable<void> LocalRun::End(bool cut) {
   if (exchange_) {
     co_await exchange_->Join();
@@ -346,8 +358,13 @@
     const auto took = std::chrono::duration_cast<Microseconds>(
         std::chrono::steady_clock::now() - sent_at_);
     std::optional<ConcurrencyLimiter::ServiceSample> ended;
-    if (tracked_ && !refused_by_target_)
-      ended = {.work_class = request_.urgency.work_class, .took = took};
+    if (tracked_ && !refused_by_target_) {
+      const bool good = answered_ && exchange_->response().result_int() <
+                                         kMinServerErrorStatus;
+      ended = {.work_class = request_.urgency.work_class,
+               .took = took,
+               .failed = !good};
+    }
     target_->ReleaseSlot(ended);
   }
   has_slot_ = false;
--- a/proxy/local_run.h
+++ b/proxy/local_run.h
@@ -21,6 +21,7 @@
   asio::awaitable<std::optional<ProxyError>> Begin() override;
   asio::awaitable<void> End(bool cut) override;
   Exchange& exchange() override { return *exchange_; }
+  std::optional<LoadReport> load_report() const override;
 
   /// The request, and the slot gate of its target; null until the target is
   /// found.
--- a/proxy/placed_request.h
+++ b/proxy/placed_request.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/base/identifier.h"
+#include "core/routing/load_report.h"
 #include "core/routing/urgency.h"
 #include "proxy/asio_types.h"
 #include "proxy/error_response.h"
@@ -54,6 +55,11 @@
 
   /// Returns the current exchange. @pre Begin returned no error.
   virtual Exchange& exchange() = 0;
+
+  /// Returns the load and speed of the target as measured by its host;
+  /// std::nullopt if its host has sent none or the route has no latency
+  /// objective. Call after Begin has returned and before End.
+  virtual std::optional<LoadReport> load_report() const = 0;
 };
 
 /// Maps a failed exchange, of which at least one byte was sent, to an error.
--- a/proxy/remote_run.cc
+++ b/proxy/remote_run.cc
@@ -92,8 +92,10 @@
 }
 
 asio::awaitable<std::optional<ProxyError>> RemoteRun::ReadResponse() {
-  // The other host's proxy removes this header from target responses, so the
-  // proxy itself set it.
+  // The other host's proxy removes these headers from target responses, so the
+  // proxy itself set them.
+  load_report_ =
+      LoadReport::Parse(HeaderValue(exchange_->response(), kLoadHeader));
   const std::string_view reason =
       HeaderValue(exchange_->response(), kReasonHeader);
   if (reason.empty()) {
--- a/proxy/remote_run.h
+++ b/proxy/remote_run.h
@@ -23,6 +23,9 @@
   asio::awaitable<std::optional<ProxyError>> Begin() override;
   asio::awaitable<void> End(bool cut) override;
   Exchange& exchange() override { return *exchange_; }
+  std::optional<LoadReport> load_report() const override {
+    return load_report_;
+  }
 
  private:
   void SetInternalHeaders();
@@ -33,6 +36,7 @@
   Endpoint forward_;
   ConnectionPool::Lease lease_;
   std::optional<Exchange> exchange_;
+  std::optional<LoadReport> load_report_;  ///< sent by the other host
 };
 
 }  // namespace camphor
