--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -151,6 +151,9 @@
     balancing[id.value()] = {{"in_flight", stats.in_flight},
                              {"slowness", stats.slowness},
                              {"failure_rate", stats.failure_rate},
+                             {"relative_service", stats.relative_service},
+                             {"reported_service_us", stats.reported_service_us},
+                             {"reported_load", stats.reported_load},
                              {"full", stats.full_until > now},
                              {"ejected", stats.ejected_until > now}};
   }
