--- a/cmake/camphor.cmake
+++ b/cmake/camphor.cmake
@@ -44,9 +44,9 @@
   endif()
 endfunction()
 
-# Adds one GoogleTest program of all *.cc files below FOLDER.
+# Adds one GoogleTest program of all *.cc files below FOLDER. With SERIAL, ctest runs nothing else beside each test.
 function(camphor_tests NAME FOLDER)
-  cmake_parse_arguments(ARG "" "TIMEOUT" "DEPS;LABELS" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "DEPS;LABELS" ${ARGN})
   file(GLOB_RECURSE SOURCES CONFIGURE_DEPENDS ${FOLDER}/*.cc)
   if(NOT SOURCES)
     return()
@@ -62,6 +62,6 @@
   target_link_libraries(${NAME} PRIVATE camphor_flags ${ARG_DEPS} camphor_gtest)
   set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
   gtest_discover_tests(${NAME} DISCOVERY_TIMEOUT 60
-    PROPERTIES TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}"
+    PROPERTIES TIMEOUT ${ARG_TIMEOUT} RUN_SERIAL ${ARG_SERIAL} LABELS "${ARG_LABELS}"
     ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
