--- a/node/admin/admin_server.cc
+++ b/node/admin/admin_server.cc
@@ -1,15 +1,21 @@
 #include "node/admin/admin_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/url.hpp>
+#include <chrono>
 #include <deque>
+#include <iterator>
 #include <optional>
 #include <thread>
 #include <utility>
 
+#include "core/base/buffer_account.h"
+#include "core/base/buffer_budget.h"
+
 namespace camphor {
 namespace {
 
@@ -21,6 +27,17 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kHeadersTooLarge = 431;
+constexpr unsigned kUnavailable = 503;
+
+constexpr std::size_t kReadBytes = 4096;
+/// What a connection needs besides its header and body: its object, timers and
+/// a small response.
+constexpr std::uint64_t kSessionBytes = 8 * 1024;
+/// What the library allocates for each header field besides its text.
+constexpr std::uint64_t kFieldBytes = 96;
+constexpr Milliseconds kAcceptRetryDelay{20};
+
+MonoTime Now() { return std::chrono::steady_clock::now(); }
 
 /// Returns the decoded path of a request target without its query, or an empty
 /// optional if the target is malformed.
@@ -53,14 +70,17 @@
 }  // namespace
 
 struct AdminServer::State {
-  explicit State(Options opts) : options(std::move(opts)) {}
+  explicit State(Options opts)
+      : options(std::move(opts)), buffers({.bytes = options.buffer_bytes}) {}
 
-  // Declared before the context: sessions that the context destroys decrement
-  // this counter.
+  // Declared before the context: sessions that the context destroys use these.
   std::atomic<std::uint32_t> open{0};
   std::atomic<std::uint64_t> requests{0};
   std::atomic<std::uint64_t> refused{0};
+  std::atomic<std::uint64_t> yielded{0};
+  std::atomic<std::uint64_t> buffers_refused{0};
   Options options;
+  BufferBudget buffers;
   asio::io_context context{1};
   std::deque<Tcp::acceptor> acceptors;
   std::thread thread;
@@ -68,6 +88,11 @@
   std::string last_reason;
 
   void Accept(Tcp::acceptor& acceptor);
+  void AcceptLater(Tcp::acceptor& acceptor);
+  void Admit(Tcp::socket socket);
+  void OnLimit(ProxyLimit limit) const {
+    if (options.on_limit) options.on_limit(limit);
+  }
   bool Listen(const Endpoint& on);
 };
 
@@ -75,8 +100,15 @@
 class AdminServer::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Tcp::socket socket, State& state)
-      : stream_(std::move(socket)), state_(state) {
+      : stream_(std::move(socket)),
+        state_(state),
+        account_(
+            {.budget = &state.buffers,
+             .may_yield = [this] { return waiting_; },
+             .yield = [this](BufferAccount::Yield reason) { Yield(reason); }}),
+        charge_(account_) {
     ++state_.open;
+    buffer_.max_size(state_.options.header_bytes + kReadBytes);
   }
 
   ~Session() { --state_.open; }
@@ -84,19 +116,35 @@
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
+  /// Takes what every connection needs of the buffers. Returns false if they
+  /// are short.
+  bool Admit() {
+    account_.BeginHold(Now());
+    return account_.Grow(kSessionBytes + buffer_.max_size(), Now());
+  }
+
   /// Starts reading the next request.
   void Read() {
     parser_.emplace();
     parser_->header_limit(state_.options.header_bytes);
     parser_->body_limit(state_.options.body_bytes);
     stream_.expires_after(state_.options.timeout);
-    http::async_read(
+    account_.BeginHold(Now());
+    waiting_ = true;
+    ReadSome();
+  }
+
+ private:
+  void ReadSome() {
+    http::async_read_some(
         stream_, buffer_, *parser_,
         [self = shared_from_this()](const beast::error_code& error,
-                                    std::size_t) { self->OnRead(error); });
+                                    std::size_t bytes) {
+          self->account_.OnProgress(bytes);
+          self->OnRead(error);
+        });
   }
 
- private:
   void OnRead(const beast::error_code& error) {
     if (error == http::error::end_of_stream) return Close();
     if (error && !IsParseError(error)) return;
@@ -104,9 +152,41 @@
       keep_alive_ = false;
       return Write(ParseErrorResponse(error));
     }
+    if (account_.yielded()) return;
+    if (!charge_.Resize(RequestBytes(), Now())) return RefuseForBuffers();
+    if (!parser_->is_done()) return ReadSome();
+    waiting_ = false;
     Dispatch();
   }
 
+  /// Memory of the request as far as it was read.
+  std::uint64_t RequestBytes() const {
+    const auto& message = parser_->get();
+    const auto fields = static_cast<std::uint64_t>(
+        std::distance(message.begin(), message.end()));
+    // Without a length, the body's capacity doubles as it grows.
+    const std::uint64_t factor = parser_->chunked() ? 2 : 1;
+    return fields * kFieldBytes + factor * message.body().size();
+  }
+
+  void RefuseForBuffers() {
+    ++state_.buffers_refused;
+    state_.OnLimit(ProxyLimit::kBuffersRefused);
+    keep_alive_ = false;
+    parser_.emplace();
+    charge_.Resize(0, Now());
+    Write(AdminError(kUnavailable, "buffers_full",
+                     "the buffers of this host are full"));
+  }
+
+  void Yield(BufferAccount::Yield reason) {
+    ++state_.yielded;
+    state_.OnLimit(reason == BufferAccount::Yield::kPlace
+                       ? ProxyLimit::kConnectionsYielded
+                       : ProxyLimit::kBuffersYielded);
+    stream_.close();
+  }
+
   void Dispatch() {
     auto message = parser_->release();
     keep_alive_ = message.keep_alive();
@@ -143,6 +223,12 @@
   }
 
   void Write(AdminResponse response) {
+    // A small response is part of what every connection holds.
+    const std::size_t size = response.body.size();
+    if (!account_.yielded() && size > kReadBytes &&
+        !charge_.Resize(size, Now())) {
+      return RefuseForBuffers();
+    }
     ++state_.requests;
     response_ = {};
     response_.result(response.status);
@@ -156,15 +242,22 @@
     response_.keep_alive(keep_alive_);
     response_.prepare_payload();
     stream_.expires_after(state_.options.timeout);
-    http::async_write(
-        stream_, response_,
-        [self = shared_from_this()](const beast::error_code& error,
-                                    std::size_t) { self->OnWrite(error); });
+    account_.BeginHold(Now());
+    waiting_ = true;
+    http::async_write(stream_, response_,
+                      [self = shared_from_this()](
+                          const beast::error_code& error, std::size_t bytes) {
+                        self->account_.OnProgress(bytes);
+                        self->OnWrite(error);
+                      });
   }
 
   void OnWrite(const beast::error_code& error) {
     if (error) return;
     if (!keep_alive_) return Close();
+    response_ = {};
+    parser_.reset();
+    charge_.Resize(0, Now());
     Read();
   }
 
@@ -178,24 +271,47 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
   bool keep_alive_ = true;
+  bool waiting_ = false;  ///< for the peer to send or to read
   State& state_;
+  BufferAccount account_;
+  BufferAccount::Charge charge_;  ///< for the request, then for the response
 };
 
 void AdminServer::State::Accept(Tcp::acceptor& acceptor) {
   acceptor.async_accept(
       [this, &acceptor](const beast::error_code& error, Tcp::socket socket) {
         if (!acceptor.is_open()) return;
-        if (!error) {
-          if (open >= options.connections) {
-            ++refused;
-          } else {
-            std::make_shared<Session>(std::move(socket), *this)->Read();
-          }
+        if (error) {
+          // For example out of file descriptors: close a connection that waits
+          // for its peer, and retry later instead of at once.
+          if (error == asio::error::no_descriptors)
+            buffers.YieldConnection(0, Now());
+          return AcceptLater(acceptor);
         }
+        Admit(std::move(socket));
         Accept(acceptor);
       });
 }
 
+void AdminServer::State::AcceptLater(Tcp::acceptor& acceptor) {
+  const auto pause =
+      std::make_shared<asio::steady_timer>(context, kAcceptRetryDelay);
+  pause->async_wait([this, &acceptor, pause](const beast::error_code&) {
+    if (acceptor.is_open()) Accept(acceptor);
+  });
+}
+
+void AdminServer::State::Admit(Tcp::socket socket) {
+  if (open >= options.connections && !buffers.YieldConnection(0, Now())) {
+    ++refused;
+    return OnLimit(ProxyLimit::kConnectionsRefused);
+  }
+  const auto session = std::make_shared<Session>(std::move(socket), *this);
+  if (session->Admit()) return session->Read();
+  ++buffers_refused;
+  OnLimit(ProxyLimit::kBuffersRefused);
+}
+
 bool AdminServer::State::Listen(const Endpoint& on) {
   Tcp::acceptor& acceptor = acceptors.emplace_back(context);
   beast::error_code error;
@@ -247,6 +363,14 @@
   return state_->refused;
 }
 
+std::uint64_t AdminServer::connections_yielded() const {
+  return state_->yielded;
+}
+
+std::uint64_t AdminServer::buffers_refused() const {
+  return state_->buffers_refused;
+}
+
 const std::string& AdminServer::last_reason() const {
   return state_->last_reason;
 }
--- a/node/metrics/node_metrics.cc
+++ b/node/metrics/node_metrics.cc
@@ -112,6 +112,15 @@
   AddMesh(out, metrics.mesh);
   out.Counter("camphor_admin_requests_total", "Admin requests answered.",
               static_cast<double>(metrics.admin_requests));
+  out.Counter("camphor_admin_connections_refused_total",
+              "Admin connections refused because too many were open.",
+              static_cast<double>(metrics.admin_connections_refused));
+  out.Counter("camphor_admin_connections_yielded_total",
+              "Admin connections closed for others.",
+              static_cast<double>(metrics.admin_connections_yielded));
+  out.Counter("camphor_admin_buffers_refused_total",
+              "Admin requests refused for lack of buffers.",
+              static_cast<double>(metrics.admin_buffers_refused));
   out.Counter("camphor_log_lines_dropped_total",
               "Log lines dropped because the log queue was full.",
               static_cast<double>(metrics.log_dropped));
--- a/node/metrics/node_metrics.h
+++ b/node/metrics/node_metrics.h
@@ -25,7 +25,12 @@
   TickTimes ticks{};                 ///< ticks of the decisions thread
   MeshTransport::Counters mesh{};    ///< mesh traffic
   std::uint64_t admin_requests = 0;  ///< requests answered
-  std::uint64_t log_dropped = 0;     ///< log lines dropped
+  std::uint64_t admin_connections_refused = 0;  ///< too many were open
+  std::uint64_t admin_connections_yielded =
+      0;  ///< closed because others needed their place or their buffers
+  std::uint64_t admin_buffers_refused = 0;  ///< requests and connections
+                                            ///< refused for lack of buffers
+  std::uint64_t log_dropped = 0;            ///< log lines dropped
 };
 
 /// Formats all metrics except those of the proxy in the Prometheus text format.
--- a/node/node.cc
+++ b/node/node.cc
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <atomic>
@@ -16,6 +17,7 @@
 #include "node/decisions/decision_thread.h"
 #include "node/decisions/host_controller.h"
 #include "node/decisions/published.h"
+#include "node/log/limit_log.h"
 #include "node/log/request_log.h"
 #include "node/node_report.h"
 #include "node/platform_sync/platform_sync.h"
@@ -63,6 +65,23 @@
           .count());
 }
 
+/// Returns the limit on connections, lowered to a share of the descriptors that
+/// this process may open, so that a crowd on one listener leaves descriptors
+/// for the other listeners, the targets and the mesh.
+std::uint32_t LimitToDescriptors(std::uint32_t connections, rlim_t divisor) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+    return connections;
+  return static_cast<std::uint32_t>(
+      std::clamp<rlim_t>(limit.rlim_cur / divisor, 1, connections));
+}
+
+/// Returns the admin listener's share of the buffers. It is separate, so that
+/// callers cannot keep operators and readiness probes from being served.
+std::uint64_t AdminBufferBytes(const Settings& settings) {
+  return settings.proxy.buffer_bytes / 4;
+}
+
 /// Returns the time limit for requests in flight: the grace period minus 1/16
 /// that is reserved for the process exit, minus the notice.
 Milliseconds DrainLimit(const DrainSettings& drain) {
@@ -81,6 +100,8 @@
         incarnation(NewIncarnation()),
         started(Now()),
         request_log({.log = &log}),
+        limit_log({.log = &log, .part = "proxy"}),
+        admin_limit_log({.log = &log, .part = "admin"}),
         admin(AdminOptions()),
         decisions(DecisionOptions()),
         proxy(ProxyOptions()),
@@ -98,7 +119,9 @@
   std::atomic<bool> draining{false};
   std::atomic<MonoTime::rep> last_tick{0};
   Published<EffectiveRouting> routing;
-  RequestLog request_log;  ///< used on the proxy thread
+  RequestLog request_log;    ///< used on the proxy thread
+  LimitLog limit_log;        ///< used on the proxy thread
+  LimitLog admin_limit_log;  ///< used on the admin thread
   Published<TargetAddresses> addresses;
 
   // Members are destroyed in reverse order: callers before the components that
@@ -133,10 +156,13 @@
           .additional_listen = settings.admin_also,
           .connections = settings.admin.connections,
           .body_bytes = settings.admin.body_bytes,
-          .handle = [this](const AdminRequest& request,
-                           const AdminRespond& respond) {
-            api->Handle(request, respond);
-          }};
+          .buffer_bytes = AdminBufferBytes(settings),
+          .on_limit =
+              [this](ProxyLimit limit) { admin_limit_log.Write(limit, Now()); },
+          .handle =
+              [this](const AdminRequest& request, const AdminRespond& respond) {
+                api->Handle(request, respond);
+              }};
 }
 
 DecisionThread::Options Node::State::DecisionOptions() {
@@ -202,11 +228,19 @@
           [this](const RequestDecision& decision) {
             request_log.Write(decision, Now());
           },
+      .on_limit = [this](ProxyLimit limit) { limit_log.Write(limit, Now()); },
       .caller_pool = settings.caller_pool,
       .debug_headers = settings.proxy.debug_headers,
-      .limits = {.retry_ratio = settings.proxy.retry_ratio,
+      .limits = {.caller_connections =
+                     LimitToDescriptors(settings.proxy.caller_connections, 2),
+                 .forward_connections =
+                     LimitToDescriptors(settings.proxy.forward_connections, 4),
+                 .retry_ratio = settings.proxy.retry_ratio,
                  .retry_burst = settings.proxy.retry_burst,
-                 .retry_budget = settings.proxy.retry_budget}};
+                 .retry_budget = settings.proxy.retry_budget,
+                 .buffer_bytes =
+                     settings.proxy.buffer_bytes - AdminBufferBytes(settings),
+                 .header_fields = settings.proxy.header_fields}};
   if (settings.interface == InterfaceKind::kPlatform) {
     proxy_options.vocabulary = PlatformHeaders();
     proxy_options.limits.retry_after = kPlatformRetryAfter;
--- a/node/node_report.cc
+++ b/node/node_report.cc
@@ -46,23 +46,29 @@
           {"log", {{"dropped", parts_.log.dropped()}}},
           {"admin",
            {{"requests", parts_.admin.requests()},
-            {"connections_refused", parts_.admin.connections_refused()}}}};
+            {"connections_refused", parts_.admin.connections_refused()},
+            {"connections_yielded", parts_.admin.connections_yielded()},
+            {"buffers_refused", parts_.admin.buffers_refused()}}}};
 }
 
 std::string NodeReport::Metrics() const {
   const Replicator& replicator = parts_.controller.replicator();
   const ConfigSnapshotPtr& snapshot = replicator.snapshot();
-  return NodeMetricsText({.ready = parts_.ready && !parts_.draining,
-                          .config_version =
-                              snapshot == nullptr ? 0 : snapshot->head.version,
-                          .hosts = replicator.hosts(),
-                          .platform_reachable = parts_.sync.reachable(),
-                          .platform = parts_.platform.counters(),
-                          .rings = parts_.decisions.ring_loads(),
-                          .ticks = parts_.decisions.tick_times(),
-                          .mesh = parts_.mesh.counters(),
-                          .admin_requests = parts_.admin.requests(),
-                          .log_dropped = parts_.log.dropped()}) +
+  return NodeMetricsText(
+             {.ready = parts_.ready && !parts_.draining,
+              .config_version =
+                  snapshot == nullptr ? 0 : snapshot->head.version,
+              .hosts = replicator.hosts(),
+              .platform_reachable = parts_.sync.reachable(),
+              .platform = parts_.platform.counters(),
+              .rings = parts_.decisions.ring_loads(),
+              .ticks = parts_.decisions.tick_times(),
+              .mesh = parts_.mesh.counters(),
+              .admin_requests = parts_.admin.requests(),
+              .admin_connections_refused = parts_.admin.connections_refused(),
+              .admin_connections_yielded = parts_.admin.connections_yielded(),
+              .admin_buffers_refused = parts_.admin.buffers_refused(),
+              .log_dropped = parts_.log.dropped()}) +
          parts_.proxy.MetricsText() + parts_.claims.MetricsText();
 }
 
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -10,6 +10,11 @@
 
 constexpr std::int64_t kDayMs = 24LL * 60 * 60 * 1000;
 constexpr std::size_t kMaxSecretLength = 1024;
+/// Enough for one request at the usual limits on each listener.
+constexpr std::int64_t kMinBufferBytes = 1024 * 1024;
+constexpr std::int64_t kMaxBufferBytes = 1LL << 40;
+constexpr std::int64_t kMaxConnections = 1'000'000;
+constexpr std::int64_t kMaxHeaderFields = 1'000'000;
 
 Milliseconds ReadMilliseconds(JsonFields& fields, std::string_view key,
                               std::int64_t minimum, Milliseconds fallback) {
@@ -184,6 +189,17 @@
         part.Number("retry_ratio", 0, 1, settings.proxy.retry_ratio);
     settings.proxy.retry_burst =
         part.Number("retry_burst", 0, 1e6, settings.proxy.retry_burst);
+    settings.proxy.buffer_bytes = static_cast<std::uint64_t>(
+        part.Integer("buffer_bytes", kMinBufferBytes, kMaxBufferBytes,
+                     static_cast<std::int64_t>(settings.proxy.buffer_bytes)));
+    settings.proxy.caller_connections = static_cast<std::uint32_t>(
+        part.Integer("caller_connections", 1, kMaxConnections,
+                     settings.proxy.caller_connections));
+    settings.proxy.forward_connections = static_cast<std::uint32_t>(
+        part.Integer("forward_connections", 1, kMaxConnections,
+                     settings.proxy.forward_connections));
+    settings.proxy.header_fields = static_cast<std::uint32_t>(part.Integer(
+        "header_fields", 0, kMaxHeaderFields, settings.proxy.header_fields));
   });
   fields.Object("rollout", [&](JsonFields& part) {
     RolloutSettings& rollout = settings.rollout;
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -71,13 +71,22 @@
       2000};  ///< minimum time between share increases
 };
 
-/// Settings of debug headers and retries.
+/// Settings of debug headers, retries and connections.
 struct ProxySettings {
   bool debug_headers = false;  ///< add target and version to responses
   bool retry_budget = true;  ///< false: unlimited retries, for comparison only
   double retry_ratio = 0.1;  ///< retries per request of a pool
   double retry_burst = 100;  ///< additional retries of a pool that can
                              ///< accumulate over all hosts
+  std::uint64_t buffer_bytes =
+      40 * 1024 * 1024;  ///< buffers of all connections: three quarters for
+                         ///< callers and other hosts, one for the admin
+                         ///< listener
+  std::uint32_t caller_connections = 4096;  ///< maximum open caller connections
+  std::uint32_t forward_connections =
+      4096;                         ///< maximum open connections of other hosts
+  std::uint32_t header_fields = 0;  ///< maximum header fields of a request; 0:
+                                    ///< as many as the header's size allows
 };
 
 /// Settings of a camphord process, read from one JSON document with comments.
@@ -109,7 +118,7 @@
   PlatformSettings polling{};  ///< polling of the platform
   AdminSettings admin{};       ///< limits of the admin listener
   RolloutSettings rollout{};   ///< timing of rollouts
-  ProxySettings proxy{};       ///< debug headers and retries
+  ProxySettings proxy{};       ///< debug headers, retries, connections
   ReplicatorSettings replication{};  ///< limits and periods of the mesh
 };
 
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -37,6 +37,7 @@
     case ProxyError::kRefused:
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
+    case ProxyError::kBuffersFull:
     case ProxyError::kDraining:
       return RequestOutcome::kRefused;
     case ProxyError::kTargetBroke:
@@ -66,6 +67,7 @@
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
     case ProxyError::kSuspectBusy:
+    case ProxyError::kBuffersFull:
     case ProxyError::kDraining:
     case ProxyError::kTargetBroke:
     case ProxyError::kTargetDied:
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -25,6 +25,14 @@
 constexpr std::size_t kMaxKeyLength = 255;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Copies of the header that a running request keeps besides the received one:
+/// as forwarded, as placed, and as sent.
+constexpr std::uint64_t kHeaderCopies = 3;
+/// Buffer for the response, and frames of the coroutines.
+constexpr std::uint64_t kRunBytes = 24 * 1024;
+/// Buffer for a body that is streamed.
+constexpr std::uint64_t kStreamBytes = 16 * 1024;
+
 /// Returns true for 1 to 255 visible ASCII characters.
 bool IsValidIdempotencyKey(std::string_view key) {
   return !key.empty() && key.size() <= kMaxKeyLength &&
@@ -49,6 +57,7 @@
   const http::request_header<>& header() const { return parser->get(); }
   bool is_head() const { return header().method() == http::verb::head; }
 
+  BufferAccount::Charge charge{};  ///< for the header and for running it
   std::unique_ptr<RequestParser> parser{};
   MonoTime arrival{};
   bool keep = false;  ///< the caller requested keep-alive
@@ -64,7 +73,7 @@
 };
 
 CallerSession::CallerSession(ProxyContext& context, tcp::socket socket)
-    : HttpSession(context, std::move(socket)),
+    : HttpSession(context, std::move(socket), kGroup),
       responses_(
           {.executor = socket_.get_executor(),
            .write = receiver(),
@@ -72,6 +81,7 @@
            .max_buffered_by_proxy =
                context.options.limits.buffered_response_bytes_by_proxy,
            .buffered_by_proxy = &context.buffered_response_bytes,
+           .account = &account_,
            .on_empty = [this] { RestartIdleTimeout(); }}) {
   ++context_.caller_sessions;
 }
@@ -89,6 +99,7 @@
     std::unique_ptr<RequestParser> parser) {
   auto request = std::make_shared<ReceivedRequest>();
   request->parser = std::move(parser);
+  request->charge = std::move(head_charge_);
   request->arrival = std::chrono::steady_clock::now();
   request->keep = request->parser->keep_alive();
   context_.metrics.Count(Counter::kCallerRequests);
@@ -103,6 +114,11 @@
   if (!read) co_return false;
   const bool starts = co_await AwaitStart(request->repeatable);
   if (!starts) co_return false;
+  if (!ChargeRun(*request)) {
+    request->control->Finish();
+    const bool more = co_await RefuseForBuffers(*request);
+    co_return more;
+  }
 
   request->responses_before = static_cast<std::uint32_t>(responses_.pending());
   if (request->responses_before > 0)
@@ -199,6 +215,7 @@
                            .parser = request.parser.get(),
                            .progress = &read_progress_,
                            .read_stop = &read_stop_,
+                           .account = &account_,
                            .stall_limit = context_.options.limits.body_timeout,
                            .on_complete = [this, &request] {
                              // While a request runs whose body is still to
@@ -227,7 +244,9 @@
   const bool late =
       request.control->stopped() == RequestControl::Stop::kDeadline;
   request.control->Finish();
-  if (request.body->too_long()) {
+  if (request.body->out_of_buffers() || account_.yielded()) {
+    co_await RefuseForBuffers(request);
+  } else if (request.body->too_long()) {
     co_await WriteError({.error = ProxyError::kBodyTooLong});
   } else if (late) {
     co_await WriteError({.error = ProxyError::kTooLate});
@@ -239,6 +258,24 @@
   co_return false;
 }
 
+bool CallerSession::ChargeRun(ReceivedRequest& request) {
+  const std::uint64_t stream = request.body->complete() ? 0 : kStreamBytes;
+  return request.charge.Grow(
+      kHeaderCopies * request.charge.bytes() + kRunBytes + stream,
+      std::chrono::steady_clock::now());
+}
+
+asio::awaitable<bool> CallerSession::RefuseForBuffers(
+    const ReceivedRequest& request) {
+  context_.metrics.Count(Counter::kRefusedNotRun);
+  // A connection that yielded is counted as such.
+  if (!account_.yielded()) context_.OnLimit(ProxyLimit::kBuffersRefused);
+  ReportRefusal(request, ProxyError::kBuffersFull);
+  const bool more = co_await WriteError(
+      {.error = ProxyError::kBuffersFull, .head_request = request.is_head()});
+  co_return more;
+}
+
 asio::awaitable<bool> CallerSession::AwaitStart(bool repeatable) {
   const std::size_t most =
       repeatable ? context_.options.limits.pipelined_requests : 1;
@@ -262,8 +299,11 @@
 }
 
 asio::awaitable<void> CallerSession::Answer(
-    std::shared_ptr<ReceivedRequest> request) {
+    std::shared_ptr<ReceivedRequest> received) {
   const auto self = shared_from_this();
+  // Parameters are destroyed after local variables, but the request must not
+  // outlive the account of the session.
+  const std::shared_ptr<ReceivedRequest> request = std::move(received);
   const ResponseSequencer::ResponsePtr& response = request->response;
   CallerRequest run(
       context_,
@@ -336,6 +376,11 @@
   co_return !failed;
 }
 
+bool CallerSession::MayYield() const {
+  return HttpSession::MayYield() ||
+         (streaming_body_ && read_progress_.pending());
+}
+
 asio::awaitable<void> CallerSession::AwaitResponses() {
   while (responses_.pending() > 0 && !responses_.broken()) {
     WatchForDisconnect();
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -18,6 +18,8 @@
 /// responses are written in the order of the requests.
 class CallerSession : public HttpSession {
  public:
+  static constexpr SessionGroup kGroup = SessionGroup::kCallers;
+
   CallerSession(ProxyContext& context, tcp::socket socket);
   ~CallerSession() override;
 
@@ -27,6 +29,7 @@
   asio::awaitable<bool> Serve(std::unique_ptr<RequestParser> parser) override;
   CallerLimits Limits() override;
   bool IsIdle() const override { return responses_.pending() == 0; }
+  bool MayYield() const override;
   asio::awaitable<void> AwaitResponses() override;
   void OnDisconnect() override;
   asio::awaitable<bool> WriteError(ErrorReply reply) override;
@@ -37,8 +40,10 @@
   std::optional<ErrorReply> Examine(ReceivedRequest& request) const;
   void ReportRefusal(const ReceivedRequest& request, ProxyError error) const;
   asio::awaitable<bool> ReadBody(ReceivedRequest& request);
+  asio::awaitable<bool> RefuseForBuffers(const ReceivedRequest& request);
+  bool ChargeRun(ReceivedRequest& request);
   asio::awaitable<bool> AwaitStart(bool repeatable);
-  asio::awaitable<void> Answer(std::shared_ptr<ReceivedRequest> request);
+  asio::awaitable<void> Answer(std::shared_ptr<ReceivedRequest> received);
   asio::awaitable<bool> AppendError(
       const ResponseSequencer::ResponsePtr& response, const ErrorReply& reply);
   bool KeepsOpen(const ResponseSequencer::ResponsePtr& response, bool keep);
--- a/proxy/error_response.cc
+++ b/proxy/error_response.cc
@@ -47,6 +47,8 @@
      "connecting to the target failed", true},
     {status::service_unavailable, "suspect_busy",
      "another suspected poison request is running on the target", true},
+    {status::service_unavailable, "buffers_full",
+     "the buffers of this host are full", true},
     {status::service_unavailable, "draining", "this host is draining", true},
     {status::service_unavailable, "claim_not_made",
      "idempotency key could not be claimed", true},
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -28,6 +28,7 @@
   kTooLate,        ///< it could not finish before its deadline
   kConnectFailed,  ///< connecting to the target failed
   kSuspectBusy,    ///< another suspect request is running on the target
+  kBuffersFull,    ///< this host has no buffers for it
   kDraining,       ///< this host is draining
   kClaimNotMade,   ///< the idempotency key could not be claimed
   kClaimHeld,      ///< another attempt holds the idempotency key
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -18,6 +18,8 @@
 
 constexpr Milliseconds kMaxDeadline{60'000};
 constexpr std::size_t kMaxNonceLength = 64;
+constexpr std::uint64_t kHeaderCopies = 2;
+constexpr std::uint64_t kRunBytes = 40 * 1024;
 constexpr std::string_view kInterim = "HTTP/1.1 102 Processing\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -46,7 +48,7 @@
 }  // namespace
 
 ForwardSession::ForwardSession(ProxyContext& context, tcp::socket socket)
-    : HttpSession(context, std::move(socket)),
+    : HttpSession(context, std::move(socket), kGroup),
       heartbeat_(socket_.get_executor(), [this] { SendHeartbeat(); }) {
   ++context_.forward_sessions;
 }
@@ -90,6 +92,7 @@
                     .parser = parser.get(),
                     .progress = &read_progress_,
                     .read_stop = &read_stop_,
+                    .account = &account_,
                     .stall_limit = context_.options.limits.body_timeout,
                     .on_complete = [this] { WatchForDisconnect(); }});
 
@@ -100,7 +103,18 @@
   if (!held_back) {
     const bool fetched =
         co_await body.Prefetch(context_.options.limits.buffered_body_bytes);
-    if (!fetched) co_return false;
+    if (!fetched) {
+      if (body.out_of_buffers() || account_.yielded())
+        co_await RefuseForBuffers();
+      co_return false;
+    }
+  }
+  // What a running request needs besides its header and body: copies of the
+  // header, a buffer for each direction and the frames of the coroutines.
+  if (!head_charge_.Grow(kHeaderCopies * head_charge_.bytes() + kRunBytes,
+                         std::chrono::steady_clock::now())) {
+    co_await RefuseForBuffers();
+    co_return false;
   }
   PlacedRequest request = MakeRequest(header);
   request.control = &control;
@@ -117,6 +131,11 @@
   co_return more;
 }
 
+asio::awaitable<void> ForwardSession::RefuseForBuffers() {
+  if (!account_.yielded()) context_.OnLimit(ProxyLimit::kBuffersRefused);
+  co_await WriteError({.error = ProxyError::kBuffersFull});
+}
+
 PlacedRequest ForwardSession::MakeRequest(
     const http::request_header<>& header) const {
   PlacedRequest request{
--- a/proxy/forward_session.h
+++ b/proxy/forward_session.h
@@ -17,6 +17,8 @@
 /// holds the mesh key. Must be used from one thread.
 class ForwardSession : public HttpSession {
  public:
+  static constexpr SessionGroup kGroup = SessionGroup::kHosts;
+
   ForwardSession(ProxyContext& context, tcp::socket socket);
   ~ForwardSession() override;
 
@@ -27,6 +29,7 @@
   asio::awaitable<bool> HandleHello(const http::request_header<>& header);
   asio::awaitable<bool> HandlePing();
   asio::awaitable<bool> RejectUnauthenticated();
+  asio::awaitable<void> RefuseForBuffers();
   bool VerifyProof(const http::request_header<>& header);
   PlacedRequest MakeRequest(const http::request_header<>& header) const;
   asio::awaitable<bool> RunRequest(PlacedRequest request, InboundBody& body,
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -2,9 +2,11 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cerrno>
 #include <chrono>
+#include <iterator>
 #include <limits>
 #include <string>
 #include <utility>
@@ -17,11 +19,27 @@
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::size_t kMaxDrainedBytes = 64 * kReadBytes;
 
+/// What a session needs besides the buffers for its requests: its object, the
+/// frames of its coroutines, its timers and a first read.
+constexpr std::uint64_t kSessionBytes = 8 * 1024;
+/// What the library allocates for each header field besides its text.
+constexpr std::uint64_t kFieldBytes = 96;
+/// Bytes of a header after which its fields are counted again.
+constexpr std::size_t kAccountingStep = 1024;
+
+MonoTime Now() { return std::chrono::steady_clock::now(); }
+
 }  // namespace
 
-HttpSession::HttpSession(ProxyContext& context, tcp::socket socket)
+HttpSession::HttpSession(ProxyContext& context, tcp::socket socket,
+                         SessionGroup group)
     : context_(context),
       socket_(std::move(socket)),
+      account_(
+          {.budget = &context.buffers,
+           .group = static_cast<std::uint32_t>(group),
+           .may_yield = [this] { return MayYield(); },
+           .yield = [this](BufferAccount::Yield reason) { OnYield(reason); }}),
       read_progress_(
           socket_.get_executor(),
           [this] {
@@ -43,6 +61,28 @@
 
 HttpSession::~HttpSession() { context_.sessions.erase(this); }
 
+bool HttpSession::Admit() {
+  account_.BeginHold(Now());
+  return account_.Grow(kSessionBytes, Now());
+}
+
+bool HttpSession::MayYield() const {
+  return write_progress_.pending() || (read_progress_.pending() && IsIdle());
+}
+
+void HttpSession::OnYield(BufferAccount::Yield reason) {
+  const bool place = reason == BufferAccount::Yield::kPlace;
+  context_.OnLimit(place ? ProxyLimit::kConnectionsYielded
+                         : ProxyLimit::kBuffersYielded);
+  // A request that is being received can still be refused. A place must become
+  // free at once.
+  if (place || idle_ || write_progress_.pending() || !IsIdle()) {
+    Close();
+  } else {
+    StopReading();
+  }
+}
+
 asio::awaitable<void> HttpSession::Run() {
   const auto self = shared_from_this();
   bool more = true;
@@ -58,6 +98,9 @@
 asio::awaitable<bool> HttpSession::AwaitRequest() {
   if (buffer_.size() > 0) co_return true;
   idle_ = true;
+  // A header or body that needed a larger buffer is gone.
+  if (buffer_.capacity() > kReadBytes) buffer_.shrink_to_fit();
+  account_.BeginHold(Now());
   if (IsIdle()) read_progress_.Set(Limits().idle_timeout);
   auto [error, bytes] = co_await socket_.async_read_some(
       buffer_.prepare(kReadBytes),
@@ -69,19 +112,76 @@
     co_return false;
   }
   buffer_.commit(bytes);
+  account_.OnProgress(bytes);
   co_return true;
 }
 
+asio::awaitable<beast::error_code> HttpSession::ReadHeader(
+    RequestParser& parser) {
+  std::size_t parsed = 0;
+  std::size_t accounted = 0;
+  while (true) {
+    if (buffer_.size() > 0) {
+      beast::error_code error;
+      const std::size_t used = parser.put(buffer_.data(), error);
+      buffer_.consume(used);
+      parsed += used;
+      if (error && error != http::error::need_more) co_return error;
+      const bool done = parser.is_header_done();
+      if (done || parsed - accounted >= kAccountingStep) {
+        accounted = parsed;
+        error = AccountHeader(parser, parsed);
+        if (error) co_return error;
+      }
+      if (done) co_return beast::error_code{};
+    }
+    const std::size_t room =
+        buffer_.max_size() - std::min(buffer_.size(), buffer_.max_size());
+    if (room == 0) co_return http::error::buffer_overflow;
+    const std::size_t capacity = buffer_.capacity();
+    const auto space = buffer_.prepare(std::min(room, kReadBytes));
+    if (buffer_.capacity() > capacity &&
+        !head_charge_.Grow(buffer_.capacity() - capacity, Now()))
+      co_return asio::error::no_memory;
+    auto [error, bytes] = co_await socket_.async_read_some(
+        space, asio::bind_cancellation_slot(read_stop_.slot(), kAsTuple));
+    if (error == asio::error::eof) {
+      co_return parser.got_some() ? http::error::partial_message
+                                  : http::error::end_of_stream;
+    }
+    if (error) co_return error;
+    buffer_.commit(bytes);
+    account_.OnProgress(bytes);
+  }
+}
+
+beast::error_code HttpSession::AccountHeader(const RequestParser& parser,
+                                             std::size_t parsed) {
+  const http::fields& fields = parser.get();
+  const auto count =
+      static_cast<std::uint64_t>(std::distance(fields.begin(), fields.end()));
+  const std::uint32_t most = context_.options.limits.header_fields;
+  if (most > 0 && count > most) {
+    context_.OnLimit(ProxyLimit::kHeaderFields);
+    return http::error::header_limit;
+  }
+  const std::uint64_t bytes = buffer_.capacity() + parsed + count * kFieldBytes;
+  if (!head_charge_.Resize(bytes, Now())) return asio::error::no_memory;
+  return {};
+}
+
 asio::awaitable<bool> HttpSession::ReadAndServe() {
   auto parser = std::make_unique<RequestParser>();
   const CallerLimits limits = Limits();
   parser->header_limit(limits.header_bytes);
   parser->body_limit(limits.body_bytes);
   idle_ = false;
+  // Limits a chunk extension that does not end, too.
+  buffer_.max_size(std::max(limits.header_bytes + kReadBytes, buffer_.size()));
+  head_charge_ = BufferAccount::Charge(account_);
+  account_.BeginHold(Now());
   read_progress_.Set(limits.header_timeout);
-  auto [error, bytes] = co_await http::async_read_header(
-      socket_, buffer_, *parser,
-      asio::bind_cancellation_slot(read_stop_.slot(), kAsTuple));
+  const beast::error_code error = co_await ReadHeader(*parser);
   read_progress_.Clear();
   // A request read during shutdown cannot be answered.
   if (context_.stopping) co_return false;
@@ -89,15 +189,22 @@
     co_await OnReadError(error);
     co_return false;
   }
+  // A chunk extension or trailers must not grow the buffer further.
+  buffer_.max_size(std::max(buffer_.capacity(), kReadBytes));
   ++context_.in_flight;
   const bool more = co_await Serve(std::move(parser));
+  head_charge_ = {};
   FinishControl();
   --context_.in_flight;
   co_return more;
 }
 
 asio::awaitable<void> HttpSession::OnReadError(beast::error_code error) {
-  if (stalled_) {
+  if (account_.yielded() || error == asio::error::no_memory) {
+    head_charge_ = {};
+    if (!account_.yielded()) context_.OnLimit(ProxyLimit::kBuffersRefused);
+    co_await WriteError({.error = ProxyError::kBuffersFull});
+  } else if (stalled_) {
     co_await WriteError({.error = ProxyError::kSlowRequest});
   } else if (IsDisconnect(error)) {
     OnDisconnect();
@@ -225,6 +332,7 @@
     write_progress_.Set(context_.options.limits.body_timeout);
     auto [error, size] = co_await asio::async_write(socket_, bytes, kAsTuple);
     write_progress_.Clear();
+    account_.OnProgress(size);
     co_return error;
   };
 }
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string_view>
 
+#include "core/base/buffer_account.h"
 #include "core/config/caller_limits.h"
 #include "proxy/asio_types.h"
 #include "proxy/error_response.h"
@@ -21,9 +22,13 @@
 class HttpSession : public ProxySession,
                     public std::enable_shared_from_this<HttpSession> {
  public:
-  HttpSession(ProxyContext& context, tcp::socket socket);
+  HttpSession(ProxyContext& context, tcp::socket socket, SessionGroup group);
   ~HttpSession() override;
 
+  /// Takes what every session needs of the buffer budget. Returns false if it
+  /// is short; then the session must not run.
+  bool Admit();
+
   /// Serves requests until either end closes. Keeps this object alive
   /// meanwhile.
   asio::awaitable<void> Run();
@@ -42,6 +47,10 @@
   /// Returns true if no response is pending, so that the idle timeout applies.
   virtual bool IsIdle() const { return true; }
 
+  /// Returns true while the session waits for its peer, so that it may be
+  /// closed when others need its buffers or its place.
+  virtual bool MayYield() const;
+
   /// Waits until the pending responses are written.
   virtual asio::awaitable<void> AwaitResponses() { co_return; }
 
@@ -84,6 +93,8 @@
 
   ProxyContext& context_;
   tcp::socket socket_;
+  BufferAccount account_;  ///< what this session holds of the buffer budget
+  BufferAccount::Charge head_charge_;  ///< for the header that was read last
   beast::flat_buffer buffer_;
   ProgressTimer read_progress_;   ///< stops reading on a stall
   ProgressTimer write_progress_;  ///< cancels socket operations on a stall
@@ -94,6 +105,10 @@
  private:
   asio::awaitable<bool> AwaitRequest();
   asio::awaitable<bool> ReadAndServe();
+  asio::awaitable<beast::error_code> ReadHeader(RequestParser& parser);
+  beast::error_code AccountHeader(const RequestParser& parser,
+                                  std::size_t parsed);
+  void OnYield(BufferAccount::Yield reason);
   asio::awaitable<void> OnReadError(beast::error_code error);
   asio::awaitable<void> CloseGracefully();
 
--- a/proxy/inbound_body.cc
+++ b/proxy/inbound_body.cc
@@ -2,13 +2,15 @@
 
 #include <algorithm>
 #include <cassert>
+#include <chrono>
 #include <utility>
 
 #include "proxy/read_error.h"
 
 namespace camphor {
 
-InboundBody::InboundBody(Options options) : options_(std::move(options)) {
+InboundBody::InboundBody(Options options)
+    : options_(std::move(options)), charge_(*options_.account) {
   assert(options_.socket && options_.buffer && options_.parser &&
          options_.progress && options_.read_stop);
   complete_ = options_.parser->is_done();
@@ -20,6 +22,10 @@
   while (!complete_ && prefix_.size() < limit) {
     const std::size_t kept = prefix_.size();
     const std::size_t room = std::min(kChunkBytes, limit - kept);
+    if (!charge_.Resize(kept + room, std::chrono::steady_clock::now())) {
+      out_of_buffers_ = true;
+      co_return false;
+    }
     prefix_.resize(kept + room);
     const std::optional<std::size_t> read =
         co_await ReadSome(std::span(prefix_).subspan(kept, room));
@@ -42,6 +48,7 @@
         *options_.socket, *options_.buffer, parser,
         asio::bind_cancellation_slot(options_.read_stop->slot(), kAsTuple));
     options_.progress->Clear();
+    options_.account->OnProgress(bytes);
     size = chunk.size() - parser.get().body().size;
     if (error == http::error::need_buffer) error = {};
     too_long_ = error == http::error::body_limit;
--- a/proxy/inbound_body.h
+++ b/proxy/inbound_body.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 
+#include "core/base/buffer_account.h"
 #include "proxy/asio_types.h"
 #include "proxy/progress_timer.h"
 
@@ -22,7 +23,8 @@
     RequestParser* parser = nullptr;       ///< parser that has read the header
     ProgressTimer* progress = nullptr;     ///< stops reading on a stall
     asio::cancellation_signal* read_stop = nullptr;  ///< stops reading
-    Milliseconds stall_limit{5000};                  ///< read timeout
+    BufferAccount* account = nullptr;  ///< of the sender's connection
+    Milliseconds stall_limit{5000};    ///< read timeout
     std::function<void()>
         on_complete{};  ///< called after the last byte was read
   };
@@ -31,8 +33,8 @@
   explicit InboundBody(Options options);
 
   /// Reads until the body is complete or `limit` bytes are buffered. Returns
-  /// false when the sender disconnects or stalls, or the body exceeds its
-  /// limit.
+  /// false when the sender disconnects or stalls, the body exceeds its limit or
+  /// no buffers are free.
   asio::awaitable<bool> Prefetch(std::size_t limit);
 
   /// Reads a chunk after the prefix; returns 0 at the end of the body,
@@ -54,6 +56,9 @@
   /// Returns true when the body exceeds the parser's limit.
   bool too_long() const { return too_long_; }
 
+  /// Returns true when Prefetch() failed because no buffers are free.
+  bool out_of_buffers() const { return out_of_buffers_; }
+
   /// Returns true when reading failed because the sender closed or reset the
   /// connection.
   bool sender_left() const { return sender_left_; }
@@ -68,10 +73,12 @@
   void SetComplete();
 
   Options options_;
+  BufferAccount::Charge charge_;  ///< for the prefix
   std::string prefix_;
   bool complete_ = false;
   bool consumed_ = false;
   bool too_long_ = false;
+  bool out_of_buffers_ = false;
   bool sender_left_ = false;
 };
 
--- a/proxy/progress_timer.cc
+++ b/proxy/progress_timer.cc
@@ -31,6 +31,8 @@
 
 void ProgressTimer::Clear() { state_->limit = MonoTime::max(); }
 
+bool ProgressTimer::pending() const { return state_->limit != MonoTime::max(); }
+
 void ProgressTimer::Arm(const std::shared_ptr<State>& state) {
   state->armed = true;
   state->timer.expires_at(state->limit);  // cancels a pending wait
--- a/proxy/progress_timer.h
+++ b/proxy/progress_timer.h
@@ -29,6 +29,9 @@
   /// Clears the timeout.
   void Clear();
 
+  /// Returns true if a timeout is set that has not passed.
+  bool pending() const;
+
  private:
   struct State;
   static void Arm(const std::shared_ptr<State>& state);
--- a/proxy/proxy_context.cc
+++ b/proxy/proxy_context.cc
@@ -11,6 +11,7 @@
 
 ProxyContext::ProxyContext(ProxyServer::Options server_options)
     : options(std::move(server_options)),
+      buffers({.bytes = options.limits.buffer_bytes}),
       io(std::make_shared<asio::io_context>(1)),
       balancer(
           {.domain = options.domain, .random_seed = std::random_device()()}),
@@ -22,6 +23,28 @@
 
 ProxyContext::~ProxyContext() = default;
 
+void ProxyContext::OnLimit(ProxyLimit limit) {
+  using Counter = ProxyMetrics::Counter;
+  switch (limit) {
+    case ProxyLimit::kBuffersRefused:
+      metrics.Count(Counter::kBuffersRefused);
+      break;
+    case ProxyLimit::kBuffersYielded:
+      metrics.Count(Counter::kBuffersYielded);
+      break;
+    case ProxyLimit::kConnectionsYielded:
+      metrics.Count(Counter::kConnectionsYielded);
+      break;
+    case ProxyLimit::kConnectionsRefused:
+      metrics.Count(Counter::kConnectionsRefused);
+      break;
+    case ProxyLimit::kHeaderFields:
+      metrics.Count(Counter::kHeaderFieldsRefused);
+      break;
+  }
+  if (options.on_limit) options.on_limit(limit);
+}
+
 const EffectiveRoutingPtr& ProxyContext::Routing() {
   EffectiveRoutingPtr newest = options.routing ? options.routing() : nullptr;
   if (newest && newest != routing_) {
--- a/proxy/proxy_context.h
+++ b/proxy/proxy_context.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "core/base/buffer_budget.h"
 #include "core/routing/death_tracker.h"
 #include "core/routing/power_of_two_balancer.h"
 #include "core/routing/retry_budget.h"
@@ -37,6 +38,9 @@
            deadline + options.limits.deadline_grace > stop_time;
   }
 
+  /// Counts and reports that a limit took effect.
+  void OnLimit(ProxyLimit limit);
+
   /// Writes a history event, if history is enabled.
   template <typename Make>
   void Record(const Make& make) const {
@@ -44,6 +48,7 @@
   }
 
   ProxyServer::Options options;
+  BufferBudget buffers;  ///< of the sessions
   std::shared_ptr<asio::io_context> io;
   ProxyMetrics metrics;
   PowerOfTwoBalancer balancer;
@@ -64,6 +69,9 @@
   EffectiveRoutingPtr routing_;
 };
 
+/// Listener of a session, which is its group in the buffer budget.
+enum class SessionGroup : std::uint32_t { kCallers, kHosts };
+
 /// Returns the steady clock in microseconds, for history events. Thread-safe.
 std::int64_t HistoryTimeUs();
 
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -25,6 +25,11 @@
   bool retry_budget = true;  ///< false disables the budget, for comparison only
   std::uint32_t pipelined_requests =
       16;  ///< maximum requests of a caller connection that run at a time
+  std::uint64_t buffer_bytes =
+      30 * 1024 * 1024;  ///< buffers of all connections together: headers, body
+                         ///< prefixes, responses and what a session needs
+  std::uint32_t header_fields = 0;  ///< maximum header fields of a request; 0:
+                                    ///< as many as the header's size allows
   std::size_t buffered_response_bytes =
       256 * 1024;  ///< maximum bytes buffered for a caller connection, of
                    ///< responses that wait for an earlier one
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -18,7 +18,7 @@
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99};
 constexpr double kMicrosPerSecond = 1e6;
 
-constexpr std::array<std::string_view, 23> kCounterNames = {
+constexpr std::array<std::string_view, 27> kCounterNames = {
     "caller_requests",
     "pipelined_requests",
     "forward_requests",
@@ -38,6 +38,10 @@
     "strangers",
     "slow_callers",
     "connections_refused",
+    "buffers_refused",
+    "buffers_yielded",
+    "connections_yielded",
+    "header_fields_refused",
     "claims_granted",
     "claims_held",
     "claims_not_made",
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -40,11 +40,16 @@
     kUnauthenticated,    ///< connections without a valid mesh key proof
     kSlowCallers,  ///< connections on which the sender exceeded a read or write
                    ///< timeout
-    kConnectionsRefused,  ///< connections refused over the limit
-    kClaimsGranted,       ///< idempotency claims granted
-    kClaimsHeld,          ///< requests whose key was already claimed
-    kClaimsNotMade,       ///< requests refused because no claim could be made
-    kClaimsUnknown,       ///< requests whose claim has an unknown result
+    kConnectionsRefused,   ///< connections refused over the limit
+    kBuffersRefused,       ///< requests and connections refused for lack of
+                           ///< buffers
+    kBuffersYielded,       ///< connections that gave their buffers to others
+    kConnectionsYielded,   ///< connections closed in favour of new ones
+    kHeaderFieldsRefused,  ///< requests refused for their number of fields
+    kClaimsGranted,        ///< idempotency claims granted
+    kClaimsHeld,           ///< requests whose key was already claimed
+    kClaimsNotMade,        ///< requests refused because no claim could be made
+    kClaimsUnknown,        ///< requests whose claim has an unknown result
     kCount,
   };
 
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -7,7 +7,9 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
+#include <chrono>
 #include <future>
+#include <mutex>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -25,6 +27,8 @@
 constexpr Seconds kMaintenanceInterval{1};
 constexpr Milliseconds kAcceptRetryDelay{20};
 
+MonoTime Now() { return std::chrono::steady_clock::now(); }
+
 asio::awaitable<void> RunSession(std::shared_ptr<HttpSession> session) {
   co_await session->Run();
 }
@@ -55,6 +59,9 @@
   std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
       work;
   std::thread thread;
+  std::mutex posting;
+  bool takes_posts = false;  ///< guarded by posting; the thread runs what is
+                             ///< posted while this is true
   Endpoint caller_endpoint;
   Endpoint forward_endpoint;
   std::string last_reason;
@@ -85,22 +92,29 @@
 asio::awaitable<void> ProxyServer::State::Accept(tcp::acceptor& acceptor,
                                                  const std::uint32_t& open,
                                                  std::uint32_t max_open) {
+  constexpr auto kGroup = static_cast<std::uint32_t>(Session::kGroup);
   asio::steady_timer pause(*context.io);
   while (acceptor.is_open()) {
     auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
     if (!acceptor.is_open()) break;
     if (error) {
-      // For example out of file descriptors: wait until other connections
-      // close.
+      // For example out of file descriptors: close a connection that waits for
+      // its peer, or wait until others close.
+      if (error == asio::error::no_descriptors)
+        context.buffers.YieldConnection(kGroup, Now());
       pause.expires_after(kAcceptRetryDelay);
       co_await pause.async_wait(kAsTuple);
       continue;
     }
-    if (open >= max_open) {
-      context.metrics.Count(ProxyMetrics::Counter::kConnectionsRefused);
+    if (open >= max_open && !context.buffers.YieldConnection(kGroup, Now())) {
+      context.OnLimit(ProxyLimit::kConnectionsRefused);
       continue;
     }
     auto session = std::make_shared<Session>(context, std::move(socket));
+    if (!session->Admit()) {
+      context.OnLimit(ProxyLimit::kBuffersRefused);
+      continue;
+    }
     asio::co_spawn(*context.io, RunSession(std::move(session)), asio::detached);
   }
 }
@@ -115,6 +129,10 @@
 }
 
 void ProxyServer::State::CloseAll() {
+  {
+    const std::scoped_lock lock(posting);
+    takes_posts = false;
+  }
   context.stopping = true;
   beast::error_code ignored;
   caller_acceptor.close(ignored);
@@ -159,6 +177,8 @@
           {"caller_connections", context.caller_sessions},
           {"forward_connections", context.forward_sessions},
           {"buffered_response_bytes", context.buffered_response_bytes},
+          {"buffer_bytes", context.buffers.used()},
+          {"buffer_bytes_at_most", context.buffers.total()},
           {"retries_saved_at_most", context.retries.max_tokens()},
           {"local_targets", std::move(targets)},
           {"hosts", std::move(hosts)},
@@ -195,6 +215,7 @@
                      options.limits.forward_connections),
                  asio::detached);
   asio::co_spawn(*state.context.io, state.Maintain(), asio::detached);
+  state.takes_posts = true;
   state.thread = std::thread([&state] { state.context.io->run(); });
   return true;
 }
@@ -249,12 +270,16 @@
 }
 
 std::string ProxyServer::DumpJson() const {
-  if (!state_->thread.joinable()) return "{}";
   std::promise<std::string> dumped;
   std::future<std::string> text = dumped.get_future();
-  asio::post(*state_->context.io, [this, &dumped] {
-    dumped.set_value(boost::json::serialize(state_->Dump()));
-  });
+  {
+    // Once the server closes, its thread ends without running what is posted.
+    const std::scoped_lock lock(state_->posting);
+    if (!state_->takes_posts) return "{}";
+    asio::post(*state_->context.io, [this, &dumped] {
+      dumped.set_value(boost::json::serialize(state_->Dump()));
+    });
+  }
   return text.get();
 }
 
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -13,6 +13,7 @@
 #include "core/routing/effective_routing.h"
 #include "core/routing/request_sample.h"
 #include "proxy/header_vocabulary.h"
+#include "proxy/proxy_limit.h"
 #include "proxy/proxy_limits.h"
 #include "proxy/request_decision.h"
 
@@ -66,6 +67,9 @@
     std::function<void(const RequestDecision&)>
         on_decision{};  ///< called with each decision on a request, for
                         ///< logging; null when disabled
+    std::function<void(ProxyLimit)>
+        on_limit{};  ///< called when a limit took effect, for logging; null
+                     ///< when disabled
     HeaderVocabulary vocabulary{};  ///< names of the headers exchanged with
                                     ///< callers and targets
     std::string
@@ -105,7 +109,8 @@
   Endpoint caller_endpoint() const;
   Endpoint forward_endpoint() const;
 
-  /// Returns the state as JSON text for the dump. Thread-safe.
+  /// Returns the state as JSON text for the dump; an empty object before Start
+  /// and once the server closes. Thread-safe.
   std::string DumpJson() const;
 
   /// Returns the metrics in the Prometheus text format. Thread-safe.
--- a/proxy/response_sequencer.cc
+++ b/proxy/response_sequencer.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <cassert>
+#include <chrono>
 #include <utility>
 
 namespace camphor {
@@ -17,13 +18,11 @@
 
 ResponseSequencer::ResponseSequencer(Options options)
     : options_(std::move(options)), changed_(options_.executor) {
-  assert(options_.write && options_.buffered_by_proxy);
+  assert(options_.write && options_.buffered_by_proxy && options_.account);
   changed_.expires_at(MonoTime::max());
 }
 
-ResponseSequencer::~ResponseSequencer() {
-  *options_.buffered_by_proxy -= buffered_;
-}
+ResponseSequencer::~ResponseSequencer() { Release(buffered_); }
 
 ResponseSequencer::ResponsePtr ResponseSequencer::Append() {
   responses_.push_back(std::make_shared<Response>());
@@ -85,7 +84,8 @@
   std::size_t size = 0;
   for (const asio::const_buffer& part : bytes) size += part.size();
   if (buffered_ + size > options_.max_buffered ||
-      *options_.buffered_by_proxy + size > options_.max_buffered_by_proxy) {
+      *options_.buffered_by_proxy + size > options_.max_buffered_by_proxy ||
+      !options_.account->Grow(size, std::chrono::steady_clock::now())) {
     return false;
   }
   buffered_ += size;
@@ -99,6 +99,7 @@
 void ResponseSequencer::Release(std::size_t size) {
   buffered_ -= size;
   *options_.buffered_by_proxy -= size;
+  options_.account->Shrink(size);
 }
 
 asio::awaitable<void> ResponseSequencer::Flush() {
--- a/proxy/response_sequencer.h
+++ b/proxy/response_sequencer.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 
+#include "core/base/buffer_account.h"
 #include "proxy/asio_types.h"
 #include "proxy/exchange.h"
 
@@ -18,9 +19,9 @@
 /// whatever the order in which they become available (HTTP pipelining).
 ///
 /// The first unfinished response is written as it arrives. Bytes of the ones
-/// behind it are buffered up to a limit per connection and one per proxy;
-/// beyond that their writers wait, which stops reading from their targets. Must
-/// be used from one thread.
+/// behind it are buffered up to a limit per connection and one per proxy, and
+/// as far as the buffer budget of the proxy goes; beyond that their writers
+/// wait, which stops reading from their targets. Must be used from one thread.
 class ResponseSequencer {
  public:
   struct Options {
@@ -31,6 +32,7 @@
                                             ///< connections of the proxy
     std::uint64_t* buffered_by_proxy =
         nullptr;                       ///< bytes that the proxy buffers now
+    BufferAccount* account = nullptr;  ///< of the connection
     std::function<void()> on_empty{};  ///< called when no response is pending
   };
 
--- a/scenario_tests/untrusted_callers/untrusted_callers_test.cc
+++ b/scenario_tests/untrusted_callers/untrusted_callers_test.cc
@@ -147,13 +147,16 @@
 class UntrustedCallersTest : public testing::Test {
  protected:
   void SetUp() override {
-    // A version that does not know the limits of the proxy starts without them,
-    // so that it is measured too.
-    if (!Start(R"("proxy": {"buffer_bytes": 4194304,
-                            "caller_connections": 256},)") &&
-        !Start("")) {
-      FAIL() << fleet_->last_reason();
-    }
+    fleet_ = std::make_unique<Fleet>(
+        Fleet::Options{.hosts = 1,
+                       .domains = 1,
+                       .seeds = 1,
+                       .extra_settings = R"("proxy": {"buffer_bytes": 4194304,
+                                       "caller_connections": 256},
+                             "admin": {"connections": 64,
+                                       "body_bytes": 1048576})"});
+    ASSERT_TRUE(fleet_->StartPlatform() && fleet_->StartHosts())
+        << fleet_->last_reason();
     ASSERT_TRUE(fleet_->StartTarget({.host = "h1", .pool = "p1"}))
         << fleet_->last_reason();
     ASSERT_TRUE(fleet_->Apply("h1", kTables)) << fleet_->last_reason();
@@ -164,17 +167,6 @@
     ASSERT_TRUE(before_.has_value());
   }
 
-  bool Start(const std::string& proxy_settings) {
-    fleet_ = std::make_unique<Fleet>(
-        Fleet::Options{.hosts = 1,
-                       .domains = 1,
-                       .seeds = 1,
-                       .extra_settings = proxy_settings +
-                                         R"("admin": {"connections": 64,
-                                       "body_bytes": 1048576})"});
-    return fleet_->StartPlatform() && fleet_->StartHosts();
-  }
-
   std::optional<ProcessUsage> Usage() {
     return ProcessUsage::Read(fleet_->process("h1")->pid());
   }
--- a/stand_ins/http/http_server.cc
+++ b/stand_ins/http/http_server.cc
@@ -18,6 +18,8 @@
 namespace camphor {
 namespace {
 
+constexpr std::uint32_t kMaxHeaderBytes = 32 * 1024;
+
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
@@ -91,6 +93,9 @@
 
   void Read() {
     parser_.emplace();
+    // More than the 16,384 bytes that operators usually allow callers, since
+    // hosts add headers of their own. The library's default is 8 KiB.
+    parser_->header_limit(kMaxHeaderBytes);
     parser_->body_limit(server_.options.max_body_bytes);
     http::async_read(
         socket_, buffer_, *parser_,
--- a/unit_tests/node/admin/admin_server_test.cc
+++ b/unit_tests/node/admin/admin_server_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <thread>
 
 #include "stand_ins/http/http_connection.h"
 
@@ -73,6 +74,46 @@
   EXPECT_EQ(server_.connections_refused(), 1U);
 }
 
+// Guards against bodies of legal size that together exceed the memory of a
+// small host.
+TEST_F(AdminServerLimits, BodyWithoutBuffers_503) {
+  AdminServer server(
+      {.listen = {.address = "127.0.0.1"},
+       .header_bytes = 1024,
+       .body_bytes = 1024 * 1024,
+       .buffer_bytes = 100 * 1024,
+       .handle = [](const AdminRequest&, const AdminRespond& respond) {
+         respond({.body = "ok"});
+       }});
+  ASSERT_TRUE(server.Start()) << server.last_reason();
+  const auto answer = HttpConnection(server.endpoint())
+                          .Call({.method = "PUT",
+                                 .target = "/",
+                                 .fields = {{"host", "node"}},
+                                 .body = std::string(200 * 1024, 'x')});
+  EXPECT_TRUE(!answer.has_value() || answer->status == 503);
+  EXPECT_EQ(server.buffers_refused(), 1U);
+  EXPECT_TRUE(HttpConnection(server.endpoint())
+                  .Call({.method = "GET", .target = "/"})
+                  .has_value());
+}
+
+// Guards against silent connections that lock readiness probes out until their
+// timeout, here 30 s.
+TEST_F(AdminServerLimits, SilentConnectionsHoldAllPlaces_YieldToNewOnes) {
+  HttpConnection first(server_.endpoint());
+  HttpConnection second(server_.endpoint());
+  ASSERT_TRUE(first.Call({.method = "GET", .target = "/"}).has_value());
+  ASSERT_TRUE(second.Call({.method = "GET", .target = "/"}).has_value());
+  bool served = false;
+  for (int attempt = 0; attempt < 200 && !served; ++attempt) {
+    served = Send({.method = "GET", .target = "/"}).has_value();
+    if (!served) std::this_thread::sleep_for(Milliseconds(20));
+  }
+  EXPECT_TRUE(served);
+  EXPECT_EQ(server_.connections_yielded(), 1U);
+}
+
 TEST_F(AdminServerStart, AddressInUse_ReasonContainsAddress) {
   AdminServer other(
       {.listen = server_.endpoint(),
