--- a/core/membership/membership.cc
+++ b/core/membership/membership.cc
@@ -136,6 +136,31 @@
   return std::ranges::find(pollers, options_.self) != pollers.end();
 }
 
+std::vector<Endpoint> Membership::PollersOfOwnDomain() const {
+  std::vector<Endpoint> endpoints;
+  const HostRecord* self = store_.FindHost(options_.self);
+  if (self != nullptr) AppendPollers(self->domain, endpoints);
+  return endpoints;
+}
+
+std::vector<Endpoint> Membership::PollersOfOtherDomains() const {
+  std::vector<Endpoint> endpoints;
+  const HostRecord* self = store_.FindHost(options_.self);
+  for (const FailureDomain& domain : overlay_.GetDomains())
+    if (self == nullptr || domain != self->domain)
+      AppendPollers(domain, endpoints);
+  return endpoints;
+}
+
+void Membership::AppendPollers(const FailureDomain& domain,
+                               std::vector<Endpoint>& endpoints) const {
+  for (const HostId& host : overlay_.GetPollers(domain)) {
+    const HostRecord* record = store_.FindHost(host);
+    if (record != nullptr && host != options_.self)
+      endpoints.push_back(record->mesh);
+  }
+}
+
 void Membership::RebuildOverlay(MonoTime now) {
   overlay_stale_ = false;
   overlay_ = Overlay(store_.hosts(), settings_);
--- a/core/membership/membership.h
+++ b/core/membership/membership.h
@@ -86,6 +86,13 @@
   /// True if this host is one of the pollers of its failure domain.
   bool is_poller() const;
 
+  /// Mesh endpoints of the pollers of this host's failure domain, without this
+  /// host.
+  std::vector<Endpoint> PollersOfOwnDomain() const;
+
+  /// Mesh endpoints of the pollers of all other failure domains.
+  std::vector<Endpoint> PollersOfOtherDomains() const;
+
   /// True if all neighbours are silent, or were until recently, so that no
   /// change of the configuration can be expected from them.
   bool isolated(MonoTime now) const { return now < isolated_until_; }
@@ -118,6 +125,8 @@
   std::optional<Endpoint> ChooseRejoinCandidate();
   std::vector<Endpoint> UnknownSeeds() const;
   const Endpoint& ChooseRandom(const std::vector<Endpoint>& candidates);
+  void AppendPollers(const FailureDomain& domain,
+                     std::vector<Endpoint>& endpoints) const;
   void SendToHost(const HostId& host, const MeshMessage& message);
   Milliseconds Jittered(Milliseconds period);
 
--- a/core/membership/overlay.cc
+++ b/core/membership/overlay.cc
@@ -95,6 +95,13 @@
   return {ring.begin(), ring.begin() + static_cast<std::ptrdiff_t>(count)};
 }
 
+std::vector<FailureDomain> Overlay::GetDomains() const {
+  std::vector<FailureDomain> domains;
+  domains.reserve(domain_rings_.size());
+  for (const auto& [domain, rings] : domain_rings_) domains.push_back(domain);
+  return domains;
+}
+
 Overlay::Ring Overlay::MakeRing(std::vector<HostId> members,
                                 std::uint32_t number) {
   std::ranges::sort(members, [number](const HostId& left, const HostId& right) {
--- a/core/membership/overlay.h
+++ b/core/membership/overlay.h
@@ -36,6 +36,9 @@
   /// platform must be unavailable to all. Thread-safe.
   std::vector<HostId> GetPollers(const FailureDomain& domain) const;
 
+  /// Failure domains that have a host, sorted. Thread-safe.
+  std::vector<FailureDomain> GetDomains() const;
+
   /// Number of failure domains that have a host. Thread-safe.
   std::size_t domain_count() const { return domain_count_; }
 
--- a/core/replication/mesh_message.h
+++ b/core/replication/mesh_message.h
@@ -127,11 +127,35 @@
   auto operator<=>(const AppliedVersions&) const = default;
 };
 
+/// Asks how old the receiver's knowledge of the configuration is. Immutable
+/// value type.
+struct FreshnessQuery {
+  std::uint64_t sequence = 0;  ///< identifies the query at its sender
+
+  auto operator<=>(const FreshnessQuery&) const = default;
+};
+
+/// Reply to a FreshnessQuery: `version` was the newest acknowledged
+/// configuration version `age_ms` before the reply was made. Immutable value
+/// type.
+struct FreshnessReply {
+  std::uint64_t sequence = 0;  ///< of the query
+  bool known = false;          ///< false: the replier has no proof; the other
+                               ///< fields are 0
+  std::uint32_t age_ms = 0;    ///< rounded up, in milliseconds
+  ConfigVersion version = 0;   ///< newest version to which the age applies
+  std::uint32_t next_ms = 0;   ///< time until the replier expects a newer
+                               ///< proof, in milliseconds; 0: not known
+
+  auto operator<=>(const FreshnessReply&) const = default;
+};
+
 /// Message between two hosts of the mesh.
 using MeshMessage =
     std::variant<RecordsMessage, SnapshotRequest, SnapshotReply, EvidenceReport,
                  Heartbeat, SyncDigest, SyncEntries, SyncWanted, SyncBusy,
-                 SuspicionReport, AppliedVersions>;
+                 SuspicionReport, AppliedVersions, FreshnessQuery,
+                 FreshnessReply>;
 
 }  // namespace camphor
 
--- a/core/replication/replicator.cc
+++ b/core/replication/replicator.cc
@@ -137,6 +137,14 @@
   return state_->membership.isolated(state_->now);
 }
 
+std::vector<Endpoint> Replicator::own_pollers() const {
+  return state_->membership.PollersOfOwnDomain();
+}
+
+std::vector<Endpoint> Replicator::other_pollers() const {
+  return state_->membership.PollersOfOtherDomains();
+}
+
 const std::map<HostId, HostRecord>& Replicator::hosts() const {
   return state_->store.hosts();
 }
--- a/core/replication/replicator.h
+++ b/core/replication/replicator.h
@@ -45,10 +45,15 @@
         evidence{};  ///< evidence for this host was received
     std::function<void(const ConfigHead&)>
         fetch_snapshot{};  ///< requests a snapshot from the platform
+    std::function<void(const Endpoint&, const FreshnessQuery&)>
+        freshness_query{};  ///< a host asks for the age of this host's
+                            ///< knowledge; null: not answered
+    std::function<void(const Endpoint&, const FreshnessReply&)>
+        freshness_reply{};  ///< a reply to a query of this host; null: ignored
   };
 
   /// @pre options.self has a host id, an incarnation above 0 and a mesh
-  /// endpoint; all callbacks are set.
+  /// endpoint; all callbacks are set, except those that may be null.
   explicit Replicator(Options options);
   ~Replicator();
 
@@ -109,6 +114,11 @@
   /// True while all neighbours are silent, or were until recently.
   bool isolated() const;
 
+  /// Mesh endpoints of the hosts that poll the platform for this host's failure
+  /// domain, and of those that do so for the others; without this host.
+  std::vector<Endpoint> own_pollers() const;
+  std::vector<Endpoint> other_pollers() const;
+
   const std::map<HostId, HostRecord>& hosts() const;
   const std::map<RolloutId, RolloutRecord>& rollouts() const;
   const std::map<std::uint64_t, PoisonRecord>& poison() const;
--- a/core/replication/replicator_state.cc
+++ b/core/replication/replicator_state.cc
@@ -113,6 +113,18 @@
   }
 }
 
+void Replicator::State::On(const Endpoint& from, const FreshnessQuery& query) {
+  if (options.freshness_query) options.freshness_query(from, query);
+}
+
+void Replicator::State::On(const Endpoint& from, const FreshnessReply& reply) {
+  if (!options.freshness_reply) return;
+  options.freshness_reply(from, reply);
+  // A sender with a newer configuration answers a heartbeat with its head.
+  if (reply.version > config.head().version && RepairEnabled())
+    options.send(from, MakeHeartbeat(false));
+}
+
 Heartbeat Replicator::State::MakeHeartbeat(bool reply_wanted) const {
   return {.version = config.head().version,
           .fingerprint = store.fingerprint(),
--- a/core/replication/replicator_state.h
+++ b/core/replication/replicator_state.h
@@ -81,6 +81,8 @@
   void On(const Endpoint& from, const SyncBusy& busy);
   void On(const Endpoint& from, const SuspicionReport& report);
   void On(const Endpoint& from, const AppliedVersions& applied);
+  void On(const Endpoint& from, const FreshnessQuery& query);
+  void On(const Endpoint& from, const FreshnessReply& reply);
 
   Heartbeat MakeHeartbeat(bool reply_wanted) const;
   void Join(const Endpoint& peer);
--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kMicrosecondsPerMs = 1000;
 
 /// Sentence for each reason code of a request log line.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 26>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 27>
     kReasonSentences = {{
         {"bad_request", "the request was malformed"},
         {"header_too_long", "its header exceeded the configured limit"},
@@ -25,6 +25,9 @@
         {"no_route", "no route of the current configuration matched it"},
         {"not_ready",
          "this host had just started and had no configuration yet"},
+        {"stale_keys",
+         "its host could not confirm within the bound of the configuration "
+         "that its API keys are current"},
         {"no_target",
          "no target of the pool was available: none was known, or all known "
          "targets were leaving, dead or already tried"},
--- a/mesh/mesh.capnp
+++ b/mesh/mesh.capnp
@@ -141,6 +141,18 @@
   hosts @1 :List(UInt32);
 }
 
+struct FreshnessQuery {
+  sequence @0 :UInt64;
+}
+
+struct FreshnessReply {
+  sequence @0 :UInt64;
+  known @1 :Bool;
+  ageMs @2 :UInt32;
+  version @3 :UInt64;
+  nextMs @4 :UInt32;
+}
+
 struct Message {
   union {
     records @0 :Records;
@@ -154,6 +166,8 @@
     syncBusy @8 :SyncBusy;
     suspicion @9 :Suspicion;
     applied @10 :Applied;
+    freshnessQuery @11 :FreshnessQuery;
+    freshnessReply @12 :FreshnessReply;
   }
 }
 
--- a/mesh/mesh.capnp.h
+++ b/mesh/mesh.capnp.h
@@ -38,6 +38,8 @@
 CAPNP_DECLARE_SCHEMA(d4a7c2164903bc05);
 CAPNP_DECLARE_SCHEMA(9353c69f63e39a7e);
 CAPNP_DECLARE_SCHEMA(e48f408167724f03);
+CAPNP_DECLARE_SCHEMA(8553109e9d197b6d);
+CAPNP_DECLARE_SCHEMA(c75c73e5e275e83d);
 CAPNP_DECLARE_SCHEMA(b8f137a1442be7e5);
 CAPNP_DECLARE_SCHEMA(b3e21d9c387bc5df);
 CAPNP_DECLARE_SCHEMA(b73314146fe4774f);
@@ -339,6 +341,36 @@
   };
 };
 
+struct FreshnessQuery {
+  FreshnessQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8553109e9d197b6d, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FreshnessReply {
+  FreshnessReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c75c73e5e275e83d, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -357,6 +389,8 @@
     SYNC_BUSY,
     SUSPICION,
     APPLIED,
+    FRESHNESS_QUERY,
+    FRESHNESS_REPLY,
   };
 
   struct _capnpPrivate {
@@ -2442,6 +2476,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class FreshnessQuery::Reader {
+public:
+  typedef FreshnessQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FreshnessQuery::Builder {
+public:
+  typedef FreshnessQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FreshnessQuery::Pipeline {
+public:
+  typedef FreshnessQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FreshnessReply::Reader {
+public:
+  typedef FreshnessReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool getKnown() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint32_t getNextMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FreshnessReply::Builder {
+public:
+  typedef FreshnessReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint32_t getNextMs();
+  inline void setNextMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FreshnessReply::Pipeline {
+public:
+  typedef FreshnessReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -2504,6 +2710,14 @@
   inline bool hasApplied() const;
   inline  ::camphor::wire::Applied::Reader getApplied() const;
 
+  inline bool isFreshnessQuery() const;
+  inline bool hasFreshnessQuery() const;
+  inline  ::camphor::wire::FreshnessQuery::Reader getFreshnessQuery() const;
+
+  inline bool isFreshnessReply() const;
+  inline bool hasFreshnessReply() const;
+  inline  ::camphor::wire::FreshnessReply::Reader getFreshnessReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2623,6 +2837,22 @@
   inline void adoptApplied(::capnp::Orphan< ::camphor::wire::Applied>&& value);
   inline ::capnp::Orphan< ::camphor::wire::Applied> disownApplied();
 
+  inline bool isFreshnessQuery();
+  inline bool hasFreshnessQuery();
+  inline  ::camphor::wire::FreshnessQuery::Builder getFreshnessQuery();
+  inline void setFreshnessQuery( ::camphor::wire::FreshnessQuery::Reader value);
+  inline  ::camphor::wire::FreshnessQuery::Builder initFreshnessQuery();
+  inline void adoptFreshnessQuery(::capnp::Orphan< ::camphor::wire::FreshnessQuery>&& value);
+  inline ::capnp::Orphan< ::camphor::wire::FreshnessQuery> disownFreshnessQuery();
+
+  inline bool isFreshnessReply();
+  inline bool hasFreshnessReply();
+  inline  ::camphor::wire::FreshnessReply::Builder getFreshnessReply();
+  inline void setFreshnessReply( ::camphor::wire::FreshnessReply::Reader value);
+  inline  ::camphor::wire::FreshnessReply::Builder initFreshnessReply();
+  inline void adoptFreshnessReply(::capnp::Orphan< ::camphor::wire::FreshnessReply>&& value);
+  inline ::capnp::Orphan< ::camphor::wire::FreshnessReply> disownFreshnessReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5183,6 +5413,90 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t FreshnessQuery::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FreshnessQuery::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessQuery::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FreshnessReply::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FreshnessReply::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessReply::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FreshnessReply::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool FreshnessReply::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessReply::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FreshnessReply::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FreshnessReply::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessReply::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FreshnessReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FreshnessReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessReply::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FreshnessReply::Reader::getNextMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FreshnessReply::Builder::getNextMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessReply::Builder::setNextMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::camphor::wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5798,6 +6112,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isFreshnessQuery() const {
+  return which() == Message::FRESHNESS_QUERY;
+}
+inline bool Message::Builder::isFreshnessQuery() {
+  return which() == Message::FRESHNESS_QUERY;
+}
+inline bool Message::Reader::hasFreshnessQuery() const {
+  if (which() != Message::FRESHNESS_QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasFreshnessQuery() {
+  if (which() != Message::FRESHNESS_QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::camphor::wire::FreshnessQuery::Reader Message::Reader::getFreshnessQuery() const {
+  KJ_IREQUIRE((which() == Message::FRESHNESS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::camphor::wire::FreshnessQuery::Builder Message::Builder::getFreshnessQuery() {
+  KJ_IREQUIRE((which() == Message::FRESHNESS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setFreshnessQuery( ::camphor::wire::FreshnessQuery::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FRESHNESS_QUERY);
+  ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::camphor::wire::FreshnessQuery::Builder Message::Builder::initFreshnessQuery() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FRESHNESS_QUERY);
+  return ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptFreshnessQuery(
+    ::capnp::Orphan< ::camphor::wire::FreshnessQuery>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FRESHNESS_QUERY);
+  ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::camphor::wire::FreshnessQuery> Message::Builder::disownFreshnessQuery() {
+  KJ_IREQUIRE((which() == Message::FRESHNESS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::isFreshnessReply() const {
+  return which() == Message::FRESHNESS_REPLY;
+}
+inline bool Message::Builder::isFreshnessReply() {
+  return which() == Message::FRESHNESS_REPLY;
+}
+inline bool Message::Reader::hasFreshnessReply() const {
+  if (which() != Message::FRESHNESS_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasFreshnessReply() {
+  if (which() != Message::FRESHNESS_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::camphor::wire::FreshnessReply::Reader Message::Reader::getFreshnessReply() const {
+  KJ_IREQUIRE((which() == Message::FRESHNESS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::camphor::wire::FreshnessReply::Builder Message::Builder::getFreshnessReply() {
+  KJ_IREQUIRE((which() == Message::FRESHNESS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setFreshnessReply( ::camphor::wire::FreshnessReply::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FRESHNESS_REPLY);
+  ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::camphor::wire::FreshnessReply::Builder Message::Builder::initFreshnessReply() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FRESHNESS_REPLY);
+  return ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptFreshnessReply(
+    ::capnp::Orphan< ::camphor::wire::FreshnessReply>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::FRESHNESS_REPLY);
+  ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::camphor::wire::FreshnessReply> Message::Builder::disownFreshnessReply() {
+  KJ_IREQUIRE((which() == Message::FRESHNESS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::camphor::wire::FreshnessReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Inbox::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -299,6 +299,17 @@
     applied.setVersion(message.version);
     WriteNumbers(message.hosts, applied.initHosts(message.hosts.size()));
   }
+  void operator()(const FreshnessQuery& message) {
+    out.initFreshnessQuery().setSequence(message.sequence);
+  }
+  void operator()(const FreshnessReply& message) {
+    auto reply = out.initFreshnessReply();
+    reply.setSequence(message.sequence);
+    reply.setKnown(message.known);
+    reply.setAgeMs(message.age_ms);
+    reply.setVersion(message.version);
+    reply.setNextMs(message.next_ms);
+  }
 };
 
 RecordsMessage ReadRecords(wire::Records::Reader in) {
@@ -339,6 +350,14 @@
           .reached = in.getReached()};
 }
 
+FreshnessReply ReadFreshnessReply(wire::FreshnessReply::Reader in) {
+  return {.sequence = in.getSequence(),
+          .known = in.getKnown(),
+          .age_ms = in.getAgeMs(),
+          .version = in.getVersion(),
+          .next_ms = in.getNextMs()};
+}
+
 }  // namespace
 
 void WriteWireMessage(const MeshMessage& message, wire::Message::Builder out) {
@@ -376,6 +395,10 @@
       return AppliedVersions{
           .version = in.getApplied().getVersion(),
           .hosts = ReadNumbers<std::uint32_t>(in.getApplied().getHosts())};
+    case wire::Message::FRESHNESS_QUERY:
+      return FreshnessQuery{.sequence = in.getFreshnessQuery().getSequence()};
+    case wire::Message::FRESHNESS_REPLY:
+      return ReadFreshnessReply(in.getFreshnessReply());
   }
   KJ_FAIL_REQUIRE("unknown message type");
 }
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <string>
 #include <utility>
 
@@ -18,6 +19,9 @@
 /// this host's own targets bypass the limit.
 constexpr Milliseconds kMinBuildInterval{20};
 
+/// Minimum interval between two log lines that keys are refused from now on.
+constexpr Seconds kRefusingLogInterval{10};
+
 }  // namespace
 
 HostController::HostController(Options options)
@@ -27,42 +31,66 @@
                  .await_departures = options_.departures_changed != nullptr}) {
   rollouts_ = std::make_unique<RolloutManager>(ManagerOptions());
   replicator_ = std::make_unique<Replicator>(ReplicatorOptions());
+  if (options_.settings.teams.revoke_within.count() > 0)
+    freshness_.emplace(FreshnessOptions());
 }
 
 HostController::~HostController() = default;
 
 Replicator::Options HostController::ReplicatorOptions() {
   const Settings& settings = options_.settings;
-  return {
-      .settings = settings.replication,
-      .self = {.host = settings.host,
-               .incarnation = options_.incarnation,
-               .domain = settings.failure_domain,
-               .mesh = settings.mesh_advertise,
-               .forward = options_.forward},
-      .seeds = settings.mesh_seeds,
-      .random_seed = options_.incarnation,
-      .send = [this](
-                  const Endpoint& to,
-                  const MeshMessage& message) { options_.send(to, message); },
-      .config_changed =
-          [this](const ConfigSnapshotPtr& snapshot) {
-            OnConfigChanged(snapshot);
-          },
-      .hosts_changed =
-          [this] {
-            hosts_changed_ = true;
-            routing_changed_ = true;
-          },
-      .rollout_changed =
-          [this](const RolloutRecord& record) { OnRolloutChanged(record); },
-      .poison_changed = [this] { urgent_ = true; },
-      .evidence =
-          [this](const EvidenceReport& report) {
-            rollouts_->OnEvidence(report, now_);
+  return {.settings = settings.replication,
+          .self = {.host = settings.host,
+                   .incarnation = options_.incarnation,
+                   .domain = settings.failure_domain,
+                   .mesh = settings.mesh_advertise,
+                   .forward = options_.forward},
+          .seeds = settings.mesh_seeds,
+          .random_seed = options_.incarnation,
+          .send =
+              [this](const Endpoint& to, const MeshMessage& message) {
+                options_.send(to, message);
+              },
+          .config_changed =
+              [this](const ConfigSnapshotPtr& snapshot) {
+                OnConfigChanged(snapshot);
+              },
+          .hosts_changed =
+              [this] {
+                hosts_changed_ = true;
+                routing_changed_ = true;
+              },
+          .rollout_changed =
+              [this](const RolloutRecord& record) { OnRolloutChanged(record); },
+          .poison_changed = [this] { urgent_ = true; },
+          .evidence =
+              [this](const EvidenceReport& report) {
+                rollouts_->OnEvidence(report, now_);
+              },
+          .fetch_snapshot =
+              [this](const ConfigHead& head) { options_.fetch_snapshot(head); },
+          .freshness_query =
+              [this](const Endpoint& from, const FreshnessQuery& query) {
+                if (freshness_) freshness_->OnQuery(from, query, boot_now_);
+              },
+          .freshness_reply =
+              [this](const Endpoint& from, const FreshnessReply& reply) {
+                if (freshness_) freshness_->OnReply(from, reply, boot_now_);
+              }};
+}
+
+FreshnessTracker::Options HostController::FreshnessOptions() {
+  return {.bound = options_.settings.teams.revoke_within,
+          .incarnation = options_.incarnation,
+          .sources = [this]() -> FreshnessTracker::Sources {
+            return {.own_domain = replicator_->own_pollers(),
+                    .other_domains = replicator_->other_pollers()};
           },
-      .fetch_snapshot =
-          [this](const ConfigHead& head) { options_.fetch_snapshot(head); }};
+          .send =
+              [this](const Endpoint& to, const MeshMessage& message) {
+                options_.send(to, message);
+              },
+          .read_store = [this] { options_.prove_freshness(); }};
 }
 
 RolloutManager::Options HostController::ManagerOptions() {
@@ -90,11 +118,18 @@
 }
 
 void HostController::OnMessage(const Endpoint& from, const MeshMessage& message,
-                               MonoTime now) {
+                               MonoTime now, MonoTime boot_now) {
   now_ = now;
+  boot_now_ = boot_now;
   replicator_->OnMessage(from, message, now);
 }
 
+void HostController::OnPlatformProof(const FreshnessTracker::Proof& proof,
+                                     MonoTime boot_now) {
+  boot_now_ = boot_now;
+  if (freshness_) freshness_->OnStoreProof(proof, boot_now);
+}
+
 void HostController::OnPeerState(const Endpoint& peer, bool connected,
                                  MonoTime now) {
   now_ = now;
@@ -215,10 +250,12 @@
 
 void HostController::Tick(MonoTime now, MonoTime boot_now, WallTime wall_now) {
   now_ = now;
+  boot_now_ = boot_now;
   wall_now_ = wall_now;
   if (registry_.Expire(now)) OnTargetsChanged(now);
   if (block_ends_ <= wall_now) urgent_ = true;
   replicator_->Tick(now, wall_now);
+  if (freshness_) watcher_ = replicator_->is_platform_poller();
   if (hosts_changed_) {
     hosts_changed_ = false;
     rollouts_->SetHosts(replicator_->hosts());
@@ -227,6 +264,60 @@
 }
 
 void HostController::PublishRouting(MonoTime now) {
+  BuildAndStoreRouting(now);
+  UpdateFreshness();
+}
+
+void HostController::UpdateFreshness() {
+  if (!freshness_) return;
+  // Also follows a version whose routing was stored by this call: a proof must
+  // not reach the proxy before the configuration that it covers.
+  freshness_->Tick({.served = published_version_,
+                    .has_teams = published_teams_,
+                    .watcher = watcher_},
+                   boot_now_);
+  if (freshness_->proof()) options_.freshness->Publish(freshness_->proof()->at);
+  LogFreshness();
+}
+
+void HostController::LogFreshness() {
+  const bool refusing =
+      published_teams_ && !options_.freshness->IsCurrent(boot_now_);
+  if (refusing == refusing_logged_) return;
+  if (refusing && boot_now_ < next_refusing_log_) return;
+  refusing_logged_ = refusing;
+  if (refusing) next_refusing_log_ = boot_now_ + kRefusingLogInterval;
+  const std::optional<Milliseconds> age = freshness_->Age(boot_now_);
+  options_.log->Log(
+      refusing ? LogLevel::kWarning : LogLevel::kInfo, "decisions",
+      refusing ? "knowledge of the configuration too old; refusing requests "
+                 "that need a key"
+               : "knowledge of the configuration recent; accepting keys again",
+      {{"age_ms", age ? fmt::format("{}", age->count()) : "unknown"},
+       {"bound_ms",
+        fmt::format("{}", options_.settings.teams.revoke_within.count())},
+       {"version", published_version_}});
+}
+
+boost::json::object HostController::DumpFreshness() const {
+  if (!freshness_) return {};
+  const FreshnessTracker::Counters& counters = freshness_->counters();
+  const std::optional<Milliseconds> age = freshness_->Age(boot_now_);
+  return {{"bound_ms", options_.settings.teams.revoke_within.count()},
+          {"age_ms", age ? boost::json::value(age->count())
+                         : boost::json::value(nullptr)},
+          {"version", freshness_->proof() ? freshness_->proof()->version : 0},
+          {"accepts_keys",
+           !published_teams_ || options_.freshness->IsCurrent(boot_now_)},
+          {"queries", counters.queries},
+          {"replies", counters.replies},
+          {"unmatched_replies", counters.unmatched},
+          {"timeouts", counters.timeouts},
+          {"answered", counters.answered},
+          {"store_reads", counters.store_reads}};
+}
+
+void HostController::BuildAndStoreRouting(MonoTime now) {
   if (!replicator_->ready()) return;
   if (!routing_changed_ && !urgent_) return;
   if (!urgent_ && now - last_built_ < kMinBuildInterval) return;
@@ -245,6 +336,8 @@
   const EffectiveRoutingPtr previous = options_.routing->Load();
   if (previous != nullptr && *previous == *routing) return;
   LogRouting(*routing);
+  published_version_ = routing->head.version;
+  published_teams_ = routing->teams != nullptr;
   options_.routing->Store(std::move(routing));
 }
 
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -1,12 +1,16 @@
 #ifndef CAMPHORHILL_NODE_DECISIONS_HOST_CONTROLLER_H_
 #define CAMPHORHILL_NODE_DECISIONS_HOST_CONTROLLER_H_
 
+#include <boost/json/fwd.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "core/base/endpoint.h"
+#include "core/replication/freshness_gate.h"
+#include "core/replication/freshness_tracker.h"
 #include "core/replication/replicator.h"
 #include "core/rollout/rollout_manager.h"
 #include "core/routing/effective_routing.h"
@@ -44,16 +48,26 @@
         config_changed{};  ///< called after a newer snapshot is activated
     std::function<void()>
         departures_changed{};  ///< called after departures() has changed
+    FreshnessGate* freshness = nullptr;  ///< must outlive this object; set if
+                                         ///< revocation is strict
+    std::function<void()>
+        prove_freshness{};  ///< reads the platform once, see
+                            ///< OnPlatformProof(); set if revocation is strict
   };
 
   explicit HostController(Options options);
   ~HostController();
 
-  /// Handles a message or a connection change reported by the mesh.
-  void OnMessage(const Endpoint& from, const MeshMessage& message,
-                 MonoTime now);
+  /// Handles a message or a connection change reported by the mesh. `boot_now`
+  /// also counts the time in which this host was suspended.
+  void OnMessage(const Endpoint& from, const MeshMessage& message, MonoTime now,
+                 MonoTime boot_now);
   void OnPeerState(const Endpoint& peer, bool connected, MonoTime now);
 
+  /// Handles a successful read of the platform: `proof.at` is when it started,
+  /// on the boot clock.
+  void OnPlatformProof(const FreshnessTracker::Proof& proof, MonoTime boot_now);
+
   /// Records the result of one request.
   void OnSample(const RequestSample& sample, MonoTime now);
 
@@ -87,7 +101,8 @@
   void Tick(MonoTime now, MonoTime boot_now, WallTime wall_now);
 
   /// Rebuilds the routing if its inputs have changed, and publishes the result
-  /// if it differs from the published routing.
+  /// if it differs from the published routing. Then publishes the time as of
+  /// which the published routing is known to be the newest.
   void PublishRouting(MonoTime now);
 
   /// Whether a known change has not yet reached the published routing. Such a
@@ -98,12 +113,25 @@
   /// callers can be served.
   bool ready() const;
 
+  /// Age of the knowledge of the published configuration as of the latest tick;
+  /// none if revocation is not strict or before the first proof.
+  std::optional<Milliseconds> ConfigAge() const {
+    return freshness_ ? freshness_->Age(boot_now_) : std::nullopt;
+  }
+
+  /// State of strict revocation for the dump, as of the latest tick.
+  boost::json::object DumpFreshness() const;
+
   Replicator& replicator() { return *replicator_; }
   RolloutManager& rollouts() { return *rollouts_; }
 
  private:
   Replicator::Options ReplicatorOptions();
   RolloutManager::Options ManagerOptions();
+  FreshnessTracker::Options FreshnessOptions();
+  void BuildAndStoreRouting(MonoTime now);
+  void UpdateFreshness();
+  void LogFreshness();
   void OnConfigChanged(const ConfigSnapshotPtr& snapshot);
   void OnRolloutChanged(const RolloutRecord& record);
   void OnTargetsChanged(MonoTime now);
@@ -116,10 +144,17 @@
   TargetRegistry registry_;
   std::unique_ptr<RolloutManager> rollouts_;
   std::unique_ptr<Replicator> replicator_;
-  bool hosts_changed_ = false;   ///< rollout manager needs an update
-  bool routing_changed_ = true;  ///< routing needs a rebuild
-  bool urgent_ = false;          ///< routing needs an immediate rebuild
-  MonoTime last_built_{};        ///< time of the last routing build
+  std::optional<FreshnessTracker> freshness_;  ///< set if revocation is strict
+  ConfigVersion published_version_ = 0;        ///< of the published routing
+  bool published_teams_ = false;               ///< that routing requires keys
+  bool watcher_ = true;           ///< this host polls the platform itself
+  bool refusing_logged_ = false;  ///< the log says that keys are refused
+  MonoTime next_refusing_log_{};  ///< on the boot clock
+  MonoTime boot_now_{};           ///< boot time of the latest call with one
+  bool hosts_changed_ = false;    ///< rollout manager needs an update
+  bool routing_changed_ = true;   ///< routing needs a rebuild
+  bool urgent_ = false;           ///< routing needs an immediate rebuild
+  MonoTime last_built_{};         ///< time of the last routing build
   std::uint64_t reported_departures_ =
       0;                 ///< as of the last departures_changed
   MonoTime now_{};       ///< time passed to the current call
--- a/node/metrics/node_metrics.cc
+++ b/node/metrics/node_metrics.cc
@@ -101,6 +101,11 @@
             metrics.ready ? 1 : 0);
   out.Gauge("camphor_config_version", "Version of the active configuration.",
             static_cast<double>(metrics.config_version));
+  if (metrics.config_age) {
+    out.Gauge("camphor_config_age_seconds",
+              "Age of the knowledge of the configuration.",
+              std::chrono::duration<double>(*metrics.config_age).count());
+  }
   out.Gauge("camphor_platform_reachable",
             "1 if the last read from the platform succeeded.",
             metrics.platform_reachable ? 1 : 0);
--- a/node/metrics/node_metrics.h
+++ b/node/metrics/node_metrics.h
@@ -3,9 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "core/base/time.h"
 #include "core/replication/host_record.h"
 #include "mesh/mesh_transport.h"
 #include "node/decisions/decision_thread.h"
@@ -16,9 +18,11 @@
 
 /// Input of NodeMetricsText().
 struct NodeMetrics {
-  bool ready = false;                             ///< callers are served
-  ConfigVersion config_version = 0;               ///< active version
-  const std::map<HostId, HostRecord>& hosts;      ///< as seen by this host
+  bool ready = false;                         ///< callers are served
+  ConfigVersion config_version = 0;           ///< active version
+  const std::map<HostId, HostRecord>& hosts;  ///< as seen by this host
+  std::optional<Milliseconds>
+      config_age{};  ///< of the knowledge of the configuration, if it is kept
   bool platform_reachable = false;                ///< last read succeeded
   HttpPlatformClient::Counters platform{};        ///< platform calls
   std::vector<DecisionThread::RingLoad> rings{};  ///< queue statistics
--- a/node/node.cc
+++ b/node/node.cc
@@ -80,6 +80,7 @@
         log(*options.log),
         incarnation(NewIncarnation()),
         started(Now()),
+        freshness(settings.teams.revoke_within),
         request_log({.log = &log}),
         admin(AdminOptions()),
         decisions(DecisionOptions()),
@@ -98,6 +99,7 @@
   std::atomic<bool> draining{false};
   std::atomic<MonoTime::rep> last_tick{0};
   Published<EffectiveRouting> routing;
+  FreshnessGate freshness;
   RequestLog request_log;  ///< used on the proxy thread
   Published<TargetAddresses> addresses;
 
@@ -211,6 +213,11 @@
     proxy_options.vocabulary = PlatformHeaders();
     proxy_options.limits.retry_after = kPlatformRetryAfter;
   }
+  if (settings.teams.revoke_within.count() > 0) {
+    proxy_options.accepts_keys = [this] {
+      return freshness.IsCurrent(BootNow());
+    };
+  }
   if (settings.log.history) {
     proxy_options.history = [this](const std::string& text) {
       log.History(text);
@@ -229,7 +236,7 @@
                 const auto shared =
                     std::make_shared<const MeshMessage>(std::move(message));
                 decisions.Post(Source::kMesh, [this, from, shared] {
-                  controller->OnMessage(from, *shared, Now());
+                  controller->OnMessage(from, *shared, Now(), BootNow());
                 });
               },
           .on_peer_state =
@@ -268,7 +275,9 @@
               [this](const ConfigSnapshot& snapshot) {
                 sync->OnConfigChanged(snapshot);
               },
-          .departures_changed = [this] { sync->OnDeparturesChanged(); }};
+          .departures_changed = [this] { sync->OnDeparturesChanged(); },
+          .freshness = &freshness,
+          .prove_freshness = [this] { sync->RequestProof(); }};
 }
 
 PlatformSync::Options Node::State::SyncOptions() {
@@ -279,6 +288,7 @@
               .report = MakeRolloutReport};
   }
   return {.settings = settings.polling,
+          .revoke_within = settings.teams.revoke_within,
           .operator_tables = std::move(tables),
           .host = settings.host,
           .mesh = settings.mesh_advertise,
@@ -293,7 +303,8 @@
           .schedule =
               [this](Milliseconds delay, DecisionThread::Task task) {
                 decisions.RunAfter(delay, std::move(task));
-              }};
+              },
+          .boot_now = BootNow};
 }
 
 AdminApi::Options Node::State::ApiOptions() {
--- a/node/node_report.cc
+++ b/node/node_report.cc
@@ -38,6 +38,7 @@
           {"proxy", ParseJsonOrText(parts_.proxy.DumpJson())},
           {"mesh", MeshState()},
           {"platform", PlatformState()},
+          {"freshness", parts_.controller.DumpFreshness()},
           {"rings", std::move(rings)},
           {"decisions",
            {{"ticks", ticks.count},
@@ -56,6 +57,7 @@
                           .config_version =
                               snapshot == nullptr ? 0 : snapshot->head.version,
                           .hosts = replicator.hosts(),
+                          .config_age = parts_.controller.ConfigAge(),
                           .platform_reachable = parts_.sync.reachable(),
                           .platform = parts_.platform.counters(),
                           .rings = parts_.decisions.ring_loads(),
--- a/node/platform_sync/operator_feed.cc
+++ b/node/platform_sync/operator_feed.cc
@@ -12,6 +12,7 @@
       random_(options_.random_seed) {
   assert(options_.platform && options_.log && options_.decode &&
          options_.on_snapshot && options_.post);
+  assert(!options_.boot_now || options_.on_proof);
 }
 
 void OperatorFeed::Tick(bool watcher, MonoTime now) {
@@ -19,15 +20,17 @@
   if (call_pending_ || now < next_call_) return;
   if (full_read_due_) {
     ReadTable();
-  } else if (watcher) {
-    Watch();
+  } else if (watcher || proof_due_) {
+    Watch(watcher);
   }
 }
 
 void OperatorFeed::BeginCall(Milliseconds wait) {
   call_pending_ = true;
   call_started_ = now_;
+  if (options_.boot_now) call_started_boot_ = options_.boot_now();
   call_wait_ = wait;
+  proof_due_ = false;
 }
 
 void OperatorFeed::ReadTable() {
@@ -38,10 +41,12 @@
       });
 }
 
-void OperatorFeed::Watch() {
+void OperatorFeed::Watch(bool watcher) {
   // After a failure, an immediate answer tells soonest whether the platform is
   // back.
-  BeginCall(reachable() ? options_.watch_timeout : Milliseconds(0));
+  const Milliseconds timeout =
+      strict_ ? options_.strict_watch_timeout : options_.watch_timeout;
+  BeginCall(reachable() && watcher ? timeout : Milliseconds(0));
   options_.platform->Watch(
       options_.table, revision_, call_wait_,
       [this](const PlatformResponse& answer) {
@@ -67,7 +72,16 @@
   failures_ = 0;
   last_answer_ = now_;
   if (full_read) full_read_due_ = false;
+  // An answer as of an older revision than the known one is stale, and proves
+  // nothing about the time of the call.
+  const bool states_revision = full_read || answer.revision > 0;
+  const bool stale = states_revision && answer.revision < revision_;
   Merge(full_read, answer);
+  if (!stale) ReportProof();
+}
+
+void OperatorFeed::ReportProof() {
+  if (options_.boot_now) options_.on_proof(call_started_boot_, version_);
 }
 
 void OperatorFeed::OnFailure(const PlatformResponse& answer) {
@@ -83,7 +97,9 @@
   last_failure_ = now_;
   ++failures_;
   last_reason_ = answer.reason;
-  next_call_ = now_ + retry_.Next(random_);
+  Milliseconds delay = retry_.Next(random_);
+  if (strict_) delay = std::min(delay, options_.strict_max_retry);
+  next_call_ = now_ + delay;
 }
 
 std::uint64_t OperatorFeed::AgeMs(MonoTime since) const {
@@ -138,7 +154,9 @@
                                : "operator table rejected",
                       {{"reason", reason}, {"revision", revision_}});
   }
-  if (snapshot) options_.on_snapshot(*snapshot);
+  if (!snapshot) return;
+  version_ = snapshot->head.version;
+  options_.on_snapshot(*snapshot);
 }
 
 boost::json::object OperatorFeed::Dump() const {
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -42,7 +42,11 @@
         10'000};  ///< time after the last failure while it stays lost
     Backoff::Options retry{
         .max_delay = Milliseconds(2000)};  ///< delays after failed calls
-    std::uint64_t random_seed = 1;         ///< seed of the jitter
+    Milliseconds strict_watch_timeout{
+        1500};  ///< replaces watch_timeout while revocation is strict
+    Milliseconds strict_max_retry{2000};  ///< bounds the delays after failed
+                                          ///< calls while revocation is strict
+    std::uint64_t random_seed = 1;  ///< seed of the jitter
     std::function<std::optional<ConfigSnapshot>(
         const std::map<std::string, TableRow>&, std::string&)>
         decode{};  ///< decodes rows; sets the reason for skipped rows and
@@ -51,9 +55,16 @@
         on_snapshot{};  ///< receives each decoded snapshot
     std::function<void(std::function<void()>)>
         post{};  ///< runs a task on the decisions thread
+    std::function<MonoTime()>
+        boot_now{};  ///< returns the time on the boot clock; null: no proofs
+    std::function<void(MonoTime started, ConfigVersion version)>
+        on_proof{};  ///< called after each successful call, once on_snapshot
+                     ///< has returned: no valid configuration newer than
+                     ///< `version` was acknowledged before `started` (boot
+                     ///< clock); set if boot_now is set
   };
 
-  /// @pre All callbacks and pointers are set.
+  /// @pre All callbacks and pointers are set, except those that may be null.
   explicit OperatorFeed(Options options);
 
   /// Starts the next platform call if it is due. `watcher` is whether this host
@@ -65,6 +76,15 @@
   /// thread.
   void RequestFullRead() { full_read_due_ = true; }
 
+  /// Sets whether revocation is strict, which shortens the watches so that
+  /// their proofs of freshness are recent. Must be called from the decisions
+  /// thread.
+  void SetStrict(bool strict) { strict_ = strict; }
+
+  /// Schedules a call that answers immediately, for a proof of freshness. Must
+  /// be called from the decisions thread.
+  void RequestProof() { proof_due_ = true; }
+
   /// Whether the last call succeeded. Must be called from the decisions thread.
   bool reachable() const { return failures_ == 0; }
 
@@ -79,8 +99,9 @@
  private:
   void BeginCall(Milliseconds wait);
   void ReadTable();
-  void Watch();
+  void Watch(bool watcher);
   MonoTime FailingSince() const;
+  void ReportProof();
   void OnAnswer(bool full_read, const PlatformResponse& answer);
   void OnFailure(const PlatformResponse& answer);
   void Merge(bool full_read, const PlatformResponse& answer);
@@ -91,17 +112,21 @@
   Options options_;
   Backoff retry_;
   std::mt19937_64 random_;
-  std::uint64_t failures_ = 0;  ///< consecutive failed calls
-  MonoTime failing_since_{};    ///< since when the platform refuses or is
-                                ///< silent
-  Milliseconds call_wait_{0};   ///< time that the last call let the platform
-                                ///< wait
-  MonoTime last_failure_{};     ///< time of the last failure
-  MonoTime call_started_{};     ///< start of the last call
-  MonoTime last_answer_{};      ///< time of the last successful answer
+  std::uint64_t failures_ = 0;    ///< consecutive failed calls
+  MonoTime failing_since_{};      ///< since when the platform refuses or is
+                                  ///< silent
+  Milliseconds call_wait_{0};     ///< time that the last call let the platform
+                                  ///< wait
+  MonoTime last_failure_{};       ///< time of the last failure
+  MonoTime call_started_{};       ///< start of the last call
+  MonoTime call_started_boot_{};  ///< the same on the boot clock
+  MonoTime last_answer_{};        ///< time of the last successful answer
   std::map<std::string, TableRow> rows_;
   std::uint64_t revision_ = 0;  ///< table revision that rows_ reflects
+  ConfigVersion version_ = 0;   ///< of the last decoded configuration
   bool full_read_due_ = true;   ///< the next call reads the whole table
+  bool proof_due_ = false;      ///< a host that is no watcher makes one call
+  bool strict_ = false;         ///< revocation is strict
   bool call_pending_ = false;   ///< a platform call is in flight
   MonoTime now_{};              ///< time of the last tick
   MonoTime next_call_{};        ///< earliest time of the next call
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -40,16 +40,27 @@
 }
 
 OperatorFeed::Options PlatformSync::FeedOptions() {
-  return {.table = options_.operator_tables->table,
-          .platform = options_.platform,
-          .log = options_.log,
-          .random_seed = options_.random_seed,
-          .decode = options_.operator_tables->decode,
-          .on_snapshot =
-              [this](const ConfigSnapshot& snapshot) {
-                OnOperatorSnapshot(snapshot);
-              },
-          .post = options_.post};
+  OperatorFeed::Options feed{.table = options_.operator_tables->table,
+                             .platform = options_.platform,
+                             .log = options_.log,
+                             .random_seed = options_.random_seed,
+                             .decode = options_.operator_tables->decode,
+                             .on_snapshot =
+                                 [this](const ConfigSnapshot& snapshot) {
+                                   OnOperatorSnapshot(snapshot);
+                                 },
+                             .post = options_.post};
+  if (strict()) {
+    feed.strict_watch_timeout =
+        FreshnessTracker::WatchTimeout(options_.revoke_within);
+    feed.strict_max_retry = feed.strict_watch_timeout / 2;
+    feed.boot_now = options_.boot_now;
+    feed.on_proof = [this](MonoTime started, ConfigVersion version) {
+      options_.controller->OnPlatformProof({.at = started, .version = version},
+                                           options_.boot_now());
+    };
+  }
+  return feed;
 }
 
 HostDirectory::Options PlatformSync::DirectoryOptions() {
@@ -101,7 +112,10 @@
   }
   if (feed_) {
     feed_->Tick(poller, now);
-    replicator.SetPlatformLost(feed_->lost(now), now);
+    // With strict revocation any host may read the platform during an outage.
+    // Only those of the watchers matter to the choice of the watchers.
+    const bool lost = feed_->lost(now);
+    if (!strict() || poller || !lost) replicator.SetPlatformLost(lost, now);
     directory_->Tick(replicator.alone(), now);
   } else if (schedule_.Due(now,
                            {.ready = replicator.ready(), .poller = poller})) {
@@ -118,16 +132,23 @@
 }
 
 void PlatformSync::OnConfigChanged(const ConfigSnapshot& snapshot) {
+  if (feed_) feed_->SetStrict(strict() && !snapshot.teams.empty());
   archive_.SetConfig(snapshot);
 }
 
+void PlatformSync::RequestProof() {
+  if (feed_) return feed_->RequestProof();
+  ReadHead();
+}
+
 void PlatformSync::ReadHead() {
-  repository_.ReadHead([this](const HeadResult& result) {
-    options_.post([this, result] { OnHead(result); });
+  const MonoTime started = options_.boot_now ? options_.boot_now() : MonoTime{};
+  repository_.ReadHead([this, started](const HeadResult& result) {
+    options_.post([this, result, started] { OnHead(result, started); });
   });
 }
 
-void PlatformSync::OnHead(const HeadResult& result) {
+void PlatformSync::OnHead(const HeadResult& result, MonoTime started_boot) {
   const MonoTime now = Now();
   const bool was_reachable = reachable();
   schedule_.Finished(result.head.has_value(), now);
@@ -144,6 +165,11 @@
     options_.log->Log(LogLevel::kInfo, "platform", "platform reachable again");
   }
   options_.controller->replicator().OnPlatformHead(*result.head, now);
+  if (strict()) {
+    options_.controller->OnPlatformProof(
+        {.at = started_boot, .version = result.head->version},
+        options_.boot_now());
+  }
 }
 
 void PlatformSync::FetchSnapshot(const ConfigHead& head) {
--- a/node/platform_sync/platform_sync.h
+++ b/node/platform_sync/platform_sync.h
@@ -43,7 +43,9 @@
 class PlatformSync {
  public:
   struct Options {
-    PlatformSettings settings{};  ///< polling intervals
+    PlatformSettings settings{};    ///< polling intervals
+    Milliseconds revoke_within{0};  ///< bound of strict revocation; 0: not
+                                    ///< strict
     std::optional<OperatorTables>
         operator_tables{};  ///< if set, the configuration comes from the
                             ///< operator's tables and hosts discover each
@@ -58,6 +60,9 @@
         post{};  ///< runs a task on the decisions thread
     std::function<void(Milliseconds, std::function<void()>)>
         schedule{};  ///< runs a task there after a delay
+    std::function<MonoTime()>
+        boot_now{};  ///< returns the time on the boot clock; set if
+                     ///< revoke_within is not 0
   };
 
   explicit PlatformSync(Options options);
@@ -74,6 +79,10 @@
   /// decisions thread.
   void FetchSnapshot(const ConfigHead& head);
 
+  /// Reads the configuration from the platform once, to prove that this host's
+  /// knowledge of it is recent. Must be called from the decisions thread.
+  void RequestProof();
+
   /// Writes an edit of the configuration to the platform. `done` runs on the
   /// decisions thread. Must be called from the decisions thread.
   void Accept(ConfigEdit edit, std::function<void(const AcceptResult&)> done);
@@ -101,8 +110,9 @@
   HostDirectory::Options DirectoryOptions();
   DepartureArchive::Options DepartureOptions();
   void OnOperatorSnapshot(const ConfigSnapshot& snapshot);
+  bool strict() const { return options_.revoke_within.count() > 0; }
   void ReadHead();
-  void OnHead(const HeadResult& result);
+  void OnHead(const HeadResult& result, MonoTime started_boot);
   void OnSnapshot(const ConfigHead& head, const SnapshotResult& result);
   void OnAccepted(const ConfigSnapshot& tables, const AcceptResult& result);
 
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -11,6 +11,10 @@
 constexpr std::int64_t kDayMs = 24LL * 60 * 60 * 1000;
 constexpr std::size_t kMaxSecretLength = 1024;
 
+/// Below this, the ticks of 100 ms and the queries over the mesh take too large
+/// a part of the bound.
+constexpr Milliseconds kMinRevokeWithin{2000};
+
 Milliseconds ReadMilliseconds(JsonFields& fields, std::string_view key,
                               std::int64_t minimum, Milliseconds fallback) {
   return Milliseconds(fields.Integer(key, minimum, kDayMs, fallback.count()));
@@ -159,6 +163,16 @@
     targets.warming_limit =
         ReadMilliseconds(part, "warming_limit_ms", 0, targets.warming_limit);
   });
+  fields.Object("teams", [&](JsonFields& part) {
+    TeamSettings& teams = settings.teams;
+    teams.revoke_within =
+        ReadMilliseconds(part, "revoke_within_ms", 0, teams.revoke_within);
+    if (teams.revoke_within.count() > 0 &&
+        teams.revoke_within < kMinRevokeWithin) {
+      part.Report("revoke_within_ms", fmt::format("must be 0 or at least {}",
+                                                  kMinRevokeWithin.count()));
+    }
+  });
   fields.Object("polling", [&](JsonFields& part) {
     PlatformSettings& polling = settings.polling;
     polling.poll = ReadMilliseconds(part, "poll_ms", 50, polling.poll);
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -52,6 +52,12 @@
   Milliseconds slow_poll{60000};  ///< read interval of any other host
 };
 
+/// Settings of the teams and their keys.
+struct TeamSettings {
+  Milliseconds revoke_within{0};  ///< time after which a removed key must not
+                                  ///< be accepted by any host; 0: no bound
+};
+
 /// Limits of the admin listener.
 struct AdminSettings {
   std::uint32_t connections = 128;  ///< maximum open connections
@@ -106,6 +112,7 @@
   LogSettings log{};           ///< log levels and history events
   DrainSettings drain{};       ///< limits of the graceful shutdown
   TargetSettings targets{};    ///< leases of targets
+  TeamSettings teams{};        ///< revocation of keys
   PlatformSettings polling{};  ///< polling of the platform
   AdminSettings admin{};       ///< limits of the admin listener
   RolloutSettings rollout{};   ///< timing of rollouts
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -23,6 +23,9 @@
 using Counter = ProxyMetrics::Counter;
 
 constexpr std::size_t kMaxKeyLength = 255;
+/// A host whose knowledge is too old looks for a newer proof about once a
+/// second.
+constexpr Milliseconds kStaleKeysRetryAfter{1000};
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Returns true for 1 to 255 visible ASCII characters.
@@ -132,6 +135,10 @@
 
   // Find the route and validate the headers that it requires.
   const bool keep = request.keep && request.parser->is_done();
+  // Before the routing is loaded: a proof applies to the configuration that is
+  // published by then, not to earlier ones.
+  const bool accepts_keys =
+      !context_.options.accepts_keys || context_.options.accepts_keys();
   request.routing = context_.Routing();
   const EffectiveRoutingPtr& routing = request.routing;
   const std::optional<std::uint32_t> route =
@@ -145,6 +152,13 @@
   }
   const RouteRule& rule = *routing->routes[*route].rule;
   const HeaderVocabulary& vocabulary = context_.options.vocabulary;
+  if (routing->teams && !rule.is_public && !accepts_keys) {
+    context_.metrics.Count(Counter::kRefusedNotRun);
+    ReportRefusal(request, ProxyError::kStaleKeys);
+    return ErrorReply{.error = ProxyError::kStaleKeys,
+                      .keep = keep,
+                      .retry_after = kStaleKeysRetryAfter};
+  }
   request.team = FindTeam(*routing, header, vocabulary);
   if (routing->teams && !request.team && !rule.is_public) {
     context_.metrics.Count(Counter::kUnauthorized);
--- a/proxy/error_response.cc
+++ b/proxy/error_response.cc
@@ -34,6 +34,8 @@
      "this route requires an API key of a team", true},
     {status::service_unavailable, "not_ready",
      "this host has no configuration yet", true},
+    {status::service_unavailable, "stale_keys",
+     "this host cannot confirm that its API keys are current", true},
     {status::service_unavailable, "no_target", "no target is available", true},
     {status::service_unavailable, "full",
      "the slots and the queue of the target are full", true},
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -21,6 +21,7 @@
   kNoRoute,        ///< no route matches
   kUnknownKey,     ///< the API key belongs to no team
   kNotReady,       ///< this proxy has no configuration yet
+  kStaleKeys,      ///< the configuration may be too old to accept keys
   kNoTarget,       ///< no target is available
   kFull,           ///< the target's slots and queue are full
   kRateLimited,    ///< the request limit that the target names is reached
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -55,6 +55,8 @@
     bool keep = false;          ///< the connection can be used further
     bool head_request = false;  ///< a response to HEAD has no body
     std::string_view detail{};  ///< replaces the default message
+    std::optional<Milliseconds>
+        retry_after{};  ///< replaces the limit of that name
   };
 
   /// Writes an error response. Returns true when the connection stays open.
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -39,6 +39,10 @@
                            ///< forward listener
     std::function<EffectiveRoutingPtr()>
         routing{};  ///< returns the current routing; null before the first one
+    std::function<bool()>
+        accepts_keys{};  ///< returns whether the knowledge of the configuration
+                         ///< is recent enough to accept keys of teams; called
+                         ///< before `routing`; null: always
     std::function<Endpoint(const TargetId&)>
         local_target{};  ///< returns the address of a local target; port 0 if
                          ///< it is gone
--- a/unit_tests/mesh/message_codec_test.cc
+++ b/unit_tests/mesh/message_codec_test.cc
@@ -77,7 +77,13 @@
                       .incarnation = 3,
                       .sequence = 4,
                       .reached = true},
-      AppliedVersions{.version = 7, .hosts = {1, 2, 3}}};
+      AppliedVersions{.version = 7, .hosts = {1, 2, 3}},
+      FreshnessQuery{.sequence = 1ULL << 60},
+      FreshnessReply{.sequence = 1ULL << 60,
+                     .known = true,
+                     .age_ms = 0xFFFFFFFF,
+                     .version = 1ULL << 50,
+                     .next_ms = 625}};
 }
 
 TEST(DecodeMeshMessage, EachMessageType_RoundTrips) {
--- a/unit_tests/node/platform_sync/operator_feed_test.cc
+++ b/unit_tests/node/platform_sync/operator_feed_test.cc
@@ -20,6 +20,18 @@
     feed_.Tick(watcher, now_);
   }
 
+  // A proof of freshness, and whether the snapshot it is about came before it.
+  struct Proof {
+    MonoTime started{};
+    ConfigVersion version = 0;
+    std::size_t snapshots_before = 0;
+  };
+
+  MonoTime BootNow() const { return now_ + kSuspended; }
+
+  static constexpr Seconds kSuspended{5000};  // time that only the boot clock
+                                              // counts
+  std::vector<Proof> proofs_;
   std::vector<std::uint64_t> versions_;
   std::string config_;  ///< the configuration row that was decoded last
   FakePlatform platform_;
@@ -30,6 +42,8 @@
        .platform = &platform_,
        .log = &log_,
        .batch_delay = Milliseconds(200),
+       .strict_watch_timeout = Milliseconds(625),
+       .strict_max_retry = Milliseconds(312),
        .decode = [this](const std::map<std::string, TableRow>& rows,
                         std::string& reason) -> std::optional<ConfigSnapshot> {
          ConfigSnapshot snapshot;
@@ -48,7 +62,14 @@
            [this](const ConfigSnapshot& snapshot) {
              versions_.push_back(snapshot.head.version);
            },
-       .post = [](const std::function<void()>& task) { task(); }}};
+       .post = [](const std::function<void()>& task) { task(); },
+       .boot_now = [this] { return BootNow(); },
+       .on_proof =
+           [this](MonoTime started, ConfigVersion version) {
+             proofs_.push_back({.started = started,
+                                .version = version,
+                                .snapshots_before = versions_.size()});
+           }}};
 };
 
 TEST_F(OperatorFeedTest, Start_ReadsTableOnAnyHost) {
@@ -187,6 +208,111 @@
   EXPECT_EQ(versions_.back(), 3U);
 }
 
+TEST_F(OperatorFeedTest, SuccessfulCall_ProvesFreshnessAsOfItsStart) {
+  platform_.Put("op", "config", "a");
+  Tick(true);
+  const MonoTime read_started = BootNow();
+  now_ += Seconds(2);
+  platform_.Run();
+  ASSERT_EQ(proofs_.size(), 1U);
+  EXPECT_EQ(proofs_[0].started, read_started);
+  EXPECT_EQ(proofs_[0].version, 1U);
+  // The configuration is known before the proof about it.
+  EXPECT_EQ(proofs_[0].snapshots_before, 1U);
+
+  // A watch that ends without a change proves freshness too, as of its start.
+  Tick(true, Seconds(1));
+  const MonoTime watch_started = BootNow();
+  now_ += Seconds(1);
+  platform_.Run();
+  ASSERT_EQ(proofs_.size(), 2U);
+  EXPECT_EQ(proofs_[1].started, watch_started);
+  EXPECT_EQ(proofs_[1].version, 1U);
+}
+
+TEST_F(OperatorFeedTest, FailedCall_ProvesNothing) {
+  Tick(true);
+  platform_.Step(Fault::kRefused);
+  Tick(true, Seconds(3));
+  platform_.Step(Fault::kResponseLost);
+  EXPECT_TRUE(proofs_.empty());
+}
+
+TEST_F(OperatorFeedTest, CompactedHistory_ProvesNothingUntilTableIsRead) {
+  platform_.Put("op", "config", "a");
+  Tick(true);
+  platform_.Run();
+  platform_.Put("op", "config", "b");
+  platform_.DropHistory();
+  Tick(true, Seconds(1));
+  platform_.Run();
+  ASSERT_EQ(proofs_.size(), 1U);
+  Tick(true);
+  platform_.Run();
+  ASSERT_EQ(proofs_.size(), 2U);
+  EXPECT_EQ(proofs_[1].version, 2U);
+}
+
+TEST_F(OperatorFeedTest, StaleTableRead_ProvesNothing) {
+  platform_.Put("op", "config", "a");
+  platform_.HoldReads();
+  Tick(true);
+  platform_.Run();
+  platform_.Put("op", "config", "b");
+  Tick(true, Seconds(1));
+  platform_.Run();
+  const std::size_t before = proofs_.size();
+  feed_.RequestFullRead();
+  Tick(true, Seconds(1));
+  platform_.Run();
+  EXPECT_EQ(proofs_.size(), before);
+}
+
+// The configuration in force stays the newest valid one, so it is as fresh as
+// the call that found the invalid one.
+TEST_F(OperatorFeedTest, InvalidConfiguration_ProvesThePreviousVersion) {
+  platform_.Put("op", "config", "a");
+  Tick(true);
+  platform_.Run();
+  platform_.Put("op", "config", "malformed");
+  Tick(true, Seconds(1));
+  platform_.Run();
+  ASSERT_EQ(proofs_.size(), 2U);
+  EXPECT_EQ(proofs_[1].version, 1U);
+}
+
+TEST_F(OperatorFeedTest, StrictRevocation_ShortensWatchesAndRetries) {
+  platform_.Put("op", "config", "a");
+  Tick(true);
+  platform_.Run();
+  Tick(true, Seconds(1));
+  EXPECT_EQ(platform_.last_watch_wait(), Milliseconds(1500));
+  platform_.Run();
+  feed_.SetStrict(true);
+  Tick(true, Seconds(1));
+  EXPECT_EQ(platform_.last_watch_wait(), Milliseconds(625));
+  for (int failure = 0; failure < 10; ++failure) {
+    platform_.Step(Fault::kRefused);
+    Tick(true, Milliseconds(312));
+    ASSERT_EQ(platform_.waiting(), 1U) << failure;
+  }
+}
+
+TEST_F(OperatorFeedTest, ProofRequested_NonWatcherMakesOneImmediateCall) {
+  platform_.Put("op", "config", "a");
+  Tick(false);
+  platform_.Run();
+  platform_.Put("op", "config", "b");
+  feed_.RequestProof();
+  Tick(false, Seconds(1));
+  EXPECT_EQ(platform_.last_watch_wait(), Milliseconds(0));
+  platform_.Run();
+  ASSERT_EQ(proofs_.size(), 2U);
+  EXPECT_EQ(proofs_[1].version, 2U);
+  Tick(false, Seconds(60));
+  EXPECT_EQ(platform_.waiting(), 0U);
+}
+
 TEST_F(OperatorFeedTest, MalformedRow_KeepsPreviousSnapshot) {
   platform_.Put("op", "config", "a");
   Tick(true);
--- a/unit_tests/node/settings/examples_test.cc
+++ b/unit_tests/node/settings/examples_test.cc
@@ -41,5 +41,13 @@
   EXPECT_GE(std::stoi(text.substr(at + key.size())), 2);
 }
 
+TEST(DeployTemplate, StrictRevocation_SetsTheBoundOnlyWhereItIsAsked) {
+  const std::string text = ReadFile("deploy/settings.json.template");
+  EXPECT_NE(text.find("{{#bounds.strictRevoke}}\"teams\": "
+                      "{\"revoke_within_ms\": {{bounds.revokeMs}}},"
+                      "{{/bounds.strictRevoke}}"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/node/settings/settings_test.cc
+++ b/unit_tests/node/settings/settings_test.cc
@@ -82,6 +82,21 @@
   EXPECT_FALSE(unlimited->proxy.retry_budget);
 }
 
+TEST(SettingsReaderRead, RevocationBound_IsAbsentByDefaultAndNotTooShort) {
+  const auto with_bound = [](const std::string& bound) {
+    return With("\"mesh_key\"", "\"teams\": {\"revoke_within_ms\": " + bound +
+                                    "}, \"mesh_key\"");
+  };
+  SettingsReader reader;
+  EXPECT_EQ(reader.Read(kMinimalSettings)->teams.revoke_within,
+            Milliseconds(0));
+  EXPECT_EQ(reader.Read(with_bound("0"))->teams.revoke_within, Milliseconds(0));
+  EXPECT_EQ(reader.Read(with_bound("5000"))->teams.revoke_within,
+            Milliseconds(5000));
+  EXPECT_FALSE(reader.Read(with_bound("1999")));
+  EXPECT_TRUE(HasError(reader, "teams.revoke_within_ms"));
+}
+
 TEST(SettingsReaderRead, AdvertisedAddresses_OverrideListeners) {
   SettingsReader reader;
   const auto plain = reader.Read(kMinimalSettings);
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -83,6 +83,7 @@
           .domain = FailureDomain("d"),
           .mesh_key = "key",
           .routing = [this, host] { return RoutingOf(host); },
+          .accepts_keys = accepts_keys_,
           .local_target =
               [this](const TargetId& id) {
                 const std::scoped_lock lock(mutex_);
@@ -131,6 +132,7 @@
     snapshot->routes = routes_;
     snapshot->pools = {pool_};
     snapshot->limits = caller_limits_;
+    snapshot->teams = teams_;
     std::map<HostId, HostRecord> hosts;
     for (const auto& [host, proxy] : proxies_) {
       hosts[HostId(host)] = {.host = HostId(host),
@@ -179,6 +181,8 @@
   PoolSpec pool_;
   HeaderVocabulary vocabulary_;
   CallerLimits caller_limits_;
+  TeamTable teams_;
+  std::function<bool()> accepts_keys_;
   std::map<std::uint64_t, PoisonRecord> poison_;
   int deaths_ = 0;
   std::map<std::string, std::vector<TargetInfo>> host_targets_;
