--- a/core/replication/replicator_state.h
+++ b/core/replication/replicator_state.h
@@ -83,6 +83,8 @@
   void On(const Endpoint& from, const AppliedVersions& applied);
   void On(const Endpoint& from, const QuotaReport& report);
   void On(const Endpoint& from, const QuotaGrants& grants);
+  void On(const Endpoint& from, const FreshnessQuery& query);
+  void On(const Endpoint& from, const FreshnessReply& reply);
 
   Heartbeat MakeHeartbeat(bool reply_wanted) const;
   void Join(const Endpoint& peer);
--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -26,6 +26,9 @@
         {"no_route", "no route of the current configuration matched it"},
         {"not_ready",
          "this host had just started and had no configuration yet"},
+        {"stale_keys",
+         "its host could not confirm within the bound of the configuration "
+         "that its API keys are current"},
         {"no_target",
          "no target of the pool was available: none was known, or all known "
          "targets were leaving, dead or already tried"},
--- a/mesh/mesh.capnp
+++ b/mesh/mesh.capnp
@@ -169,6 +169,18 @@
   teams @2 :List(TeamGrant);
 }
 
+struct FreshnessQuery {
+  sequence @0 :UInt64;
+}
+
+struct FreshnessReply {
+  sequence @0 :UInt64;
+  known @1 :Bool;
+  ageMs @2 :UInt32;
+  version @3 :UInt64;
+  nextMs @4 :UInt32;
+}
+
 struct Message {
   union {
     records @0 :Records;
@@ -182,8 +194,8 @@
     syncBusy @8 :SyncBusy;
     suspicion @9 :Suspicion;
     applied @10 :Applied;
-    reserved11 @11 :Void;
-    reserved12 @12 :Void;
+    freshnessQuery @11 :FreshnessQuery;
+    freshnessReply @12 :FreshnessReply;
     quotaReport @13 :QuotaReport;
     quotaGrants @14 :QuotaGrants;
   }
--- a/mesh/wire_message.cc
+++ b/mesh/wire_message.cc
@@ -351,6 +351,17 @@
     grants.setLeaseMs(message.lease_ms);
     WriteRows(message.teams, grants.initTeams(message.teams.size()));
   }
+  void operator()(const FreshnessQuery& message) {
+    out.initFreshnessQuery().setSequence(message.sequence);
+  }
+  void operator()(const FreshnessReply& message) {
+    auto reply = out.initFreshnessReply();
+    reply.setSequence(message.sequence);
+    reply.setKnown(message.known);
+    reply.setAgeMs(message.age_ms);
+    reply.setVersion(message.version);
+    reply.setNextMs(message.next_ms);
+  }
 };
 
 RecordsMessage ReadRecords(wire::Records::Reader in) {
@@ -403,6 +414,14 @@
           .teams = ReadRows<TeamGrant>(in.getTeams())};
 }
 
+FreshnessReply ReadFreshnessReply(wire::FreshnessReply::Reader in) {
+  return {.sequence = in.getSequence(),
+          .known = in.getKnown(),
+          .age_ms = in.getAgeMs(),
+          .version = in.getVersion(),
+          .next_ms = in.getNextMs()};
+}
+
 }  // namespace
 
 void WriteWireMessage(const MeshMessage& message, wire::Message::Builder out) {
@@ -440,13 +459,14 @@
       return AppliedVersions{
           .version = in.getApplied().getVersion(),
           .hosts = ReadNumbers<std::uint32_t>(in.getApplied().getHosts())};
-    case wire::Message::RESERVED11:
-    case wire::Message::RESERVED12:
-      break;
     case wire::Message::QUOTA_REPORT:
       return ReadQuotaReport(in.getQuotaReport());
     case wire::Message::QUOTA_GRANTS:
       return ReadQuotaGrants(in.getQuotaGrants());
+    case wire::Message::FRESHNESS_QUERY:
+      return FreshnessQuery{.sequence = in.getFreshnessQuery().getSequence()};
+    case wire::Message::FRESHNESS_REPLY:
+      return ReadFreshnessReply(in.getFreshnessReply());
   }
   KJ_FAIL_REQUIRE("unknown message type");
 }
--- a/node/node.cc
+++ b/node/node.cc
@@ -102,6 +102,7 @@
         log(*options.log),
         incarnation(NewIncarnation()),
         started(Now()),
+        freshness(settings.teams.revoke_within),
         request_log({.log = &log}),
         limiter({.random_seed = incarnation}),
         limit_log({.log = &log, .part = "proxy"}),
@@ -123,6 +124,7 @@
   std::atomic<bool> draining{false};
   std::atomic<MonoTime::rep> last_tick{0};
   Published<EffectiveRouting> routing;
+  FreshnessGate freshness;
   RequestLog request_log;    ///< used on the proxy thread
   std::mutex limiter_mutex;  ///< guards `limiter`
   QuotaLimiter limiter;      ///< admits on the proxy thread; the decisions
@@ -257,6 +259,11 @@
     proxy_options.vocabulary = PlatformHeaders();
     proxy_options.limits.retry_after = kPlatformRetryAfter;
   }
+  if (settings.teams.revoke_within.count() > 0) {
+    proxy_options.accepts_keys = [this] {
+      return freshness.IsCurrent(BootNow());
+    };
+  }
   if (settings.log.history) {
     proxy_options.history = [this](const std::string& text) {
       log.History(text);
@@ -275,7 +282,7 @@
                 const auto shared =
                     std::make_shared<const MeshMessage>(std::move(message));
                 decisions.Post(Source::kMesh, [this, from, shared] {
-                  controller->OnMessage(from, *shared, Now());
+                  controller->OnMessage(from, *shared, Now(), BootNow());
                 });
               },
           .on_peer_state =
@@ -319,7 +326,9 @@
               [this](const ConfigSnapshot& snapshot) {
                 sync->OnConfigChanged(snapshot);
               },
-          .departures_changed = [this] { sync->OnDeparturesChanged(); }};
+          .departures_changed = [this] { sync->OnDeparturesChanged(); },
+          .freshness = &freshness,
+          .prove_freshness = [this] { sync->RequestProof(); }};
 }
 
 PlatformSync::Options Node::State::SyncOptions() {
@@ -330,6 +339,7 @@
               .report = MakeRolloutReport};
   }
   return {.settings = settings.polling,
+          .revoke_within = settings.teams.revoke_within,
           .operator_tables = std::move(tables),
           .host = settings.host,
           .mesh = settings.mesh_advertise,
@@ -344,7 +354,8 @@
           .schedule =
               [this](Milliseconds delay, DecisionThread::Task task) {
                 decisions.RunAfter(delay, std::move(task));
-              }};
+              },
+          .boot_now = BootNow};
 }
 
 AdminApi::Options Node::State::ApiOptions() {
--- a/node/node_report.cc
+++ b/node/node_report.cc
@@ -41,6 +41,7 @@
           {"quotas", ParseJsonOrText(parts_.controller.quotas().DumpJson(
                          std::chrono::steady_clock::now()))},
           {"platform", PlatformState()},
+          {"freshness", parts_.controller.DumpFreshness()},
           {"rings", std::move(rings)},
           {"decisions",
            {{"ticks", ticks.count},
@@ -62,6 +63,7 @@
               .config_version =
                   snapshot == nullptr ? 0 : snapshot->head.version,
               .hosts = replicator.hosts(),
+              .config_age = parts_.controller.ConfigAge(),
               .platform_reachable = parts_.sync.reachable(),
               .platform = parts_.platform.counters(),
               .rings = parts_.decisions.ring_loads(),
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -22,6 +22,7 @@
   kUnknownKey,     ///< the API key belongs to no team
   kOverQuota,      ///< the team's quota is used up
   kNotReady,       ///< this proxy has no configuration yet
+  kStaleKeys,      ///< the configuration may be too old to accept keys
   kNoTarget,       ///< no target is available
   kFull,           ///< the target's slots and queue are full
   kRateLimited,    ///< the request limit that the target names is reached
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -62,10 +62,11 @@
   /// when they are part of a temporary in a co_await expression.
   struct ErrorReply {
     ProxyError error = ProxyError::kBadRequest;
-    bool keep = false;            ///< the connection can be used further
-    bool head_request = false;    ///< a response to HEAD has no body
-    std::string_view detail{};    ///< replaces the default message
-    Milliseconds retry_after{0};  ///< value of Retry-After; 0: the default
+    bool keep = false;          ///< the connection can be used further
+    bool head_request = false;  ///< a response to HEAD has no body
+    std::string_view detail{};  ///< replaces the default message
+    std::optional<Milliseconds>
+        retry_after{};  ///< replaces the limit of that name
     std::optional<LoadReport>
         load{};  ///< sent to the host of the caller; never to a caller
   };
--- a/unit_tests/mesh/message_codec_test.cc
+++ b/unit_tests/mesh/message_codec_test.cc
@@ -89,7 +89,13 @@
       QuotaGrants{.sequence = 6,
                   .lease_ms = 1500,
                   .teams = {{.team = 7, .limited = true, .rate = 2.5F},
-                            {.team = 8, .rate = 1, .credit = 3}}}};
+                            {.team = 8, .rate = 1, .credit = 3}}},
+      FreshnessQuery{.sequence = 1ULL << 60},
+      FreshnessReply{.sequence = 1ULL << 60,
+                     .known = true,
+                     .age_ms = 0xFFFFFFFF,
+                     .version = 1ULL << 50,
+                     .next_ms = 625}};
 }
 
 TEST(DecodeMeshMessage, EachMessageType_RoundTrips) {
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -83,6 +83,7 @@
           .domain = FailureDomain("d"),
           .mesh_key = "key",
           .routing = [this, host] { return RoutingOf(host); },
+          .accepts_keys = accepts_keys_,
           .local_target =
               [this](const TargetId& id) {
                 const std::scoped_lock lock(mutex_);
@@ -183,6 +184,7 @@
   CallerLimits caller_limits_;
   TeamTable teams_;
   std::function<std::optional<Milliseconds>(const TeamSpec&)> admit_;
+  std::function<bool()> accepts_keys_;
   std::map<std::uint64_t, PoisonRecord> poison_;
   int deaths_ = 0;
   std::map<std::string, std::vector<TargetInfo>> host_targets_;
