--- a/core/routing/effective_routing.h
+++ b/core/routing/effective_routing.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORHILL_CORE_ROUTING_EFFECTIVE_ROUTING_H_
 #define CAMPHORHILL_CORE_ROUTING_EFFECTIVE_ROUTING_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -93,6 +94,13 @@
                           ///< including this one
   std::set<std::uint64_t> suspects{};  ///< fingerprints that one target died
                                        ///< under; see DeathTracker
+  std::vector<FailureDomain>
+      evacuated_domains{};  ///< their targets are in no group; sorted
+
+  /// Returns true if the targets of the domain get no requests. Thread-safe.
+  bool IsEvacuated(const FailureDomain& domain) const {
+    return std::ranges::binary_search(evacuated_domains, domain);
+  }
 
   auto operator<=>(const EffectiveRouting&) const = default;
 };
--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <chrono>
 #include <utility>
 
 namespace camphor {
@@ -28,6 +29,10 @@
 // Failure rate that justifies the traffic cost of crossing failure domains.
 constexpr double kCrossingFailureRate = 0.2;
 
+// Requests to a cold target that this proxy may send at once. Many proxies may
+// each do so, and the target's host refuses what is too much.
+constexpr double kMaxColdTokens = 1;
+
 // Round-trip time to another failure domain.
 constexpr double kCrossingUs = 8000;
 
@@ -36,6 +41,34 @@
 constexpr Milliseconds kMaxRefusalBackoff{1000};
 constexpr std::uint32_t kMaxDoublings = 6;
 
+/// Updates the share of one proxy in the rate that a cold target tolerates.
+void SetColdShare(TargetStats& stats, double per_second, MonoTime now) {
+  if (per_second == 0) {
+    stats.cold_per_second = 0;
+    return;
+  }
+  if (stats.cold_per_second == 0) {
+    // The slow start covers the cold phase and what follows it.
+    stats.first_seen = now;
+    stats.cold_tokens = kMaxColdTokens;
+    stats.cold_refilled = now;
+  }
+  stats.cold_per_second = per_second;
+}
+
+double ColdTokens(const TargetStats& stats, MonoTime now) {
+  const std::chrono::duration<double> elapsed =
+      std::max(now, stats.cold_refilled) - stats.cold_refilled;
+  return std::min(kMaxColdTokens,
+                  stats.cold_tokens + elapsed.count() * stats.cold_per_second);
+}
+
+void TakeColdToken(TargetStats& stats, MonoTime now) {
+  if (stats.cold_per_second == 0) return;
+  stats.cold_tokens = std::max(0.0, ColdTokens(stats, now) - 1);
+  stats.cold_refilled = now;
+}
+
 }  // namespace
 
 PowerOfTwoBalancer::PowerOfTwoBalancer(Options options)
@@ -52,7 +85,7 @@
     saved_credit_[routing_->routes[route].rule->name] =
         new_version_credit_[route];
   }
-  routing_ = routing;
+  const EffectiveRoutingPtr previous = std::exchange(routing_, routing);
   new_version_credit_.clear();
   std::uniform_real_distribution<double> phase(0, 1);
   for (const RoutedRule& route : routing->routes) {
@@ -64,27 +97,7 @@
   }
   saved_credit_.clear();
 
-  // Drop the statistics of targets that the routing no longer contains.
-  std::unordered_map<TargetId, TargetStats> kept;
-  const bool first = stats_.empty();
-  for (const PoolRouting& pool : routing->pools) {
-    for (const VersionGroup& group : pool.groups) {
-      for (const RoutedTarget& target : group.targets) {
-        const auto known = stats_.find(target.info.id);
-        if (known != stats_.end()) {
-          kept.insert(*known);
-          continue;
-        }
-        // When this proxy has just started, every target is new to it. Only
-        // targets that announce themselves as warming get a slow start then.
-        const bool cold =
-            !first || target.info.status == TargetStatus::kWarming;
-        kept[target.info.id].first_seen =
-            cold ? now : now - options_.slow_start;
-      }
-    }
-  }
-  stats_ = std::move(kept);
+  UpdateStats(previous.get(), now);
 
   pools_.clear();
   for (const PoolRouting& pool : routing->pools) {
@@ -103,6 +116,39 @@
   }
 }
 
+void PowerOfTwoBalancer::UpdateStats(const EffectiveRouting* previous,
+                                     MonoTime now) {
+  // Drop the statistics of targets that the routing no longer contains.
+  std::unordered_map<TargetId, TargetStats> kept;
+  const bool after_evacuation =
+      previous != nullptr && !previous->evacuated_domains.empty();
+  const bool first = stats_.empty() && !after_evacuation;
+  for (const PoolRouting& pool : routing_->pools) {
+    for (const VersionGroup& group : pool.groups) {
+      for (const RoutedTarget& target : group.targets) {
+        TargetStats& stats = kept[target.info.id];
+        const bool warming = target.info.status == TargetStatus::kWarming;
+        const auto known = stats_.find(target.info.id);
+        if (known != stats_.end()) {
+          stats = known->second;
+        } else {
+          // When this proxy has just started, every target is new to it. Only
+          // targets that announce themselves as warming get a slow start then.
+          stats.first_seen =
+              !first || warming ? now : now - options_.slow_start;
+          stats.returned =
+              previous != nullptr && previous->IsEvacuated(target.domain);
+        }
+        const double cold_rate =
+            warming ? pool.spec.cold_requests_per_second : 0;
+        SetColdShare(stats, cold_rate / static_cast<double>(routing_->hosts),
+                     now);
+      }
+    }
+  }
+  stats_ = std::move(kept);
+}
+
 RoutedShare PowerOfTwoBalancer::GetShare(std::uint32_t route,
                                          std::uint32_t share) const {
   const RoutedRule& rule = routing_->routes[route];
@@ -128,12 +174,32 @@
     MonoTime now) {
   assert(routing_ && route < routing_->routes.size());
   const RoutedShare part = GetShare(route, share);
-  const std::uint32_t pool = part.pool;
   const RouteRule& rule = *routing_->routes[route].rule;
   const ChoiceParams params{.tried = tried,
                             .objective = rule.target_latency,
                             .typical_us = latency_.TypicalUs(rule.name),
                             .now = now};
+  const std::optional<Placement> chosen = ChoosePlacement(route, part, params);
+  if (chosen) {
+    const GroupView& view = pools_[chosen->pool].groups[chosen->group];
+    TakeColdToken(*view.stats[chosen->target], now);
+  }
+  return chosen;
+}
+
+double PowerOfTwoBalancer::ColdShare(std::uint32_t route,
+                                     std::uint32_t share) const {
+  double per_second = 0;
+  for (const GroupView& group : pools_[GetShare(route, share).pool].groups) {
+    for (const TargetStats* stats : group.stats)
+      per_second += stats->cold_per_second;
+  }
+  return per_second;
+}
+
+std::optional<Placement> PowerOfTwoBalancer::ChoosePlacement(
+    std::uint32_t route, const RoutedShare& part, const ChoiceParams& params) {
+  const std::uint32_t pool = part.pool;
   const std::optional<std::uint32_t> group = ChooseGroup(route, part);
   if (!group) return std::nullopt;
   const std::optional<Placement> chosen =
@@ -201,6 +267,19 @@
         ShouldCrossDomain(*view.stats[*target], *view.stats[*other], params))
       target = other;
   }
+  if (target && view.stats[*target]->returned &&
+      SlowStartFactor(*view.stats[*target], params.now) < 1) {
+    // All targets of a returned domain are in their slow start together, so it
+    // has to compare them with those of the other domains. The share that
+    // stays in the domain rises with time.
+    std::uniform_real_distribution<double> draw(0, 1);
+    const bool stays =
+        draw(random_) < SlowStartFactor(*view.stats[*target], params.now);
+    const auto other =
+        stays ? std::nullopt
+              : ChooseBetterOfTwo(view.others, group, params, true);
+    if (other) target = other;
+  }
   if (!target)
     target = ChooseBetterOfTwo(view.local_domain, group, params, false);
   if (!target) target = ChooseBetterOfTwo(view.others, group, params, false);
@@ -281,16 +360,21 @@
                                 const ChoiceParams& params) const {
   const double slots = std::max<double>(target.info.slots, 1);
   const double queue = (stats.in_flight + 1) / slots;
-  const double age =
-      std::chrono::duration<double>(params.now - stats.first_seen) /
-      std::chrono::duration<double>(options_.slow_start);
-  const double part = std::clamp(age, kMinSlowStartFactor, 1.0);
-  return queue * PenalizedLatencyUs(stats, params.typical_us) / part;
+  return queue * PenalizedLatencyUs(stats, params.typical_us) /
+         SlowStartFactor(stats, params.now);
+}
+
+double PowerOfTwoBalancer::SlowStartFactor(const TargetStats& stats,
+                                           MonoTime now) const {
+  const double age = std::chrono::duration<double>(now - stats.first_seen) /
+                     std::chrono::duration<double>(options_.slow_start);
+  return std::clamp(age, kMinSlowStartFactor, 1.0);
 }
 
 bool PowerOfTwoBalancer::HasCapacity(const RoutedTarget& target,
                                      const TargetStats& stats,
                                      MonoTime now) const {
+  if (stats.cold_per_second > 0 && ColdTokens(stats, now) < 1) return false;
   return stats.full_until <= now && stats.in_flight < target.info.slots;
 }
 
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -34,8 +34,11 @@
 ///
 /// Prefers targets of the local failure domain while they have capacity and are
 /// likely to meet the latency objective of the route. Newly announced targets
-/// get a reduced share at first (slow start). Ejected outliers get no requests;
-/// the share of a pool that may be ejected is limited by its configuration.
+/// get a reduced share at first (slow start). Cold targets of a pool with a
+/// cold rate count as full beyond this proxy's share of that rate. Targets of a
+/// failure domain whose evacuation ended get back the requests of their own
+/// domain gradually. Ejected outliers get no requests; the share of a pool that
+/// may be ejected is limited by its configuration.
 /// Deterministic for the same calls and seed. Choosing does not allocate. Not
 /// thread-safe.
 class PowerOfTwoBalancer {
@@ -84,6 +87,10 @@
   /// Counts a request as in flight at the target.
   void OnSent(const TargetId& target);
 
+  /// Returns the rate of this proxy's requests that the cold targets of the
+  /// route's pool tolerate together, per second; 0 if it has none.
+  double ColdShare(std::uint32_t route, std::uint32_t share) const;
+
   /// Route, pool and target of a request. No pointer may be null.
   struct RequestInfo {
     const RouteName* route = nullptr;  ///< route of the request
@@ -133,6 +140,9 @@
 
   std::optional<Placement> ChooseTarget(const Placement& group,
                                         const ChoiceParams& params);
+  std::optional<Placement> ChoosePlacement(std::uint32_t route,
+                                           const RoutedShare& part,
+                                           const ChoiceParams& params);
   static bool MissesObjective(const TargetStats& stats,
                               const ChoiceParams& params);
   bool ShouldCrossDomain(const TargetStats& own, const TargetStats& other,
@@ -141,6 +151,8 @@
   std::optional<std::uint32_t> ChooseBetterOfTwo(
       const std::vector<std::uint32_t>& candidates, const Placement& group,
       const ChoiceParams& params, bool require_capacity);
+  double SlowStartFactor(const TargetStats& stats, MonoTime now) const;
+  void UpdateStats(const EffectiveRouting* previous, MonoTime now);
   double Cost(const RoutedTarget& target, const TargetStats& stats,
               const ChoiceParams& params) const;
   bool HasCapacity(const RoutedTarget& target, const TargetStats& stats,
--- a/core/routing/routing_builder.cc
+++ b/core/routing/routing_builder.cc
@@ -92,23 +92,26 @@
 }
 
 /// Collects the targets that satisfy the predicates on the host status and on
-/// the target version. Omits targets that are leaving.
+/// the target version. Omits targets that are leaving, and those of evacuated
+/// failure domains.
 template <typename HostPredicate, typename VersionPredicate>
 std::vector<RoutedTarget> CollectTargets(
-    const HostId& self, const std::vector<AnnouncedTarget>& announced,
+    const RoutingInputs& inputs, const std::vector<AnnouncedTarget>& announced,
     const VersionPredicate& accepts_version,
     const HostPredicate& accepts_host) {
   std::vector<RoutedTarget> targets;
   for (const auto& [host, target] : announced) {
     if (!accepts_host(host->status) || !accepts_version(target->version) ||
-        target->status == TargetStatus::kLeaving) {
+        target->status == TargetStatus::kLeaving ||
+        std::ranges::binary_search(inputs.snapshot->evacuated_domains,
+                                   host->domain)) {
       continue;
     }
     targets.push_back({.info = *target,
                        .host = host->host,
                        .domain = host->domain,
                        .forward = host->forward,
-                       .local = host->host == self});
+                       .local = host->host == inputs.self});
   }
   std::ranges::sort(targets, {}, [](const RoutedTarget& target) {
     return std::tie(target.info.id, target.host);
@@ -124,10 +127,10 @@
   if (announced == index.end()) return group;
   const auto accepts_version = VersionFilter(inputs, pool, version);
   std::vector<RoutedTarget> alive = CollectTargets(
-      inputs.self, announced->second, accepts_version,
+      inputs, announced->second, accepts_version,
       [](HostStatus status) { return status == HostStatus::kAlive; });
   std::vector<RoutedTarget> alive_or_suspect = CollectTargets(
-      inputs.self, announced->second, accepts_version, [](HostStatus status) {
+      inputs, announced->second, accepts_version, [](HostStatus status) {
         return status == HostStatus::kAlive || status == HostStatus::kSuspect;
       });
   // If more than half of the targets of a version are suspect, the failure
@@ -201,6 +204,7 @@
   if (!inputs.snapshot) return routing;
 
   routing.head = inputs.snapshot->head;
+  routing.evacuated_domains = inputs.snapshot->evacuated_domains;
   const TargetIndex index = IndexTargets(inputs);
   for (const PoolSpec& spec : inputs.snapshot->pools) {
     routing.pools.push_back(BuildPool(inputs, index, spec));
--- a/core/routing/target_stats.h
+++ b/core/routing/target_stats.h
@@ -21,7 +21,13 @@
   bool leaving = false;         ///< the target said that it is leaving
   MonoTime first_seen{};        ///< start of the slow start
   MonoTime full_until{};  ///< after a refusal: treated as full until this time
-  MonoTime ejected_until{};  ///< ejected as an outlier until this time
+  MonoTime ejected_until{};    ///< ejected as an outlier until this time
+  double cold_per_second = 0;  ///< share of this proxy in the rate that the
+                               ///< target tolerates while cold; 0: no limit
+  double cold_tokens = 0;      ///< requests that the share admits now
+  MonoTime cold_refilled{};    ///< time of the last change of cold_tokens
+  bool returned = false;  ///< its domain was evacuated before; requests return
+                          ///< to it gradually
 };
 
 }  // namespace camphor
--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kMicrosecondsPerMs = 1000;
 
 /// Sentence for each reason code of a request log line.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 26>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 29>
     kReasonSentences = {{
         {"bad_request", "the request was malformed"},
         {"header_too_long", "its header exceeded the configured limit"},
@@ -32,6 +32,12 @@
         {"limited",
          "the target takes only so many requests a second, as it said itself, "
          "and no other target could be tried"},
+        {"cold",
+         "the target was cold and took no more requests, and no other target "
+         "could be tried"},
+        {"evacuated",
+         "the failure domain of the target was evacuated, and no other target "
+         "could be tried"},
         {"refused",
          "the target refused it without running it, and no other target "
          "could be tried"},
--- a/node/admin/admin_api.cc
+++ b/node/admin/admin_api.cc
@@ -168,6 +168,7 @@
     view["version"] = snapshot == nullptr ? 0 : snapshot->head.version;
     view["digest"] = snapshot == nullptr ? "" : snapshot->head.digest.hex();
     view["hosts"] = HostCountsView(controller.replicator());
+    controller.availability().AddTo(view, std::chrono::steady_clock::now());
     return view;
   });
   add("/v1/dump", [this](HostController& controller) {
@@ -175,6 +176,10 @@
     view["replicator"] = ParseJsonOrText(controller.replicator().DumpJson());
     view["rollouts"] = ParseJsonOrText(controller.rollouts().DumpJson());
     view["targets"] = TargetsView(controller.replicator());
+    object availability;
+    controller.availability().AddTo(availability,
+                                    std::chrono::steady_clock::now());
+    view["availability"] = std::move(availability);
     return view;
   });
 }
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -22,9 +22,13 @@
 
 HostController::HostController(Options options)
     : options_(std::move(options)),
-      registry_({.lease = options_.settings.targets.lease,
-                 .warming_limit = options_.settings.targets.warming_limit,
-                 .await_departures = options_.departures_changed != nullptr}) {
+      registry_(
+          {.lease = options_.settings.targets.lease,
+           .warming_limit = options_.settings.targets.warming_limit,
+           .await_departures = options_.departures_changed != nullptr,
+           .has_cold_rate =
+               [this](const PoolName& pool) { return HasColdRate(pool); }}),
+      availability_({.log = options_.log}) {
   rollouts_ = std::make_unique<RolloutManager>(ManagerOptions());
   replicator_ = std::make_unique<Replicator>(ReplicatorOptions());
 }
@@ -124,6 +128,22 @@
       now);
 }
 
+bool HostController::HasColdRate(const PoolName& pool) const {
+  const ConfigSnapshotPtr& snapshot = replicator_->snapshot();
+  const PoolSpec* spec = snapshot ? snapshot->FindPool(pool) : nullptr;
+  return spec != nullptr && spec->cold_requests_per_second > 0;
+}
+
+void HostController::OnTargetRestart(const TargetId& target, MonoTime now) {
+  now_ = now;
+  const bool changed = registry_.AssumeCold(target);
+  options_.log->Log(
+      LogLevel::kInfo, "targets",
+      "target may have restarted; it counts as cold until its next report",
+      {{"target", target.value()}, {"changed", changed ? "yes" : "no"}});
+  if (changed) OnTargetsChanged(now);
+}
+
 bool HostController::Announce(const TargetAnnouncement& announcement,
                               MonoTime now) {
   now_ = now;
@@ -224,6 +244,7 @@
     rollouts_->SetHosts(replicator_->hosts());
   }
   rollouts_->Tick(boot_now, wall_now);
+  availability_.Update(replicator_->snapshot(), replicator_->hosts(), now);
 }
 
 void HostController::PublishRouting(MonoTime now) {
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -11,6 +11,7 @@
 #include "core/rollout/rollout_manager.h"
 #include "core/routing/effective_routing.h"
 #include "core/routing/request_sample.h"
+#include "node/decisions/availability_monitor.h"
 #include "node/decisions/published.h"
 #include "node/log/log_sink.h"
 #include "node/settings/settings.h"
@@ -62,6 +63,10 @@
   void OnTargetDeath(std::uint64_t fingerprint, const TargetId& target,
                      MonoTime now, WallTime wall_now);
 
+  /// Takes a target of this host as cold until its next report: it may have
+  /// restarted.
+  void OnTargetRestart(const TargetId& target, MonoTime now);
+
   /// Registration of this host's targets; see TargetRegistry. Report() returns
   /// false if the report was refused because there are too many targets.
   bool Announce(const TargetAnnouncement& announcement, MonoTime now);
@@ -98,6 +103,9 @@
   /// callers can be served.
   bool ready() const;
 
+  /// Evacuated failure domains and cold targets, as known to this host.
+  const AvailabilityMonitor& availability() const { return availability_; }
+
   Replicator& replicator() { return *replicator_; }
   RolloutManager& rollouts() { return *rollouts_; }
 
@@ -107,6 +115,7 @@
   void OnConfigChanged(const ConfigSnapshotPtr& snapshot);
   void OnRolloutChanged(const RolloutRecord& record);
   void OnTargetsChanged(MonoTime now);
+  bool HasColdRate(const PoolName& pool) const;
   void ReportDepartures();
   WallTime FindNextBlockEnd() const;
   void LogRouting(const EffectiveRouting& routing);
@@ -116,6 +125,7 @@
   TargetRegistry registry_;
   std::unique_ptr<RolloutManager> rollouts_;
   std::unique_ptr<Replicator> replicator_;
+  AvailabilityMonitor availability_;
   bool hosts_changed_ = false;   ///< rollout manager needs an update
   bool routing_changed_ = true;  ///< routing needs a rebuild
   bool urgent_ = false;          ///< routing needs an immediate rebuild
--- a/node/node.cc
+++ b/node/node.cc
@@ -188,6 +188,12 @@
               controller->Leave({.id = target}, Now());
             });
           },
+      .on_target_restart =
+          [this](const TargetId& target) {
+            decisions.Post(Source::kProxy, [this, target] {
+              controller->OnTargetRestart(target, Now());
+            });
+          },
       .claim =
           [this](const std::string& key, std::uint64_t fingerprint,
                  const ClaimCallback& done) {
--- a/node/node_report.cc
+++ b/node/node_report.cc
@@ -1,6 +1,7 @@
 #include "node/node_report.h"
 
 #include <boost/json.hpp>
+#include <chrono>
 #include <utility>
 
 #include "node/admin/state_view.h"
@@ -63,6 +64,8 @@
                           .mesh = parts_.mesh.counters(),
                           .admin_requests = parts_.admin.requests(),
                           .log_dropped = parts_.log.dropped()}) +
+         parts_.controller.availability().Metrics(
+             std::chrono::steady_clock::now()) +
          parts_.proxy.MetricsText() + parts_.claims.MetricsText();
 }
 
--- a/node/platform_sync/operator_feed.cc
+++ b/node/platform_sync/operator_feed.cc
@@ -1,5 +1,6 @@
 #include "node/platform_sync/operator_feed.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <cassert>
 #include <utility>
@@ -16,6 +17,7 @@
 
 void OperatorFeed::Tick(bool watcher, MonoTime now) {
   now_ = now;
+  CompareWithActive();
   if (call_pending_ || now < next_call_) return;
   if (full_read_due_) {
     ReadTable();
@@ -108,6 +110,7 @@
   for (const TableRow& row : answer.rows) {
     if (row.removed) {
       rows_.erase(row.key);
+      removed_revision_ = std::max(removed_revision_, row.revision);
     } else {
       rows_.insert_or_assign(row.key, row);
     }
@@ -130,7 +133,7 @@
 
 void OperatorFeed::Apply() {
   std::string reason;
-  const std::optional<ConfigSnapshot> snapshot = options_.decode(rows_, reason);
+  std::optional<ConfigSnapshot> snapshot = options_.decode(rows_, reason);
   if (!reason.empty()) {
     last_reason_ = reason;
     options_.log->Log(LogLevel::kWarning, "platform",
@@ -138,7 +141,30 @@
                                : "operator table rejected",
                       {{"reason", reason}, {"revision", revision_}});
   }
-  if (snapshot) options_.on_snapshot(*snapshot);
+  if (snapshot) {
+    snapshot->head.version =
+        std::max(snapshot->head.version, ConfigVersion{removed_revision_});
+    options_.on_snapshot(*snapshot);
+  }
+  snapshot_ = std::move(snapshot);
+  compared_head_ = {};
+  CompareWithActive();
+}
+
+void OperatorFeed::CompareWithActive() {
+  if (!options_.active_head || !snapshot_) return;
+  const ConfigHead active = options_.active_head();
+  if (std::exchange(compared_head_, active) == active) return;
+  // A configuration of a later revision than the rows is newer than them.
+  if (active.version == 0 || active.digest == snapshot_->head.digest ||
+      active.version < snapshot_->head.version || active.version >= revision_) {
+    return;
+  }
+  options_.log->Log(
+      LogLevel::kInfo, "platform", "a row of the operator table was removed",
+      {{"known_version", active.version}, {"version", revision_}});
+  snapshot_->head.version = revision_;
+  options_.on_snapshot(*snapshot_);
 }
 
 boost::json::object OperatorFeed::Dump() const {
--- a/node/platform_sync/operator_feed.h
+++ b/node/platform_sync/operator_feed.h
@@ -22,6 +22,12 @@
 /// Every host reads the table when it starts. After that, the few watchers of a
 /// failure domain keep a watch open, and the mesh distributes the changes. Any
 /// other host reads the table again only if the mesh cannot supply a snapshot.
+///
+/// A snapshot's version is the highest revision among its rows, or that of a
+/// removal that the watch has seen. A host that reads the whole table cannot
+/// see a removal. If its rows, read at a later revision, differ from the
+/// configuration in force without having a higher revision, then a row was
+/// removed, and the revision of the read becomes the version.
 /// Must be used from the decisions thread; the caller passes in the current
 /// time.
 class OperatorFeed {
@@ -49,6 +55,9 @@
                    ///< failures
     std::function<void(const ConfigSnapshot&)>
         on_snapshot{};  ///< receives each decoded snapshot
+    std::function<ConfigHead()>
+        active_head{};  ///< returns the head of the configuration in force,
+                        ///< version 0 if there is none; null: not compared
     std::function<void(std::function<void()>)>
         post{};  ///< runs a task on the decisions thread
   };
@@ -86,6 +95,7 @@
   void Merge(bool full_read, const PlatformResponse& answer);
   void OnStaleRead(const PlatformResponse& answer);
   void Apply();
+  void CompareWithActive();
   std::uint64_t AgeMs(MonoTime since) const;
 
   Options options_;
@@ -100,7 +110,10 @@
   MonoTime call_started_{};     ///< start of the last call
   MonoTime last_answer_{};      ///< time of the last successful answer
   std::map<std::string, TableRow> rows_;
-  std::uint64_t revision_ = 0;  ///< table revision that rows_ reflects
+  std::uint64_t revision_ = 0;          ///< table revision that rows_ reflects
+  std::uint64_t removed_revision_ = 0;  ///< highest revision of a removal
+  std::optional<ConfigSnapshot> snapshot_;  ///< decoded from rows_, if valid
+  ConfigHead compared_head_{};  ///< head that CompareWithActive saw last
   bool full_read_due_ = true;   ///< the next call reads the whole table
   bool call_pending_ = false;   ///< a platform call is in flight
   MonoTime now_{};              ///< time of the last tick
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -49,6 +49,12 @@
               [this](const ConfigSnapshot& snapshot) {
                 OnOperatorSnapshot(snapshot);
               },
+          .active_head =
+              [this] {
+                const ConfigSnapshotPtr& active =
+                    options_.controller->replicator().snapshot();
+                return active == nullptr ? ConfigHead{} : active->head;
+              },
           .post = options_.post};
 }
 
--- a/node/targets/target_registry.cc
+++ b/node/targets/target_registry.cc
@@ -13,21 +13,45 @@
     return false;
 
   Entry& entry = entries_[announcement.id];
-  // A new address or a return after leaving means that the target restarted, so
-  // its warm-up starts again.
+  // A new address or a return after leaving means that the target restarted.
   const bool new_run = found == entries_.end() ||
                        entry.announcement.address != announcement.address ||
                        entry.status == TargetStatus::kLeaving;
   if (new_run) {
-    entry.first_seen = now;
+    entry.cold_since.reset();
     entry.died_at.reset();
   }
   entry.announcement = announcement;
   entry.renewed = now;
   entry.departed = false;
-  const bool warming_allowed = now - entry.first_seen < options_.warming_limit;
-  entry.status = !announcement.warm && warming_allowed ? TargetStatus::kWarming
-                                                       : TargetStatus::kReady;
+  // A target can turn cold again at any moment, so the limit counts from the
+  // first announcement that says so.
+  if (announcement.warm) {
+    entry.cold_since.reset();
+  } else if (!entry.cold_since) {
+    entry.cold_since = now;
+  }
+  const bool warming =
+      entry.cold_since &&
+      (now - *entry.cold_since < options_.warming_limit || HasColdRate(entry));
+  entry.status = warming ? TargetStatus::kWarming : TargetStatus::kReady;
+  return true;
+}
+
+bool TargetRegistry::HasColdRate(const Entry& entry) const {
+  return options_.has_cold_rate &&
+         options_.has_cold_rate(entry.announcement.pool);
+}
+
+bool TargetRegistry::AssumeCold(const TargetId& id) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return false;
+  Entry& entry = found->second;
+  // Without further reports nothing would end it.
+  const bool reports = entry.announcement.sequence > 0;
+  if (entry.status != TargetStatus::kReady || !reports || !HasColdRate(entry))
+    return false;
+  entry.status = TargetStatus::kWarming;
   return true;
 }
 
@@ -183,8 +207,12 @@
     } else if (now - entry.renewed >= options_.lease) {
       MarkLeaving(entry, now);
       changed = true;
-    } else if (entry.status == TargetStatus::kWarming &&
-               now - entry.first_seen >= options_.warming_limit) {
+    } else if (now - entry.renewed >= options_.report_gap &&
+               AssumeCold(current->first)) {
+      changed = true;
+    } else if (entry.status == TargetStatus::kWarming && entry.cold_since &&
+               now - *entry.cold_since >= options_.warming_limit &&
+               !HasColdRate(entry)) {
       entry.status = TargetStatus::kReady;
       changed = true;
     }
--- a/node/targets/target_registry.h
+++ b/node/targets/target_registry.h
@@ -1,8 +1,10 @@
 #ifndef CAMPHORHILL_NODE_TARGETS_TARGET_REGISTRY_H_
 #define CAMPHORHILL_NODE_TARGETS_TARGET_REGISTRY_H_
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "core/base/endpoint.h"
@@ -25,7 +27,8 @@
  public:
   struct Options {
     Milliseconds lease{6000};           ///< validity of a lease without renewal
-    Milliseconds warming_limit{60000};  ///< maximum duration of the warm-up
+    Milliseconds warming_limit{60000};  ///< maximum duration of a warm-up;
+                                        ///< none where `has_cold_rate` holds
     Milliseconds leaving_retention{
         10000};  ///< time for which leaving targets stay listed
     std::uint32_t max_targets = 256;  ///< maximum number of targets
@@ -34,10 +37,17 @@
     Milliseconds confirm_after{
         1000};  ///< until then, an unknown target is added only by a second
                 ///< report, at least this long after its first
+    std::function<bool(const PoolName&)>
+        has_cold_rate{};  ///< returns true if a cold target of the pool
+                          ///< tolerates only a limited rate; null: none does
+    Milliseconds report_gap{
+        4000};  ///< a target that reports every 1.5 s and has not for this long
+                ///< may have turned cold; used where `has_cold_rate` holds
   };
 
   explicit TargetRegistry(Options options)
-      : options_(options), departures_known_(!options.await_departures) {}
+      : options_(std::move(options)),
+        departures_known_(!options_.await_departures) {}
 
   /// Adds or updates a target and renews its lease. Returns false if there are
   /// too many targets. Must be called from one thread.
@@ -80,6 +90,11 @@
   /// Increases whenever departures() changes. Must be called from one thread.
   std::uint64_t departures_recorded() const { return history_.recorded(); }
 
+  /// Takes a target as cold until its next report: it may have restarted. Only
+  /// for targets that report periodically, in pools with a cold rate. Returns
+  /// true if the list of targets changed. Must be called from one thread.
+  bool AssumeCold(const TargetId& id);
+
   /// Records the death of a target. Returns when its current run died, which is
   /// earlier than `wall_now` if the death was recorded before. Must be called
   /// from one thread.
@@ -101,8 +116,8 @@
   struct Entry {
     TargetAnnouncement announcement;  ///< latest announcement or report
     TargetStatus status = TargetStatus::kReady;  ///< current status
-    MonoTime first_seen;    ///< first announcement of this run
-    MonoTime renewed;       ///< last renewal of the lease
+    std::optional<MonoTime> cold_since{};  ///< since when it calls itself cold
+    MonoTime renewed;                      ///< last renewal of the lease
     MonoTime left_at{};     ///< time at which it was marked as leaving
     bool departed = false;  ///< it said that it leaves
     std::optional<WallTime> died_at{};  ///< set if this run has died
@@ -113,6 +128,7 @@
     MonoTime first_at;  ///< arrival of the target's first report
   };
 
+  bool HasColdRate(const Entry& entry) const;
   bool IsConfirmed(const TargetAnnouncement& report, MonoTime now);
   bool IsReplacedAtItsAddress(const TargetAnnouncement& report) const;
   void ReplaceTargetsAt(const TargetAnnouncement& report, MonoTime now);
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -19,6 +19,11 @@
 constexpr Microseconds kMinTimeForRetry{2000};
 constexpr std::uint32_t kMaxTargetDeaths = 2;
 
+/// Refusals by the hosts of cold or evacuated targets that do not count as
+/// attempts of a request: they reach no target, and a request with a single
+/// attempt has to be able to go to a warm one.
+constexpr std::uint32_t kMaxFreeRefusals = 2;
+
 /// A target is treated as unresponsive after this multiple of its usual
 /// latency.
 constexpr int kSilenceLatencyFactor = 8;
@@ -34,6 +39,8 @@
     case ProxyError::kNoTarget:
     case ProxyError::kFull:
     case ProxyError::kRateLimited:
+    case ProxyError::kCold:
+    case ProxyError::kEvacuated:
     case ProxyError::kRefused:
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
@@ -62,6 +69,8 @@
     case ProxyError::kNoTarget:
     case ProxyError::kFull:
     case ProxyError::kRateLimited:
+    case ProxyError::kCold:
+    case ProxyError::kEvacuated:
     case ProxyError::kRefused:
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
@@ -187,7 +196,7 @@
   if (rule().at_most_once) {
     request.claim_key = HeaderValue(*options_.header, kIdempotencyKeyHeader);
   }
-  if (rule().repeatable && attempt_ < MaxAttempts()) {
+  if (rule().repeatable && attempt_ - reached_no_target_ < MaxAttempts()) {
     request.abandon_after = AbandonTimeout();
     request.may_abandon = [this] { return MayAbandon(); };
   }
@@ -344,7 +353,11 @@
   if (!IsRetryableOnAnotherTarget(error) || options_.body->consumed())
     return false;
   if (!GetErrorTraits(error).not_run && !rule().repeatable) return false;
-  if (attempt_ >= MaxAttempts()) return false;
+  const bool reached_no_target =
+      error == ProxyError::kCold || error == ProxyError::kEvacuated;
+  if (reached_no_target && reached_no_target_ < kMaxFreeRefusals)
+    ++reached_no_target_;
+  if (attempt_ - reached_no_target_ >= MaxAttempts()) return false;
   if (target_deaths_ >= kMaxTargetDeaths) return false;
   if (options_.control->stopped() != RequestControl::Stop::kNone ||
       options_.control->RemainingTime() < kMinTimeForRetry) {
@@ -437,7 +450,18 @@
   });
   Report(DecisionKindForError(error), GetErrorTraits(error).reason,
          static_cast<unsigned>(GetErrorTraits(error).status));
-  return {.error = error};
+  return {.error = error,
+          .retry_after =
+              error == ProxyError::kCold ? ColdRetryAfter() : Milliseconds(0)};
+}
+
+Milliseconds CallerRequest::ColdRetryAfter() {
+  // The balancer knows only the newest routing.
+  if (context_.Routing() != routing_) return Milliseconds(0);
+  const double per_second = context_.balancer.ColdShare(route_, share_);
+  if (per_second <= 0) return Milliseconds(0);
+  return context_.cold_retries[CurrentPool()].Next(
+      per_second, std::chrono::steady_clock::now());
 }
 
 void CallerRequest::RecordResponse(unsigned status, bool complete) const {
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -48,6 +48,8 @@
   struct Result {
     std::optional<ProxyError> error{};  ///< error response still to be written
     bool complete = false;              ///< a complete response was relayed
+    Milliseconds retry_after{
+        0};  ///< when a repetition has a chance; 0: not known
   };
 
   /// @pre every pointer is set and outlives this.
@@ -71,6 +73,7 @@
   void SetTeamHeader();
   Milliseconds AbandonTimeout() const;
   std::uint32_t MaxAttempts() const;
+  Milliseconds ColdRetryAfter();
   void OnError(ProxyError error);
   void OnRelayed(Exchange::RelayResult relayed, unsigned status);
   void ReportSample(RequestOutcome outcome);
@@ -93,6 +96,8 @@
   Placement placement_{};
   std::vector<Placement> tried_;
   std::uint32_t attempt_ = 0;
+  std::uint32_t reached_no_target_ =
+      0;  ///< attempts refused by the host of a cold or evacuated target
   MonoTime sent_at_{};
   std::optional<ProxyError>
       unknown_outcome_error_;  ///< error of an earlier attempt that may have
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -295,8 +295,10 @@
   if (error && *error != ProxyError::kCallerGone) {
     const bool keep = KeepsOpen(
         response, !closing_ && request->keep && request->body->complete());
-    const ErrorReply reply{
-        .error = *error, .keep = keep, .head_request = request->is_head()};
+    const ErrorReply reply{.error = *error,
+                           .keep = keep,
+                           .head_request = request->is_head(),
+                           .retry_after = result.retry_after};
     complete = co_await AppendError(response, reply);
   }
   request->control->Finish();
--- a/proxy/connection_pool.cc
+++ b/proxy/connection_pool.cc
@@ -56,17 +56,21 @@
 
 asio::awaitable<ConnectionPool::Acquired> ConnectionPool::Acquire() {
   last_used_ = std::chrono::steady_clock::now();
+  std::size_t closed_by_peer = 0;
   while (!idle_.empty()) {
     std::unique_ptr<Connection> connection = std::move(idle_.back());
     idle_.pop_back();
-    if (connection->usable_until > last_used_ && connection->IsQuiet()) {
+    const bool expired = connection->usable_until <= last_used_;
+    if (!expired && connection->IsQuiet()) {
       peak_leased_ = std::max(peak_leased_, open_ - idle_.size());
       Acquired acquired;
       acquired.lease = Lease(shared_from_this(), std::move(connection));
       co_return acquired;
     }
+    if (!expired) ++closed_by_peer;
     OnClosed();
   }
+  ReportIfAllLost(closed_by_peer);
   Acquired acquired = co_await Connect();
   peak_leased_ = std::max(peak_leased_, open_ - idle_.size());
   co_return acquired;
@@ -180,12 +184,15 @@
     idle_.erase(idle_.begin());
     OnClosed();
   }
+  std::size_t closed_by_peer = 0;
   std::erase_if(idle_, [&](const std::unique_ptr<Connection>& connection) {
-    const bool closed =
-        connection->usable_until <= now || !connection->IsQuiet();
+    const bool expired = connection->usable_until <= now;
+    const bool closed = expired || !connection->IsQuiet();
+    if (closed && !expired) ++closed_by_peer;
     if (closed) OnClosed();
     return closed;
   });
+  ReportIfAllLost(closed_by_peer);
   while (!options_.mesh_key.empty() && !idle_.empty() &&
          idle_.front()->idle_since + options_.ping_interval < now) {
     Lease lease(self, std::move(idle_.front()));
@@ -204,6 +211,11 @@
   }
 }
 
+void ConnectionPool::ReportIfAllLost(std::size_t closed_by_peer) {
+  if (closed_by_peer > 0 && open_ == 0 && options_.on_all_lost)
+    options_.on_all_lost();
+}
+
 void ConnectionPool::Close() {
   closed_ = true;
   open_ -= idle_.size();
--- a/proxy/connection_pool.h
+++ b/proxy/connection_pool.h
@@ -34,6 +34,8 @@
         on_connect{};  ///< called when a connection was opened
     std::function<void()>
         on_unresponsive{};  ///< called when an idle connection failed a ping
+    std::function<void()>
+        on_all_lost{};  ///< called when the peer has closed every connection
   };
 
   enum class Failure : std::uint8_t {
@@ -103,6 +105,7 @@
   asio::awaitable<bool> Ping(Connection& connection);
   void ReturnIdle(std::unique_ptr<Connection> connection);
   void OnClosed() { --open_; }
+  void ReportIfAllLost(std::size_t closed_by_peer);
 
   Options options_;
   std::vector<std::unique_ptr<Connection>>
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -24,6 +24,8 @@
   kNoTarget,       ///< no target is available
   kFull,           ///< the target's slots and queue are full
   kRateLimited,    ///< the request limit that the target names is reached
+  kCold,           ///< the target is cold and takes no more requests now
+  kEvacuated,      ///< the target's failure domain is evacuated
   kRefused,        ///< the target refused it without running it
   kTooLate,        ///< it could not finish before its deadline
   kConnectFailed,  ///< connecting to the target failed
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -167,7 +167,8 @@
     const ErrorReply& reply) const {
   http::response<http::string_body> response = MakeErrorResponse(
       reply.error, {.sentence = reply.detail,
-                    .retry_after = context_.options.limits.retry_after,
+                    .retry_after = std::max(
+                        reply.retry_after, context_.options.limits.retry_after),
                     .fractional_retry_after =
                         context_.options.vocabulary.fractional_retry_after});
   response.keep_alive(reply.keep);
--- a/proxy/http_session.h
+++ b/proxy/http_session.h
@@ -55,6 +55,8 @@
     bool keep = false;          ///< the connection can be used further
     bool head_request = false;  ///< a response to HEAD has no body
     std::string_view detail{};  ///< replaces the default message
+    Milliseconds retry_after{
+        0};  ///< Retry-After of a refusal; 0: that of the limits
   };
 
   /// Writes an error response. Returns true when the connection stays open.
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -80,15 +80,16 @@
     error = co_await target_->AcquireSlot(*request_.control, request_.urgency);
   if (!error) {
     has_slot_ = true;
-    // The limit may have been reached while the request waited for a slot.
-    const bool admitted =
-        target_->rate_limit().TryAcquire(std::chrono::steady_clock::now());
-    if (!admitted) error = ProxyError::kRateLimited;
+    error = AcquireLimits();
   }
   if (!error) {
     error = co_await Connect();
   }
+  if (!error) error = AcquireColdLimit();
   if (!error) error = co_await Send();
+  if (error == ProxyError::kEvacuated)
+    context_.metrics.Count(Counter::kEvacuatedRefused);
+  if (error == ProxyError::kCold) context_.metrics.Count(Counter::kColdRefused);
   if (error && has_claim_ && GetErrorTraits(*error).not_run) {
     error = co_await ReleaseClaim(*error);
   }
@@ -97,16 +98,45 @@
 
 asio::awaitable<std::optional<ProxyError>> LocalRun::Admit() {
   if (const auto poison = CheckPoison()) co_return poison;
+  if (const auto evacuated = CheckEvacuation()) co_return evacuated;
   target_ = context_.targets->Find(request_.target);
   if (!target_ || target_->statement().leaving) co_return ProxyError::kNoTarget;
-  if (!target_->rate_limit().HasRoom(std::chrono::steady_clock::now()))
-    co_return ProxyError::kRateLimited;
+  const MonoTime now = std::chrono::steady_clock::now();
+  if (!target_->rate_limit().HasRoom(now)) co_return ProxyError::kRateLimited;
+  if (!target_->cold_limit().HasRoom(request_.urgency.priority, now))
+    co_return ProxyError::kCold;
   // Do not claim the key when the target has no free slot or queue entry.
   if (!request_.claim_key.empty() && target_->IsFull())
     co_return ProxyError::kFull;
   co_return Stopped();
 }
 
+std::optional<ProxyError> LocalRun::CheckEvacuation() const {
+  if (context_.targets->IsEvacuated()) return ProxyError::kEvacuated;
+  return std::nullopt;
+}
+
+std::optional<ProxyError> LocalRun::AcquireLimits() {
+  // The domain may have been evacuated, and the limits reached, while the
+  // request waited for a slot.
+  if (const auto evacuated = CheckEvacuation()) return evacuated;
+  const MonoTime now = std::chrono::steady_clock::now();
+  if (!target_->cold_limit().HasRoom(request_.urgency.priority, now))
+    return ProxyError::kCold;
+  if (!target_->rate_limit().TryAcquire(now)) return ProxyError::kRateLimited;
+  return std::nullopt;
+}
+
+std::optional<ProxyError> LocalRun::AcquireColdLimit() {
+  // After connecting, which may take as long as the connect timeout: the target
+  // receives the request at the time for which it was counted.
+  const bool admitted = target_->cold_limit().TryAcquire(
+      request_.urgency.priority, std::chrono::steady_clock::now());
+  if (admitted) return std::nullopt;
+  lease_.Reuse();
+  return ProxyError::kCold;
+}
+
 std::optional<ProxyError> LocalRun::CheckPoison() {
   const EffectiveRoutingPtr& routing = context_.Routing();
   if (!routing) return ProxyError::kNotReady;
@@ -182,6 +212,8 @@
 asio::awaitable<std::optional<ProxyError>> LocalRun::Connect() {
   ConnectionPool::Acquired acquired = co_await target_->pool()->Acquire();
   if (!acquired.lease) {
+    if (acquired.failure != ConnectionPool::Failure::kFull)
+      context_.targets->AssumeCold(request_.target, *target_);
     co_return acquired.failure == ConnectionPool::Failure::kFull
         ? ProxyError::kFull
         : ProxyError::kConnectFailed;
@@ -190,6 +222,7 @@
   // The deadline may have passed meanwhile, for example while the process was
   // paused, and another suspect may have started.
   if (const auto poison = CheckPoison()) co_return poison;
+  if (const auto evacuated = CheckEvacuation()) co_return evacuated;
   co_return Stopped();
 }
 
@@ -197,6 +230,7 @@
   if (request_.before_send) {
     const bool ready = co_await request_.before_send();
     if (!ready) co_return ProxyError::kCallerGone;
+    if (const auto evacuated = CheckEvacuation()) co_return evacuated;
   }
   context_.deaths.OnStart(request_.target, request_.fingerprint,
                           request_.suspect);
@@ -228,7 +262,10 @@
     const ProxyError error = co_await DetectTargetDeath();
     co_return error;
   }
-  co_return ToProxyError(sent, *request_.control);
+  const ProxyError error = ToProxyError(sent, *request_.control);
+  if (error == ProxyError::kSilent)
+    context_.targets->AssumeCold(request_.target, *target_);
+  co_return error;
 }
 
 void LocalRun::SetTargetHeaders() {
@@ -292,6 +329,7 @@
 }
 
 asio::awaitable<ProxyError> LocalRun::DetectTargetDeath() {
+  context_.targets->AssumeCold(request_.target, *target_);
   // A broken connection does not prove that the target died. An exiting process
   // may close its connections before its listener, so probe several times.
   bool dead = false;
--- a/proxy/local_run.h
+++ b/proxy/local_run.h
@@ -35,6 +35,9 @@
  private:
   std::optional<ProxyError> CheckPoison();
   asio::awaitable<std::optional<ProxyError>> Admit();
+  std::optional<ProxyError> CheckEvacuation() const;
+  std::optional<ProxyError> AcquireLimits();
+  std::optional<ProxyError> AcquireColdLimit();
   asio::awaitable<std::optional<ProxyError>> Claim();
   asio::awaitable<ProxyError> ReleaseClaim(ProxyError error);
   asio::awaitable<std::optional<ProxyError>> Connect();
--- a/proxy/local_targets.cc
+++ b/proxy/local_targets.cc
@@ -14,6 +14,10 @@
 
 constexpr std::uint32_t kMaxWarmConnections = 2;
 
+/// Time for which this proxy takes a target as cold by itself. Longer than the
+/// 1.5 s between two reports; by then the status says what the report said.
+constexpr Milliseconds kAssumedColdTime{2000};
+
 struct LocalRow {
   const PoolSpec* spec = nullptr;
   const RoutedTarget* target = nullptr;
@@ -41,6 +45,11 @@
   return {.slots = std::max(slots, 1U), .queue = row.spec->queue_per_target};
 }
 
+void SetCold(LocalTarget& target, const LocalRow& row, MonoTime now) {
+  target.SetCold(row.target->info.status == TargetStatus::kWarming,
+                 row.spec->cold_requests_per_second, now);
+}
+
 asio::awaitable<void> MaintainPool(std::shared_ptr<ConnectionPool> pool) {
   co_await pool->Maintain();
 }
@@ -87,6 +96,7 @@
   waiters_.erase(id);
   if (waiter.granted) co_return std::nullopt;
   gate_.Cancel(id);
+  if (waiter.evacuated) co_return ProxyError::kEvacuated;
   if (waiter.displaced) co_return ProxyError::kFull;
   co_return control.stopped() == RequestControl::Stop::kCallerGone
       ? ProxyError::kCallerGone
@@ -98,6 +108,37 @@
   rate_limit_.Set(statement.request_limit, std::chrono::steady_clock::now());
 }
 
+void LocalTarget::RefuseWaiters() {
+  for (const auto& [id, waiter] : waiters_) {
+    // A request that has its slot already is refused where it continues.
+    if (waiter->granted) continue;
+    waiter->evacuated = true;
+    gate_.Cancel(id);
+    waiter->timer.cancel();
+  }
+}
+
+void LocalTarget::SetCold(bool cold, double per_second, MonoTime now) {
+  is_cold_ = cold;
+  cold_rate_ = per_second;
+  // From here on the status says when it is warm again.
+  if (cold) assumed_cold_until_ = {};
+  ApplyColdLimit(now);
+}
+
+bool LocalTarget::AssumeCold(MonoTime now) {
+  if (cold_rate_ <= 0 || is_cold_ || assumed_cold_until_ > now) return false;
+  assumed_cold_until_ = now + kAssumedColdTime;
+  ApplyColdLimit(now);
+  return true;
+}
+
+void LocalTarget::ApplyColdLimit(MonoTime now) {
+  const bool limited =
+      cold_rate_ > 0 && (is_cold_ || assumed_cold_until_ > now);
+  cold_limit_.Set(limited ? std::optional(cold_rate_) : std::nullopt, now);
+}
+
 bool LocalTarget::IsFull() const {
   return gate_.running() >= limits_.slots && gate_.waiting() >= limits_.queue;
 }
@@ -134,8 +175,9 @@
   if (!routing || !context_.options.local_target) return nullptr;
   const LocalRow row = FindRow(*routing, id);
   if (row.target == nullptr) {
-    // One that is announced again later is another run of the target.
-    Remove(id);
+    // One that is announced again later is another run of the target. During
+    // an evacuation it may be the same one, with requests that still run.
+    if (!IsEvacuated()) Remove(id);
     return nullptr;
   }
   const Endpoint address = context_.options.local_target(id);
@@ -147,11 +189,35 @@
     if (target) target->pool()->Close();
     target = std::make_shared<LocalTarget>(context_.io->get_executor(),
                                            MakeSlotLimits(row),
-                                           MakePool(address, *row.spec));
+                                           MakePool(id, address, *row.spec));
   }
+  SetCold(*target, row, std::chrono::steady_clock::now());
   return target;
 }
 
+bool LocalTargets::IsEvacuated() const {
+  const EffectiveRoutingPtr& routing = context_.Routing();
+  return routing && routing->IsEvacuated(context_.options.domain);
+}
+
+void LocalTargets::OnRoutingChanged(const EffectiveRouting& routing) {
+  const bool evacuated = routing.IsEvacuated(context_.options.domain);
+  const MonoTime now = std::chrono::steady_clock::now();
+  for (const auto& [id, target] : targets_) {
+    if (evacuated) target->RefuseWaiters();
+    // Requests that wait for a slot do not look the target up again.
+    const LocalRow row = FindRow(routing, id);
+    if (row.target != nullptr) SetCold(*target, row, now);
+  }
+}
+
+void LocalTargets::AssumeCold(const TargetId& id, LocalTarget& target) {
+  if (!target.AssumeCold(std::chrono::steady_clock::now())) return;
+  context_.metrics.Count(ProxyMetrics::Counter::kColdAssumed);
+  if (context_.options.on_target_restart)
+    context_.options.on_target_restart(id);
+}
+
 void LocalTargets::Remove(const TargetId& id) {
   const auto found = targets_.find(id);
   if (found == targets_.end()) return;
@@ -171,9 +237,14 @@
       }
     }
   }
+  const bool evacuated = IsEvacuated();
   std::erase_if(targets_, [&](const auto& entry) {
-    const bool gone =
+    const bool absent =
         std::ranges::find(announced, entry.first) == announced.end();
+    // Requests that run in an evacuated domain keep their slots, so that the
+    // target gets no more than its slots when the evacuation ends.
+    const bool gone =
+        absent && (!evacuated || entry.second->gate().running() == 0);
     if (gone) entry.second->pool()->Close();
     return gone;
   });
@@ -189,7 +260,8 @@
   for (const auto& [id, target] : targets_) target->pool()->Close();
 }
 
-std::shared_ptr<ConnectionPool> LocalTargets::MakePool(const Endpoint& address,
+std::shared_ptr<ConnectionPool> LocalTargets::MakePool(const TargetId& id,
+                                                       const Endpoint& address,
                                                        const PoolSpec& spec) {
   return std::make_shared<ConnectionPool>(ConnectionPool::Options{
       .executor = context_.io->get_executor(),
@@ -197,9 +269,15 @@
       .max_connections = spec.connections_per_target,
       .warm = std::min(kMaxWarmConnections, spec.connections_per_target),
       .connect_timeout = context_.options.limits.connect_timeout,
-      .on_connect = [this] {
-        context_.metrics.Count(ProxyMetrics::Counter::kConnects);
-      }});
+      .on_connect =
+          [this] { context_.metrics.Count(ProxyMetrics::Counter::kConnects); },
+      .on_all_lost =
+          [this, id, address] {
+            const auto found = targets_.find(id);
+            if (found == targets_.end()) return;
+            const std::shared_ptr<LocalTarget> target = found->second;
+            if (target->pool()->endpoint() == address) AssumeCold(id, *target);
+          }});
 }
 
 }  // namespace camphor
--- a/proxy/local_targets.h
+++ b/proxy/local_targets.h
@@ -8,7 +8,9 @@
 
 #include "core/base/identifier.h"
 #include "core/config/pool_spec.h"
+#include "core/routing/cold_target_limit.h"
 #include "core/routing/concurrency_limiter.h"
+#include "core/routing/effective_routing.h"
 #include "core/routing/target_rate_limit.h"
 #include "proxy/connection_pool.h"
 #include "proxy/error_response.h"
@@ -34,6 +36,10 @@
   /// Returns true when a request would be refused now.
   bool IsFull() const;
 
+  /// Refuses the requests that wait for a slot: the failure domain is
+  /// evacuated.
+  void RefuseWaiters();
+
   /// Releases a slot and grants it to the next waiter.
   void ReleaseSlot(
       const std::optional<ConcurrencyLimiter::ServiceSample>& ended);
@@ -53,6 +59,19 @@
   /// is leaving stays so.
   void SetStatement(const Statement& statement);
 
+  /// Sets whether the target is cold, as its status says, and the rate that
+  /// its pool tolerates then; 0: no limit.
+  void SetCold(bool cold, double per_second, MonoTime now);
+
+  /// Takes the target as cold: it may have restarted, and its next report is
+  /// still to come. Returns false if it was taken as cold before, or if its
+  /// pool has no cold rate.
+  bool AssumeCold(MonoTime now);
+
+  /// Limit on its requests while it is cold.
+  ColdTargetLimit& cold_limit() { return cold_limit_; }
+  const ColdTargetLimit& cold_limit() const { return cold_limit_; }
+
   /// Limit that the target names on its requests.
   TargetRateLimit& rate_limit() { return rate_limit_; }
   Statement statement() const {
@@ -64,12 +83,14 @@
 
  private:
   void ResumeWaiter(std::uint64_t id, bool granted, bool displaced);
+  void ApplyColdLimit(MonoTime now);
 
   struct Waiter {
     explicit Waiter(const asio::any_io_executor& executor) : timer(executor) {}
     asio::steady_timer timer;
     bool granted = false;
     bool displaced = false;  ///< displaced by a more urgent request
+    bool evacuated = false;  ///< refused by RefuseWaiters
   };
 
   asio::any_io_executor executor_;
@@ -80,6 +101,10 @@
   std::uint64_t next_id_ = 1;
   bool leaving_ = false;  ///< it said so
   TargetRateLimit rate_limit_;
+  ColdTargetLimit cold_limit_;
+  bool is_cold_ = false;  ///< as its status says
+  double cold_rate_ = 0;  ///< that its pool tolerates; 0: no limit
+  MonoTime assumed_cold_until_{};
 };
 
 /// Targets of this host that accept work. Must be used from one thread.
@@ -91,6 +116,16 @@
   /// otherwise.
   std::shared_ptr<LocalTarget> Find(const TargetId& id);
 
+  /// Updates which targets are cold, and refuses what waits for a slot if this
+  /// host's failure domain is evacuated. Call with each new routing.
+  void OnRoutingChanged(const EffectiveRouting& routing);
+
+  /// Takes a target as cold, counts that and reports it.
+  void AssumeCold(const TargetId& id, LocalTarget& target);
+
+  /// Returns true if the failure domain of this host is evacuated.
+  bool IsEvacuated() const;
+
   /// Removes withdrawn targets and keeps connections warm. Call once a second.
   void Maintain();
 
@@ -104,7 +139,8 @@
 
  private:
   void Remove(const TargetId& id);
-  std::shared_ptr<ConnectionPool> MakePool(const Endpoint& address,
+  std::shared_ptr<ConnectionPool> MakePool(const TargetId& id,
+                                           const Endpoint& address,
                                            const PoolSpec& spec);
 
   ProxyContext& context_;
--- a/proxy/proxy_context.cc
+++ b/proxy/proxy_context.cc
@@ -28,6 +28,7 @@
     routing_ = std::move(newest);
     balancer.SetRouting(routing_, std::chrono::steady_clock::now());
     retries.SetHosts(routing_->hosts);
+    targets->OnRoutingChanged(*routing_);
   }
   return routing_;
 }
--- a/proxy/proxy_context.h
+++ b/proxy/proxy_context.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -10,6 +11,7 @@
 #include "core/routing/death_tracker.h"
 #include "core/routing/power_of_two_balancer.h"
 #include "core/routing/retry_budget.h"
+#include "core/routing/retry_schedule.h"
 #include "proxy/asio_types.h"
 #include "proxy/proxy_metrics.h"
 #include "proxy/proxy_server.h"
@@ -49,6 +51,8 @@
   PowerOfTwoBalancer balancer;
   RetryBudget retries;
   DeathTracker deaths;
+  std::map<PoolName, RetrySchedule>
+      cold_retries;  ///< Retry-After of pools whose cold targets are busy
   std::unique_ptr<LocalTargets> targets;
   std::unique_ptr<HostPools> hosts;
   std::set<ProxySession*> sessions;  ///< open sessions
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -18,7 +18,7 @@
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99};
 constexpr double kMicrosPerSecond = 1e6;
 
-constexpr std::array<std::string_view, 23> kCounterNames = {
+constexpr std::array<std::string_view, 26> kCounterNames = {
     "caller_requests",
     "pipelined_requests",
     "forward_requests",
@@ -42,6 +42,9 @@
     "claims_held",
     "claims_not_made",
     "claims_unknown",
+    "cold_refused",
+    "evacuated_refused",
+    "cold_assumed",
 };
 static_assert(kCounterNames.size() ==
               static_cast<std::size_t>(ProxyMetrics::Counter::kCount));
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -45,6 +45,11 @@
     kClaimsHeld,          ///< requests whose key was already claimed
     kClaimsNotMade,       ///< requests refused because no claim could be made
     kClaimsUnknown,       ///< requests whose claim has an unknown result
+    kColdRefused,  ///< attempts refused because a target of this host is cold
+    kEvacuatedRefused,  ///< attempts refused because the failure domain of this
+                        ///< host is evacuated
+    kColdAssumed,       ///< times that a target of this host was taken as cold
+                        ///< because it may have restarted
     kCount,
   };
 
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -131,8 +131,16 @@
 
 boost::json::object ProxyServer::State::Dump() {
   boost::json::object targets;
+  const MonoTime now = std::chrono::steady_clock::now();
   for (const auto& [id, target] : context.targets->targets()) {
+    const ColdTargetLimit& cold = std::as_const(*target).cold_limit();
+    const Milliseconds cold_for =
+        cold.per_second().has_value()
+            ? std::chrono::duration_cast<Milliseconds>(now - cold.cold_since())
+            : Milliseconds(0);
     targets[id.value()] = {
+        {"cold_limit", cold.per_second().value_or(0)},
+        {"cold_for_ms", cold_for.count()},
         {"running", target->gate().running()},
         {"waiting", target->gate().waiting()},
         {"request_limit", target->statement().request_limit.value_or(0)},
@@ -145,17 +153,19 @@
     hosts[endpoint.ToString()] = {{"connections", pool->open()},
                                   {"idle_connections", pool->idle()}};
   }
-  const MonoTime now = std::chrono::steady_clock::now();
   boost::json::object balancing;
   for (const auto& [id, stats] : context.balancer.stats()) {
     balancing[id.value()] = {{"in_flight", stats.in_flight},
                              {"slowness", stats.slowness},
                              {"failure_rate", stats.failure_rate},
                              {"full", stats.full_until > now},
-                             {"ejected", stats.ejected_until > now}};
+                             {"ejected", stats.ejected_until > now},
+                             {"cold_share", stats.cold_per_second},
+                             {"returned", stats.returned}};
   }
   return {{"in_flight", context.in_flight.load()},
           {"draining", context.draining},
+          {"domain_evacuated", context.targets->IsEvacuated()},
           {"caller_connections", context.caller_sessions},
           {"forward_connections", context.forward_sessions},
           {"buffered_response_bytes", context.buffered_response_bytes},
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -53,6 +53,9 @@
     std::function<void(const TargetId&)>
         on_target_leaving{};  ///< called when a target of this host says for
                               ///< the first time that it is leaving
+    std::function<void(const TargetId&)>
+        on_target_restart{};  ///< called when a target of this host whose pool
+                              ///< has a cold rate may have restarted
     std::function<void(std::string key, std::uint64_t fingerprint,
                        ClaimCallback)>
         claim{};  ///< claims an idempotency key; the callback may run on any
--- a/proxy/remote_run.cc
+++ b/proxy/remote_run.cc
@@ -105,8 +105,12 @@
         ? ToProxyError(Exchange::SendResult::kStopped, *request_.control)
         : ProxyError::kTargetBroke;
   }
-  const ProxyError error =
-      FindErrorByReason(reason).value_or(ProxyError::kTargetBroke);
+  // A host of a later version may give a reason that is not known here. Its
+  // statement that the request has not run holds all the same.
+  const bool not_run =
+      HeaderValue(exchange_->response(), kNotRunHeader) == "true";
+  const ProxyError error = FindErrorByReason(reason).value_or(
+      not_run ? ProxyError::kNoTarget : ProxyError::kTargetBroke);
   co_await exchange_->Discard();
   co_return error;
 }
--- a/unit_tests/core/routing/placement_test.cc
+++ b/unit_tests/core/routing/placement_test.cc
@@ -85,6 +85,88 @@
   EXPECT_TRUE(balancer.Choose(0, {}, kStart));
 }
 
+EffectiveRoutingPtr WithColdTargets(const EffectiveRoutingPtr& routing,
+                                    std::size_t cold, double per_second,
+                                    std::size_t hosts) {
+  EffectiveRouting changed = *routing;
+  changed.hosts = hosts;
+  changed.pools[0].spec.cold_requests_per_second = per_second;
+  for (std::size_t index = 0; index < cold; ++index) {
+    changed.pools[0].groups[0].targets[index].info.status =
+        TargetStatus::kWarming;
+  }
+  return std::make_shared<const EffectiveRouting>(std::move(changed));
+}
+
+// Without the share, all hosts together send a cold target far more than its
+// rate, and its host has to refuse it.
+TEST(PowerOfTwoBalancerChoose, ColdTarget_GetsThisProxysShareOfItsRate) {
+  const auto routing = WithColdTargets(MakeRouting(4, 0, 4), 1, 20, 10);
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(routing, kStart);
+  // The warm targets are busy, so that the cold one is the better choice.
+  for (const std::string warm : {"v1-1", "v1-2", "v1-3"}) {
+    for (int request = 0; request < 9; ++request)
+      balancer.OnSent(TargetId(warm));
+  }
+  int to_cold = 0;
+  for (int ms = 0; ms < 10'000; ms += 2) {
+    const auto placement = balancer.Choose(0, {}, kStart + Milliseconds(ms));
+    ASSERT_TRUE(placement);
+    if (placement->target == 0) ++to_cold;
+  }
+  EXPECT_GT(to_cold, 0);
+  EXPECT_LE(to_cold, 21);
+  EXPECT_EQ(balancer.ColdShare(0, 0), 2.0);
+}
+
+TEST(PowerOfTwoBalancerChoose, AllCold_StillChoosesTarget) {
+  const auto routing = WithColdTargets(MakeRouting(3, 0, 3), 3, 1, 100);
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(routing, kStart);
+  for (int request = 0; request < 20; ++request)
+    EXPECT_TRUE(balancer.Choose(0, {}, kStart));
+}
+
+TEST(PowerOfTwoBalancerChoose, WarmingWithoutColdRate_IsNotLimited) {
+  const auto routing = WithColdTargets(MakeRouting(1, 0, 1), 1, 0, 100);
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(routing, kStart);
+  EXPECT_EQ(balancer.ColdShare(0, 0), 0.0);
+  EXPECT_EQ(balancer.FindStats(TargetId("v1-0"))->cold_per_second, 0.0);
+}
+
+// The targets of a returned domain are all new at once. Compared only with each
+// other, they would get all requests of their domain at once.
+TEST(PowerOfTwoBalancerChoose, EvacuationEnds_RequestsReturnGradually) {
+  const EffectiveRoutingPtr all = MakeRouting(6, 0, 3);
+  EffectiveRouting evacuated = *all;
+  evacuated.evacuated_domains = {FailureDomain("own")};
+  for (VersionGroup& group : evacuated.pools[0].groups) {
+    std::erase_if(group.targets, [](const RoutedTarget& target) {
+      return target.domain == FailureDomain("own");
+    });
+  }
+  PowerOfTwoBalancer balancer({.domain = FailureDomain("own")});
+  balancer.SetRouting(all, kStart);
+  balancer.SetRouting(
+      std::make_shared<const EffectiveRouting>(std::move(evacuated)), kStart);
+  balancer.SetRouting(all, kStart);
+  const auto share_at = [&](MonoTime now) {
+    int own = 0;
+    for (int request = 0; request < 1000; ++request) {
+      const auto placement = balancer.Choose(0, {}, now);
+      own += placement->target < 3 ? 1 : 0;
+    }
+    return own;
+  };
+  EXPECT_LT(share_at(kStart), 200);
+  const int halfway = share_at(kStart + Seconds(5));
+  EXPECT_GT(halfway, 400);
+  EXPECT_LT(halfway, 600);
+  EXPECT_EQ(share_at(kStart + Seconds(10)), 1000);
+}
+
 // Uses a local target with latency `own` and a target in another domain with
 // latency `other`. Returns how many of 100 requests go to the other domain.
 int RequestsToOtherDomain(Milliseconds objective, Milliseconds own,
--- a/unit_tests/core/routing/routing_builder_test.cc
+++ b/unit_tests/core/routing/routing_builder_test.cc
@@ -68,6 +68,38 @@
   EXPECT_EQ(NewVersionShare(), 0U);
 }
 
+TEST_F(RoutingBuilder, EvacuatedDomain_HasNoTargetsInAnyPool) {
+  hosts_[HostId("h1")].domain = FailureDomain("a");
+  hosts_[HostId("h2")] = {.host = HostId("h2"),
+                          .domain = FailureDomain("b"),
+                          .targets = {Target("t3", "v1")}};
+  snapshot_.evacuated_domains = {FailureDomain("a"), FailureDomain("nowhere")};
+  const EffectiveRouting routing = Build();
+  EXPECT_TRUE(routing.IsEvacuated(FailureDomain("a")));
+  EXPECT_FALSE(routing.IsEvacuated(FailureDomain("b")));
+  const PoolRouting& pool = routing.pools.front();
+  ASSERT_EQ(pool.groups.at(0).targets.size(), 1U);
+  EXPECT_EQ(pool.groups.at(0).targets.front().info.id, TargetId("t3"));
+  EXPECT_TRUE(pool.groups.at(1).targets.empty());
+}
+
+// If the failure detection is in doubt about a domain, suspect hosts stay in
+// use. The targets of an evacuated domain must not come back by that.
+TEST_F(RoutingBuilder, DomainEvacuatedWhileAnotherIsLost_UsesSuspectsOnly) {
+  hosts_[HostId("h1")].domain = FailureDomain("a");
+  for (const std::string host : {"h2", "h3"}) {
+    hosts_[HostId(host)] = {.host = HostId(host),
+                            .status = HostStatus::kSuspect,
+                            .domain = FailureDomain("b"),
+                            .targets = {Target("t-" + host, "v1")}};
+  }
+  snapshot_.evacuated_domains = {FailureDomain("a")};
+  const VersionGroup group = Build().pools.front().groups.front();
+  ASSERT_EQ(group.targets.size(), 2U);
+  for (const RoutedTarget& target : group.targets)
+    EXPECT_EQ(target.domain, FailureDomain("b"));
+}
+
 TEST_F(RoutingBuilder, PendingOrRolledBack_OldVersionGetsAllTraffic) {
   SetRollout(RolloutStage::kPending, 500'000);
   EXPECT_EQ(NewVersionShare(), 0U);
--- a/unit_tests/node/platform_sync/operator_feed_test.cc
+++ b/unit_tests/node/platform_sync/operator_feed_test.cc
@@ -21,7 +21,8 @@
   }
 
   std::vector<std::uint64_t> versions_;
-  std::string config_;  ///< the configuration row that was decoded last
+  ConfigHead active_{};  ///< in force on this host; never goes back
+  std::string config_;   ///< the configuration row that was decoded last
   FakePlatform platform_;
   LogSink log_{{.write = [](const std::string&) {}}};
   MonoTime now_{Seconds(100)};
@@ -33,6 +34,7 @@
        .decode = [this](const std::map<std::string, TableRow>& rows,
                         std::string& reason) -> std::optional<ConfigSnapshot> {
          ConfigSnapshot snapshot;
+         std::string content;
          config_ = rows.contains("config") ? rows.at("config").value : "";
          for (const auto& [key, row] : rows) {
            if (row.value == "malformed") {
@@ -41,13 +43,18 @@
            }
            snapshot.head.version =
                std::max(snapshot.head.version, row.revision);
+           content += key + "=" + row.value + ";";
          }
+         snapshot.head.digest = Digest::Of(content);
          return snapshot;
        },
        .on_snapshot =
            [this](const ConfigSnapshot& snapshot) {
              versions_.push_back(snapshot.head.version);
+             if (snapshot.head.version > active_.version)
+               active_ = snapshot.head;
            },
+       .active_head = [this] { return active_; },
        .post = [](const std::function<void()>& task) { task(); }}};
 };
 
@@ -201,5 +208,76 @@
   EXPECT_EQ(versions_, (std::vector<std::uint64_t>{1, 3}));
 }
 
+// Without the revision of the removal, the version stays and no host takes over
+// the end of an evacuation.
+TEST_F(OperatorFeedTest, WatcherSeesRemovedRow_RaisesVersion) {
+  platform_.Put("op", "config", "a");
+  platform_.Put("op", "evacuate/d", "{}");
+  Tick(true);
+  platform_.Run();
+  Tick(true, Seconds(1));
+  platform_.Remove("op", "evacuate/d");
+  platform_.Run();
+  EXPECT_EQ(versions_, (std::vector<std::uint64_t>{2, 3}));
+  // A later change keeps the version that the removal gave.
+  Tick(true, Seconds(1));
+  platform_.Put("op", "config", "b");
+  platform_.Run();
+  EXPECT_EQ(versions_.back(), 4U);
+}
+
+TEST_F(OperatorFeedTest, RowRemovedBetweenTwoReads_RaisesVersion) {
+  platform_.Put("op", "config", "a");
+  platform_.Put("op", "evacuate/d", "{}");
+  Tick(true);
+  platform_.Run();
+  platform_.Remove("op", "evacuate/d");
+  platform_.Put("other", "row", "x");
+  platform_.DropHistory();
+  Tick(true, Seconds(1));
+  platform_.Run();
+  Tick(true);
+  platform_.Run();
+  EXPECT_EQ(versions_.back(), 4U);
+  EXPECT_EQ(active_.version, 4U);
+}
+
+// A host that starts after the removal reads a lower revision than that of the
+// configuration which the other hosts still have in force.
+TEST_F(OperatorFeedTest, OtherHostsServeRemovedRow_RaisesVersion) {
+  platform_.Put("op", "config", "a");
+  platform_.Put("op", "evacuate/d", "{}");
+  platform_.Remove("op", "evacuate/d");
+  Tick(false);
+  platform_.Run();
+  EXPECT_EQ(versions_, std::vector<std::uint64_t>{1});
+  active_ = {.version = 2, .digest = Digest::Of("config=a;evacuate/d={};")};
+  Tick(false, Milliseconds(10));
+  EXPECT_EQ(versions_, (std::vector<std::uint64_t>{1, 3}));
+  Tick(false, Milliseconds(10));
+  EXPECT_EQ(versions_.size(), 2U);
+}
+
+// A host with an old copy of the rows must not undo a newer configuration.
+TEST_F(OperatorFeedTest, OtherHostsServeLaterRevision_KeepsIt) {
+  platform_.Put("op", "config", "a");
+  Tick(false);
+  platform_.Run();
+  active_ = {.version = 2, .digest = Digest::Of("config=b;")};
+  Tick(false, Milliseconds(10));
+  EXPECT_EQ(versions_, std::vector<std::uint64_t>{1});
+}
+
+TEST_F(OperatorFeedTest, OtherHostsServeSameContent_KeepsVersion) {
+  platform_.Put("op", "config", "a");
+  platform_.Put("other", "row", "x");
+  platform_.Put("other", "row", "y");
+  Tick(false);
+  platform_.Run();
+  active_ = {.version = 2, .digest = Digest::Of("config=a;")};
+  Tick(false, Milliseconds(10));
+  EXPECT_EQ(versions_, std::vector<std::uint64_t>{1});
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/node/targets/target_registry_test.cc
+++ b/unit_tests/node/targets/target_registry_test.cc
@@ -44,6 +44,72 @@
   EXPECT_EQ(status(), TargetStatus::kReady);
 }
 
+// A target may turn cold at any moment, also long after its start.
+TEST_F(TargetRegistryAnnounce, ColdAgainAfterWarmingLimit_Warms) {
+  registry_.Announce(Announcement(true), start_);
+  registry_.Announce(Announcement(true), start_ + seconds(100));
+  registry_.Announce(Announcement(false), start_ + seconds(101));
+  EXPECT_EQ(status(), TargetStatus::kWarming);
+}
+
+TEST_F(TargetRegistryAnnounce, ColdBeyondWarmingLimit_StaysReady) {
+  registry_.Announce(Announcement(false), start_);
+  registry_.Announce(Announcement(false), start_ + seconds(60));
+  registry_.Announce(Announcement(false), start_ + seconds(62));
+  EXPECT_EQ(status(), TargetStatus::kReady);
+}
+
+// A registry whose pools have a cold rate, and a target that reports.
+class TargetRegistryColdRate : public TargetRegistryTest {
+ protected:
+  void Report(std::uint64_t sequence, bool warm, MonoTime now) {
+    TargetAnnouncement report = Announcement(warm);
+    report.sequence = sequence;
+    report.started_ms = 1000;
+    limited_.Report(report, now);
+  }
+  TargetStatus status() const { return limited_.targets().at(0).status; }
+
+  TargetRegistry limited_{
+      {.lease = seconds(6),
+       .has_cold_rate = [](const PoolName&) { return true; }}};
+};
+
+TEST_F(TargetRegistryColdRate, MayHaveRestarted_IsColdUntilNextReport) {
+  Report(1, true, start_);
+  EXPECT_TRUE(limited_.AssumeCold(TargetId("t1")));
+  EXPECT_EQ(status(), TargetStatus::kWarming);
+  EXPECT_FALSE(limited_.AssumeCold(TargetId("t1")));
+  Report(2, true, start_ + seconds(1));
+  EXPECT_EQ(status(), TargetStatus::kReady);
+}
+
+TEST_F(TargetRegistryColdRate, ReportsMissing_IsColdUntilNextReport) {
+  Report(1, true, start_);
+  EXPECT_FALSE(limited_.Expire(start_ + seconds(3)));
+  EXPECT_EQ(status(), TargetStatus::kReady);
+  EXPECT_TRUE(limited_.Expire(start_ + seconds(4)));
+  EXPECT_EQ(status(), TargetStatus::kWarming);
+  Report(2, true, start_ + seconds(5));
+  EXPECT_EQ(status(), TargetStatus::kReady);
+}
+
+TEST_F(TargetRegistryColdRate, ReportsColdBeyondWarmingLimit_StaysWarming) {
+  Report(1, false, start_);
+  Report(2, false, start_ + seconds(61));
+  limited_.Expire(start_ + seconds(62));
+  EXPECT_EQ(status(), TargetStatus::kWarming);
+}
+
+TEST_F(TargetRegistryColdRate, PoolWithoutColdRate_IsNeverAssumedCold) {
+  TargetAnnouncement report = Announcement(true);
+  report.sequence = 1;
+  registry_.Report(report, start_);
+  EXPECT_FALSE(registry_.AssumeCold(TargetId("t1")));
+  EXPECT_FALSE(registry_.Expire(start_ + seconds(5)));
+  EXPECT_EQ(registry_.targets().at(0).status, TargetStatus::kReady);
+}
+
 TEST_F(TargetRegistryAnnounce, TooManyTargets_Refused) {
   registry_.Announce(Announcement(true), start_);
   TargetAnnouncement other = Announcement(true);
--- a/unit_tests/platform/operator_tables_test.cc
+++ b/unit_tests/platform/operator_tables_test.cc
@@ -127,6 +127,38 @@
   }
 }
 
+TEST_F(OperatorTables, EvacuationRows_NameTheDomains) {
+  Put("config", kConfig, 12);
+  EXPECT_TRUE(Decode()->evacuated_domains.empty());
+  Put("evacuate/z-2", "{}", 13);
+  Put("evacuate/a-1", "", 14);
+  const auto tables = Decode();
+  ASSERT_TRUE(tables) << reason_;
+  EXPECT_EQ(tables->evacuated_domains,
+            (std::vector{FailureDomain("a-1"), FailureDomain("z-2")}));
+  EXPECT_EQ(tables->head.version, 14U);
+  EXPECT_TRUE(reason_.empty()) << reason_;
+}
+
+TEST_F(OperatorTables, EvacuationWithoutDomain_IsReportedAndLeftOut) {
+  Put("config", kConfig, 12);
+  Put("evacuate/", "{}", 13);
+  const auto tables = Decode();
+  ASSERT_TRUE(tables);
+  EXPECT_TRUE(tables->evacuated_domains.empty());
+  EXPECT_FALSE(reason_.empty());
+}
+
+TEST_F(OperatorTables, ColdRate_IsReadFromItsService) {
+  Put("config", R"({"services": [{"name": "a", "coldPerS": 15.0},
+                                 {"name": "b"}]})",
+      12);
+  const auto tables = Decode();
+  ASSERT_TRUE(tables) << reason_;
+  EXPECT_EQ(tables->pools[0].cold_requests_per_second, 15.0);
+  EXPECT_EQ(tables->pools[1].cold_requests_per_second, 0.0);
+}
+
 TEST_F(OperatorTables, NoConfig_ReturnsReason) {
   Put("rollout/a", R"({"pool": "a", "target": "v2"})", 15);
   EXPECT_FALSE(Decode());
--- a/unit_tests/proxy/scripted_target.h
+++ b/unit_tests/proxy/scripted_target.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <cctype>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <mutex>
@@ -28,9 +29,10 @@
  public:
   using Script = std::function<ScriptedResponse(const std::string& request)>;
 
-  explicit ScriptedTarget(Script script)
+  /// `port` 0 picks a free port.
+  explicit ScriptedTarget(Script script, std::uint16_t port = 0)
       : script_(std::move(script)),
-        acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+        acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), port}) {
     accepting_ = std::thread([this] { Accept(); });
   }
 
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -80,7 +80,7 @@
           .caller_listen = {.address = "127.0.0.1"},
           .forward_listen = {.address = "127.0.0.1"},
           .host = HostId(host),
-          .domain = FailureDomain("d"),
+          .domain = DomainOf(host),
           .mesh_key = "key",
           .routing = [this, host] { return RoutingOf(host); },
           .local_target =
@@ -106,6 +106,11 @@
                 const std::scoped_lock lock(mutex_);
                 said_leaving_.push_back(target.value());
               },
+          .on_target_restart =
+              [this](const TargetId& target) {
+                const std::scoped_lock lock(mutex_);
+                restarts_.push_back(target.value());
+              },
           .claim = claim_,
           .release_claim = release_claim_,
           .on_decision =
@@ -131,10 +136,11 @@
     snapshot->routes = routes_;
     snapshot->pools = {pool_};
     snapshot->limits = caller_limits_;
+    snapshot->evacuated_domains = evacuated_domains_;
     std::map<HostId, HostRecord> hosts;
     for (const auto& [host, proxy] : proxies_) {
       hosts[HostId(host)] = {.host = HostId(host),
-                             .domain = FailureDomain("d"),
+                             .domain = DomainOf(host),
                              .forward = proxy->forward_endpoint(),
                              .targets = host_targets_[host]};
     }
@@ -148,6 +154,11 @@
     }
   }
 
+  FailureDomain DomainOf(const std::string& host) const {
+    const auto found = domains_.find(host);
+    return found == domains_.end() ? FailureDomain("d") : found->second;
+  }
+
   EffectiveRoutingPtr RoutingOf(const std::string& host) {
     const std::scoped_lock lock(mutex_);
     return routings_[host];
@@ -187,6 +198,9 @@
   std::map<RequestOutcome, std::uint64_t> samples_;
   std::map<RequestDecision::Kind, std::uint64_t> decisions_;
   std::vector<std::string> said_leaving_;
+  std::vector<std::string> restarts_;  ///< targets that may have restarted
+  std::map<std::string, FailureDomain> domains_;  ///< by host; "d" if absent
+  std::vector<FailureDomain> evacuated_domains_;
   std::map<std::string, std::unique_ptr<HttpServer>> targets_;
   std::map<std::string, std::unique_ptr<ProxyServer>> proxies_;
   std::function<void(std::string, std::uint64_t, ClaimCallback)> claim_;
--- a/unit_tests/store/fake_platform.h
+++ b/unit_tests/store/fake_platform.h
@@ -77,6 +77,13 @@
         .table = table, .key = key, .value = value, .revision = ++revision_};
   }
 
+  /// Removes a row at once, as another client of the platform would.
+  void Remove(const std::string& table, const std::string& key) {
+    rows_.erase({table, key});
+    removed_[{table, key}] = {
+        .table = table, .key = key, .revision = ++revision_, .removed = true};
+  }
+
   /// Drops the change history, so that earlier revisions are compacted.
   void DropHistory() { compacted_revision_ = revision_; }
 
@@ -166,6 +173,10 @@
       if (key.first == table && row.revision > after)
         response.rows.push_back(row);
     }
+    for (const auto& [key, row] : removed_) {
+      if (key.first == table && row.revision > after && !rows_.contains(key))
+        response.rows.push_back(row);
+    }
     return response;
   }
 
@@ -188,6 +199,7 @@
 
   std::deque<std::function<void(Fault)>> waiting_;
   Rows rows_;
+  Rows removed_;  ///< the latest removal of each row
   std::optional<std::pair<Rows, std::uint64_t>> held_;
   std::map<std::string, std::string> objects_;
   std::uint64_t revision_ = 0;
