--- a/unit_tests/proxy/cold_target_test.cc
+++ b/unit_tests/proxy/cold_target_test.cc
@@ -13,7 +13,10 @@
 // A pool with a cold rate, and targets on h2 that record their requests.
 class ColdTarget : public ProxyVocabulary {
  protected:
-  ColdTarget() { pool_.cold_requests_per_second = kColdRate; }
+  void SetUp() override {
+    ProxyVocabulary::SetUp();
+    pool_.cold_requests_per_second = kColdRate;
+  }
 
   void TearDown() override {
     ProxyVocabulary::TearDown();
