--- a/core/routing/target_stats.h
+++ b/core/routing/target_stats.h
@@ -34,6 +34,12 @@
   MonoTime load_reported_at{};     ///< last update of reported_load
   std::uint32_t sent_since_report =
       0;  ///< requests sent from this proxy since that update
+  double cold_per_second = 0;  ///< share of this proxy in the rate that the
+                               ///< target tolerates while cold; 0: no limit
+  double cold_tokens = 0;      ///< requests that the share admits now
+  MonoTime cold_refilled{};    ///< time of the last change of cold_tokens
+  bool returned = false;  ///< its domain was evacuated before; requests return
+                          ///< to it gradually
 };
 
 }  // namespace camphor
--- a/node/decisions/host_controller.cc
+++ b/node/decisions/host_controller.cc
@@ -26,9 +26,13 @@
 
 HostController::HostController(Options options)
     : options_(std::move(options)),
-      registry_({.lease = options_.settings.targets.lease,
-                 .warming_limit = options_.settings.targets.warming_limit,
-                 .await_departures = options_.departures_changed != nullptr}) {
+      registry_(
+          {.lease = options_.settings.targets.lease,
+           .warming_limit = options_.settings.targets.warming_limit,
+           .await_departures = options_.departures_changed != nullptr,
+           .has_cold_rate =
+               [this](const PoolName& pool) { return HasColdRate(pool); }}),
+      availability_({.log = options_.log}) {
   rollouts_ = std::make_unique<RolloutManager>(ManagerOptions());
   quotas_ = std::make_unique<QuotaManager>(QuotaOptions());
   replicator_ = std::make_unique<Replicator>(ReplicatorOptions());
@@ -194,6 +198,22 @@
       now);
 }
 
+bool HostController::HasColdRate(const PoolName& pool) const {
+  const ConfigSnapshotPtr& snapshot = replicator_->snapshot();
+  const PoolSpec* spec = snapshot ? snapshot->FindPool(pool) : nullptr;
+  return spec != nullptr && spec->cold_requests_per_second > 0;
+}
+
+void HostController::OnTargetRestart(const TargetId& target, MonoTime now) {
+  now_ = now;
+  const bool changed = registry_.AssumeCold(target);
+  options_.log->Log(
+      LogLevel::kInfo, "targets",
+      "target may have restarted; it counts as cold until its next report",
+      {{"target", target.value()}, {"changed", changed ? "yes" : "no"}});
+  if (changed) OnTargetsChanged(now);
+}
+
 bool HostController::Announce(const TargetAnnouncement& announcement,
                               MonoTime now) {
   now_ = now;
@@ -298,6 +318,7 @@
   }
   quotas_->Tick(now);
   rollouts_->Tick(boot_now, wall_now);
+  availability_.Update(replicator_->snapshot(), replicator_->hosts(), now);
 }
 
 void HostController::PublishRouting(MonoTime now) {
--- a/node/decisions/host_controller.h
+++ b/node/decisions/host_controller.h
@@ -16,6 +16,7 @@
 #include "core/rollout/rollout_manager.h"
 #include "core/routing/effective_routing.h"
 #include "core/routing/request_sample.h"
+#include "node/decisions/availability_monitor.h"
 #include "node/decisions/published.h"
 #include "node/log/log_sink.h"
 #include "node/settings/settings.h"
@@ -80,6 +81,10 @@
   void OnTargetDeath(std::uint64_t fingerprint, const TargetId& target,
                      MonoTime now, WallTime wall_now);
 
+  /// Takes a target of this host as cold until its next report: it may have
+  /// restarted.
+  void OnTargetRestart(const TargetId& target, MonoTime now);
+
   /// Registration of this host's targets; see TargetRegistry. Report() returns
   /// false if the report was refused because there are too many targets.
   bool Announce(const TargetAnnouncement& announcement, MonoTime now);
@@ -126,6 +131,9 @@
   /// State of strict revocation for the dump, as of the latest tick.
   boost::json::object DumpFreshness() const;
 
+  /// Evacuated failure domains and cold targets, as known to this host.
+  const AvailabilityMonitor& availability() const { return availability_; }
+
   Replicator& replicator() { return *replicator_; }
   RolloutManager& rollouts() { return *rollouts_; }
   const QuotaManager& quotas() const { return *quotas_; }
@@ -141,6 +149,7 @@
   void OnConfigChanged(const ConfigSnapshotPtr& snapshot);
   void OnRolloutChanged(const RolloutRecord& record);
   void OnTargetsChanged(MonoTime now);
+  bool HasColdRate(const PoolName& pool) const;
   void ReportDepartures();
   WallTime FindNextBlockEnd() const;
   void LogRouting(const EffectiveRouting& routing);
@@ -151,6 +160,7 @@
   std::unique_ptr<RolloutManager> rollouts_;
   std::unique_ptr<QuotaManager> quotas_;
   std::unique_ptr<Replicator> replicator_;
+  AvailabilityMonitor availability_;
   std::optional<FreshnessTracker> freshness_;  ///< set if revocation is strict
   ConfigVersion published_version_ = 0;        ///< of the published routing
   bool published_teams_ = false;               ///< that routing requires keys
--- a/node/node_report.cc
+++ b/node/node_report.cc
@@ -76,6 +76,8 @@
               .log_dropped = parts_.log.dropped()}) +
          parts_.controller.quotas().MetricsText(
              std::chrono::steady_clock::now()) +
+         parts_.controller.availability().Metrics(
+             std::chrono::steady_clock::now()) +
          parts_.proxy.MetricsText() + parts_.claims.MetricsText();
 }
 
--- a/node/platform_sync/platform_sync.cc
+++ b/node/platform_sync/platform_sync.cc
@@ -40,16 +40,23 @@
 }
 
 OperatorFeed::Options PlatformSync::FeedOptions() {
-  OperatorFeed::Options feed{.table = options_.operator_tables->table,
-                             .platform = options_.platform,
-                             .log = options_.log,
-                             .random_seed = options_.random_seed,
-                             .decode = options_.operator_tables->decode,
-                             .on_snapshot =
-                                 [this](const ConfigSnapshot& snapshot) {
-                                   OnOperatorSnapshot(snapshot);
-                                 },
-                             .post = options_.post};
+  OperatorFeed::Options feed{
+      .table = options_.operator_tables->table,
+      .platform = options_.platform,
+      .log = options_.log,
+      .random_seed = options_.random_seed,
+      .decode = options_.operator_tables->decode,
+      .on_snapshot =
+          [this](const ConfigSnapshot& snapshot) {
+            OnOperatorSnapshot(snapshot);
+          },
+      .active_head =
+          [this] {
+            const ConfigSnapshotPtr& active =
+                options_.controller->replicator().snapshot();
+            return active == nullptr ? ConfigHead{} : active->head;
+          },
+      .post = options_.post};
   if (strict()) {
     feed.strict_watch_timeout =
         FreshnessTracker::WatchTimeout(options_.revoke_within);
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -361,7 +361,11 @@
     const bool keep = KeepsOpen(
         response, !closing_ && request->keep && request->body->complete());
     const ErrorReply reply{
-        .error = *error, .keep = keep, .head_request = request->is_head()};
+        .error = *error,
+        .keep = keep,
+        .head_request = request->is_head(),
+        .retry_after =
+            std::max(result.retry_after, context_.options.limits.retry_after)};
     complete = co_await AppendError(response, reply);
   }
   request->control->Finish();
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -18,7 +18,7 @@
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99};
 constexpr double kMicrosPerSecond = 1e6;
 
-constexpr std::array<std::string_view, 28> kCounterNames = {
+constexpr std::array<std::string_view, 31> kCounterNames = {
     "caller_requests",
     "pipelined_requests",
     "forward_requests",
@@ -47,6 +47,9 @@
     "claims_held",
     "claims_not_made",
     "claims_unknown",
+    "cold_refused",
+    "evacuated_refused",
+    "cold_assumed",
 };
 static_assert(kCounterNames.size() ==
               static_cast<std::size_t>(ProxyMetrics::Counter::kCount));
--- a/unit_tests/proxy/two_hosts.h
+++ b/unit_tests/proxy/two_hosts.h
@@ -80,7 +80,7 @@
           .caller_listen = {.address = "127.0.0.1"},
           .forward_listen = {.address = "127.0.0.1"},
           .host = HostId(host),
-          .domain = FailureDomain("d"),
+          .domain = DomainOf(host),
           .mesh_key = "key",
           .routing = [this, host] { return RoutingOf(host); },
           .accepts_keys = accepts_keys_,
@@ -108,6 +108,11 @@
                 const std::scoped_lock lock(mutex_);
                 said_leaving_.push_back(target.value());
               },
+          .on_target_restart =
+              [this](const TargetId& target) {
+                const std::scoped_lock lock(mutex_);
+                restarts_.push_back(target.value());
+              },
           .claim = claim_,
           .release_claim = release_claim_,
           .on_decision =
@@ -134,10 +139,11 @@
     snapshot->pools = {pool_};
     snapshot->limits = caller_limits_;
     snapshot->teams = teams_;
+    snapshot->evacuated_domains = evacuated_domains_;
     std::map<HostId, HostRecord> hosts;
     for (const auto& [host, proxy] : proxies_) {
       hosts[HostId(host)] = {.host = HostId(host),
-                             .domain = FailureDomain("d"),
+                             .domain = DomainOf(host),
                              .forward = proxy->forward_endpoint(),
                              .targets = host_targets_[host]};
     }
@@ -151,6 +157,11 @@
     }
   }
 
+  FailureDomain DomainOf(const std::string& host) const {
+    const auto found = domains_.find(host);
+    return found == domains_.end() ? FailureDomain("d") : found->second;
+  }
+
   EffectiveRoutingPtr RoutingOf(const std::string& host) {
     const std::scoped_lock lock(mutex_);
     return routings_[host];
@@ -193,6 +204,9 @@
   std::map<RequestOutcome, std::uint64_t> samples_;
   std::map<RequestDecision::Kind, std::uint64_t> decisions_;
   std::vector<std::string> said_leaving_;
+  std::vector<std::string> restarts_;  ///< targets that may have restarted
+  std::map<std::string, FailureDomain> domains_;  ///< by host; "d" if absent
+  std::vector<FailureDomain> evacuated_domains_;
   std::map<std::string, std::unique_ptr<HttpServer>> targets_;
   std::map<std::string, std::unique_ptr<ProxyServer>> proxies_;
   std::function<void(std::string, std::uint64_t, ClaimCallback)> claim_;
