--- a/unit_tests/proxy/load_report_test.cc
+++ b/unit_tests/proxy/load_report_test.cc
@@ -14,7 +14,7 @@
   static constexpr Milliseconds kService{30};
 
   // Starts a target on h2 and sends it some requests through h1.
-  void CallSlowTarget(unsigned status) {
+  void CallSlowTarget(int status) {
     AddTarget("h2", "t1", [status](const HttpExchange& exchange) {
       std::this_thread::sleep_for(kService);
       exchange.Respond({.status = status,
