--- a/performance_test/placing/uneven_load.cc
+++ b/performance_test/placing/uneven_load.cc
@@ -7,6 +7,7 @@
 PlacingModel::Options MakeUnevenLoad(double load) {
   constexpr int kTargets = 30;
   std::vector<double> speeds;
+  speeds.reserve(kTargets);
   for (int target = 0; target < kTargets; ++target)
     speeds.push_back(0.5 + target * 7 % kTargets / (kTargets - 1.0));
   return {.speeds = speeds,
