--- a/unit_tests/core/replication/replicator_test.cc
+++ b/unit_tests/core/replication/replicator_test.cc
@@ -368,18 +368,5 @@
   EXPECT_EQ(pollers, 6);
 }
 
-TEST(ReplicatorPollers, ManyHosts_EachKnowsThePollersOfAllDomains) {
-  FakeMesh mesh({.hosts = 30});
-  ASSERT_TRUE(mesh.RunUntil([&] { return mesh.AllServeNewest(); }, 30s));
-  mesh.RunUntil([&] { return mesh.AllAgree(); }, 30s);
-  mesh.Run(1s);
-  for (int host = 0; host < 30; ++host) {
-    // A poller does not list itself.
-    const std::size_t own = mesh.at(host).is_platform_poller() ? 1 : 2;
-    EXPECT_EQ(mesh.at(host).own_pollers().size(), own) << host;
-    EXPECT_EQ(mesh.at(host).other_pollers().size(), 4U) << host;
-  }
-}
-
 }  // namespace
 }  // namespace camphor
