--- a/scenario_tests/untrusted_callers/untrusted_callers_test.cc
+++ b/scenario_tests/untrusted_callers/untrusted_callers_test.cc
@@ -29,7 +29,6 @@
 constexpr unsigned kAdminConnections = 64;
 constexpr std::uint64_t kAdminBodyBytes = kMebibyte;
 constexpr std::uint64_t kCallerBodyBytes = 4 * kMebibyte;
-constexpr std::uint64_t kHeaderBytes = 16 * kKibibyte;
 
 /// Growth of the highest resident memory that the crowd may cause: twice the
 /// buffer budget, for what the allocator rounds up and does not give back, and
