--- a/core/config/config_codec.cc
+++ b/core/config/config_codec.cc
@@ -60,8 +60,9 @@
                                 team->name.value())});
   }
   std::ranges::sort(snapshot.evacuated_domains);
-  const auto repeated = std::ranges::unique(snapshot.evacuated_domains);
-  snapshot.evacuated_domains.erase(repeated.begin(), repeated.end());
+  // Not std::ranges::unique, whose result clang 14 cannot use.
+  std::vector<FailureDomain>& domains = snapshot.evacuated_domains;
+  domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
 }
 
 /// Passes the canonical encoding to `write` in pieces, one row at a time. A
