Turn the reports of target load off unless a setting asks for them

Reports would also be sent on deployments that did not ask for them. proxy.load_reports is off by default; the decision, its model and its tests stay.

--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -197,6 +197,8 @@
   fields.Object("proxy", [&](JsonFields& part) {
     settings.proxy.debug_headers =
         part.Boolean("debug_headers", settings.proxy.debug_headers);
+    settings.proxy.load_reports =
+        part.Boolean("load_reports", settings.proxy.load_reports);
     settings.proxy.retry_budget =
         part.Boolean("retry_budget", settings.proxy.retry_budget);
     settings.proxy.retry_ratio =
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -80,6 +80,8 @@
 /// Settings of debug headers, retries and connections.
 struct ProxySettings {
   bool debug_headers = false;  ///< add target and version to responses
+  bool load_reports = false;   ///< place by the speed and load of targets that
+                               ///< their hosts report
   bool retry_budget = true;  ///< false: unlimited retries, for comparison only
   double retry_ratio = 0.1;  ///< retries per request of a pool
   double retry_burst = 100;  ///< additional retries of a pool that can
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -365,8 +365,10 @@
 
 std::optional<LoadReport> LocalRun::load_report() const {
   const Urgency& urgency = request_.urgency;
-  if (!target_ || urgency.soft_deadline >= urgency.deadline)
+  if (!context_.options.limits.load_reports || !target_ ||
+      urgency.soft_deadline >= urgency.deadline) {
     return std::nullopt;
+  }
   std::optional<LoadReport> report = target_->gate().Report(urgency.work_class);
   // The slot of this request is about to be released.
   if (report && has_slot_ && report->running > 0) --report->running;
--- a/unit_tests/proxy/cold_target_test.cc
+++ b/unit_tests/proxy/cold_target_test.cc
@@ -51,7 +51,7 @@
   }
 
   std::optional<HttpResponse> Send() {
-    const auto response = Get("r" + std::to_string(++sent_));
+    std::optional<HttpResponse> response = Get("r" + std::to_string(++sent_));
     if (response && response->status == 200) ++answered_;
     return response;
   }
--- a/unit_tests/proxy/load_report_test.cc
+++ b/unit_tests/proxy/load_report_test.cc
@@ -21,7 +21,7 @@
                         .fields = {{"X-Camphor-Load", "0 0 1 1"}},
                         .body = "body"});
     });
-    StartHosts();
+    StartHosts({.load_reports = true});
     for (int call = 0; call < 3; ++call) {
       const auto response = Call({.method = "POST", .target = "/x"});
       ASSERT_TRUE(response);
