--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -194,13 +194,12 @@
   assert(routing_ && route < routing_->routes.size());
   const RoutedShare part = GetShare(route, share);
   const RouteRule& rule = *routing_->routes[route].rule;
-  const ChoiceParams params{.tried = tried,
-                            .objective = rule.target_latency,
-                            .typical_us = latency_.TypicalUs(rule.name),
-                            .service_us = finish_.HasReports(now)
-                                              ? finish_.TypicalUs(rule.name)
-                                              : 0,
-                            .now = now};
+  const ChoiceParams params{
+      .tried = tried,
+      .objective = rule.target_latency,
+      .typical_us = latency_.TypicalUs(rule.name),
+      .service_us = finish_.HasReports(now) ? finish_.TypicalUs(rule.name) : 0,
+      .now = now};
   const std::optional<Placement> chosen = ChoosePlacement(route, part, params);
   if (chosen) {
     const GroupView& view = pools_[chosen->pool].groups[chosen->group];
