--- a/core/config/config_codec.h
+++ b/core/config/config_codec.h
@@ -15,8 +15,8 @@
 ///
 /// A document has the form {"routes": [...], "pools": [...], "limits": {...}},
 /// where "limits", "teams" and "evacuated_domains" are optional, and may
-/// contain comments. The encoding is
-/// canonical: equal tables have equal bytes and therefore equal digests.
+/// contain comments. The encoding is canonical: equal tables have equal bytes
+/// and therefore equal digests.
 ///
 /// If a call returns std::nullopt, last_reason() has the first error and
 /// errors() all of them, so that an operator can fix them at once.
