Serve a steady demand that is within every window of the quota

The allocator's bucket refills at the rate, so the burst was counted once and never again while the demand went on.

Once a team has been limited for a window, the rates sum up to the steady rate, rate + burst / 5, from a second bucket without a burst. Noise of hosts with few requests per period no longer decides their parts.

That no window exceeds the limit is checked as before.

--- a/core/quota/quota_allocator.cc
+++ b/core/quota/quota_allocator.cc
@@ -36,9 +36,25 @@
 constexpr DoubleSeconds kShortestDemandPeriod{0.25};
 
 constexpr Milliseconds kMinLimitedTime{1000};
+
+// A limit does not end before the demand has been within the rate for this
+// long: the window still holds the use at the steady rate.
+constexpr Milliseconds kMinTimeWithinRate{2500};
 constexpr Milliseconds kNotifyPeriod{200};
 constexpr Milliseconds kNotifyAgain{2000};
 
+// Weight of the newest report in the demand of a host. A host with few requests
+// a second sees none in many periods; its part must not follow that noise. A
+// rise above this multiple and this rate is not noise.
+constexpr double kDemandWeight = 0.4;
+constexpr double kDemandRise = 2;
+constexpr double kDemandRisePerSecond = 4;
+
+// What hosts whose demand together is within the steady rate may admit beyond
+// their rates, as a part of them. The noise of few requests per host would
+// otherwise be refused.
+constexpr double kSteadyOvercommit = 1;
+
 // Part of a limited rate that is divided evenly, for hosts without demand.
 constexpr double kEvenPart = 0.1;
 
@@ -70,6 +86,9 @@
                   0.5 * Ceiling(quota));
 }
 
+// Largest level of the bucket with the steady rate.
+double SteadyCeiling(const TeamQuota& quota) { return 0.1 * quota.Overage(); }
+
 // Level that a limited team is kept at.
 double TargetLevel(const TeamQuota& quota) { return -0.1 * quota.Overage(); }
 
@@ -133,8 +152,8 @@
            .limited = true,
            .rate = static_cast<float>(std::min(rate, team.quota.rate))});
     } else {
-      reply.teams.push_back(
-          MakeGrant(usage.team, team, team.hosts[from].demand));
+      reply.teams.push_back(MakeGrant(
+          usage.team, team, CurrentDemand(team.hosts[from], now), now));
     }
   }
   // A notification that waits for the next tick would admit more in between.
@@ -156,6 +175,7 @@
     team.first_use = now;
     team.refilled = now;
     team.level = Ceiling(team.quota) * part_;
+    team.steady = 0;
     team.arrivals = 0;
     team.limited = false;
   }
@@ -173,21 +193,36 @@
   const DoubleSeconds silence =
       added ? MonoTime::duration{0} : now - host.reported;
   const double counted = silence > kSilentAfter ? kSilentAfter / silence : 1;
-  if (usage.admitted > before)
-    team.level -= counted * static_cast<double>(usage.admitted - before);
+  if (usage.admitted > before) {
+    const double admitted =
+        counted * static_cast<double>(usage.admitted - before);
+    team.level -= admitted;
+    team.steady -= admitted;
+  }
   const double lowest = -kLargestDebt * team.quota.Overage() * part_;
   team.level = std::max(team.level, lowest);
+  team.steady = std::max(team.steady, lowest);
   const DoubleSeconds period = std::max<DoubleSeconds>(
       Milliseconds(usage.period_ms), kShortestDemandPeriod);
   const double demand = usage.demand / period.count();
-  host.demand = demand == 0 ? 0 : std::max(demand, (host.demand + demand) / 2);
+  const bool rises = demand > kDemandRise * host.demand + kDemandRisePerSecond;
+  host.demand =
+      rises ? demand : host.demand + kDemandWeight * (demand - host.demand);
+  host.idle = usage.demand == 0;
   team.arrivals += usage.demand / kDemandTime.count();
   host.incarnation = incarnation;
   host.admitted = usage.admitted;
   host.reported = now;
   DropSilentHosts(team, now);
   team.demand = 0;
-  for (const auto& [endpoint, use] : team.hosts) team.demand += use.demand;
+  for (const auto& [endpoint, use] : team.hosts)
+    team.demand += CurrentDemand(use, now);
+}
+
+double QuotaAllocator::CurrentDemand(const HostUse& use, MonoTime now) {
+  // A host that is idle now sends no further report.
+  if (!use.idle) return use.demand;
+  return use.demand * std::exp(-(now - use.reported) / kDemandTime);
 }
 
 void QuotaAllocator::Refill(Team& team, MonoTime now) const {
@@ -197,13 +232,20 @@
   // Hosts that may be cut off are using their shares without reporting.
   double reserved = 0;
   for (const auto& [endpoint, use] : team.hosts)
-    if (now - use.reported > kSilentAfter) reserved += use.demand;
+    if (!use.idle && now - use.reported > kSilentAfter) reserved += use.demand;
   const double reporting =
       reserved > 0 ? std::max(0.0, 1 - reserved / team.demand) : 1;
   team.arrivals *= std::exp(-elapsed / kDemandTime);
   team.level = std::min(
       Ceiling(team.quota) * part_,
       team.level + elapsed.count() * team.quota.rate * part_ * reporting);
+  team.steady =
+      std::min(SteadyCeiling(team.quota) * part_,
+               team.steady + elapsed.count() * team.quota.SteadyRate() * part_ *
+                                 reporting);
+  // What is admitted at the steady rate is no debt of the bucket with the rate.
+  if (IsSteady(team, now))
+    team.level = std::max(team.level, TargetLevel(team.quota) * part_);
 }
 
 void QuotaAllocator::DropSilentHosts(Team& team, MonoTime now) const {
@@ -215,13 +257,15 @@
 void QuotaAllocator::UpdateLimited(Team& team, MonoTime now) const {
   const TeamQuota& quota = team.quota;
   const double rate = quota.rate * part_;
+  if (team.arrivals > rate) team.above_rate = now;
   if (!team.limited) {
     if (team.level >= LimitLevel(quota) * part_) return;
     team.limited_since = now;
   } else {
     const double enough = 0.8 * LimitLevel(quota) + 0.2 * Ceiling(quota);
     if (team.level < enough * part_ || team.arrivals > kDemandNoise * rate ||
-        now - team.limited_since < kMinLimitedTime)
+        now - team.limited_since < kMinLimitedTime ||
+        now - team.above_rate < kMinTimeWithinRate)
       return;
   }
   team.limited = !team.limited;
@@ -233,10 +277,22 @@
          now - team.first_use < kLearningTime;
 }
 
+bool QuotaAllocator::IsSteady(const Team& team, MonoTime now) {
+  return team.limited && now - team.limited_since >= kQuotaWindow;
+}
+
+double QuotaAllocator::LimitedRate(const Team& team, MonoTime now) const {
+  const TeamQuota& quota = team.quota;
+  const double target = TargetLevel(quota) * part_;
+  const double by_rate = quota.rate * part_ + team.level - target;
+  if (!IsSteady(team, now)) return std::max(0.0, by_rate);
+  return std::max(0.0, quota.SteadyRate() * part_ + team.steady - target);
+}
+
 TeamGrant QuotaAllocator::MakeGrant(TeamHash hash, const Team& team,
-                                    double demand) const {
-  const double rate = team.quota.rate * part_;
+                                    double demand, MonoTime now) const {
   if (!team.limited) {
+    const double rate = team.quota.rate * part_;
     // The sum of these rates is at most the team's rate.
     const double share =
         demand * std::min(kSpareShare, rate / std::max(team.demand, 1e-9));
@@ -246,11 +302,16 @@
             .rate = static_cast<float>(share),
             .credit = static_cast<float>(credit)};
   }
-  const double total =
-      std::max(0.0, rate + (team.level - TargetLevel(team.quota) * part_));
   const double part = team.demand > 0 ? demand / team.demand : 1 / alive_;
-  const double granted = total * ((1 - kEvenPart) * part + kEvenPart / alive_);
-  return {.team = hash, .limited = true, .rate = static_cast<float>(granted)};
+  const double granted =
+      LimitedRate(team, now) * ((1 - kEvenPart) * part + kEvenPart / alive_);
+  const bool within =
+      IsSteady(team, now) && team.arrivals <= team.quota.SteadyRate() * part_;
+  const double extra = within ? kSteadyOvercommit * granted : 0;
+  return {.team = hash,
+          .limited = true,
+          .rate = static_cast<float>(granted),
+          .credit = static_cast<float>(extra)};
 }
 
 void QuotaAllocator::Tick(MonoTime now) {
@@ -287,8 +348,9 @@
         .lease_ms = static_cast<std::uint32_t>(kQuotaNoticeLease.count())};
     for (const auto& [hash, team] : changed) {
       const auto use = team->hosts.find(host);
-      const double demand = use == team->hosts.end() ? 0 : use->second.demand;
-      grants.teams.push_back(MakeGrant(hash, *team, demand));
+      const double demand =
+          use == team->hosts.end() ? 0 : CurrentDemand(use->second, now);
+      grants.teams.push_back(MakeGrant(hash, *team, demand, now));
     }
     options_.send(host, grants);
   }
--- a/core/quota/quota_allocator.h
+++ b/core/quota/quota_allocator.h
@@ -23,7 +23,8 @@
 /// get a credit that lets any of them take over the whole demand. Otherwise the
 /// team is limited: each host gets a part of the rate by its demand, and the
 /// sum of the rates is the team's rate, corrected so that the debt is repaid
-/// within about a second.
+/// within about a second. Once a team has been limited for a window, the sum is
+/// its steady rate, which spreads the burst over the window.
 ///
 /// Designed for 64 reporting hosts per shard and 1,000 teams, and for 1,800
 /// hosts to notify when a team starts or stops being limited. Not thread-safe.
@@ -73,7 +74,8 @@
   struct HostUse {
     std::uint64_t incarnation = 0;
     std::uint64_t admitted = 0;  ///< of the last report
-    double demand = 0;           ///< requests per second
+    double demand = 0;           ///< requests per second, averaged
+    bool idle = false;           ///< the last report had no requests
     MonoTime reported{};         ///< time of the last report
   };
   struct Team {
@@ -83,10 +85,12 @@
     MonoTime owned_since{};
     MonoTime released = MonoTime::min();  ///< when it was last owned
     MonoTime first_use{};
-    double level = 0;
+    double level = 0;   ///< of the bucket with the rate and the burst
+    double steady = 0;  ///< of a bucket with the steady rate and no burst
     MonoTime refilled{};
     bool limited = false;
     MonoTime limited_since{};
+    MonoTime above_rate{};  ///< when the demand was last above the rate
     bool notify = false;
     MonoTime notified{};
     double demand = 0;    ///< sum over the hosts, to divide the rate by
@@ -101,7 +105,11 @@
   void DropSilentHosts(Team& team, MonoTime now) const;
   bool IsLearning(const Team& team, MonoTime now) const;
   void Notify(MonoTime now);
-  TeamGrant MakeGrant(TeamHash hash, const Team& team, double demand) const;
+  static double CurrentDemand(const HostUse& use, MonoTime now);
+  static bool IsSteady(const Team& team, MonoTime now);
+  double LimitedRate(const Team& team, MonoTime now) const;
+  TeamGrant MakeGrant(TeamHash hash, const Team& team, double demand,
+                      MonoTime now) const;
 
   Options options_;
   std::vector<Endpoint> hosts_;
--- a/core/quota/quota_limiter.cc
+++ b/core/quota/quota_limiter.cc
@@ -16,8 +16,11 @@
 // to its share: several times the delay of a report and its reply.
 constexpr Milliseconds kFirstReplyTimeout{400};
 
-// A limited team may save up this much of its rate on a host.
+// A limited team may save up this much of its rate on a host. Few requests a
+// second come in groups; with a single place, a third of the rate is not used.
 constexpr double kSavedSeconds = 0.5;
+constexpr double kSavedSecondsOfGroup = 2;
+constexpr double kGroup = 3;
 
 // A rise of a team's use above this multiple of the last period's, by more than
 // this many requests, is reported early. Less is noise.
@@ -38,7 +41,8 @@
     std::chrono::duration_cast<Milliseconds>(kQuotaWindow);
 
 double SavedRequests(double rate) {
-  return std::max(1.0, rate * kSavedSeconds);
+  return std::max({1.0, std::min(kGroup, rate * kSavedSecondsOfGroup),
+                   rate * kSavedSeconds});
 }
 
 }  // namespace
@@ -129,7 +133,10 @@
 }
 
 double QuotaLimiter::FallbackRate(const Team& team) const {
-  return std::max(team.share, team.quota.rate / hosts_);
+  // The sum of the shares may be the steady rate. Only the rate holds for long
+  // on hosts that do not know of each other.
+  const double share = team.share * team.quota.rate / team.quota.SteadyRate();
+  return std::max(share, team.quota.rate / hosts_);
 }
 
 void QuotaLimiter::Refill(Team& team, MonoTime now) const {
@@ -144,7 +151,8 @@
   if (team.lease_ends > team.refilled) {
     const MonoTime until = std::min(now, team.lease_ends);
     if (team.limited) {
-      add(team.rate, SavedRequests(team.rate), until);
+      const double rate = team.rate + team.credit;
+      add(rate, SavedRequests(rate), until);
     } else {
       // Covers the requests of a period twice when a reply is lost.
       add(2 * team.rate + quota_rate / hosts_, team.credit, until);
@@ -238,16 +246,17 @@
     team.lease_ends = now + Milliseconds(grants.lease_ms);
     team.refilled = now;
     team.lapsed = false;
+    team.credit = std::min<double>(grant.credit, team.quota.WindowLimit());
     if (!grant.limited) {
       // A debt that the host owes from before is part of the allocator's level.
-      team.credit = std::min<double>(grant.credit, team.quota.WindowLimit());
       team.tokens = team.credit;
       team.promised = now;
     } else if (starts) {
       team.tokens = std::min(team.tokens, FirstTokens(team, team.rate));
       team.promised = now;
     } else {
-      team.tokens = std::min(team.tokens, SavedRequests(team.rate));
+      team.tokens =
+          std::min(team.tokens, SavedRequests(team.rate + team.credit));
     }
   }
 }
--- a/core/quota/team_quota.h
+++ b/core/quota/team_quota.h
@@ -26,18 +26,24 @@
   double rate = 0;   ///< requests per second; always above 0
   double burst = 0;  ///< requests beyond the rate at once
 
-  /// Requests beyond rate and burst that a window may contain: a tenth of the
-  /// window's requests, and 20.
-  double Overage() const {
-    return 0.1 * (rate * static_cast<double>(kQuotaWindow.count()) + burst) +
-           20;
+  /// Requests of any window that are within the quota, summed over all hosts.
+  double WindowRequests() const {
+    return rate * static_cast<double>(kQuotaWindow.count()) + burst;
   }
 
-  /// Most requests that may run in any window, summed over all hosts.
-  double WindowLimit() const {
-    return rate * static_cast<double>(kQuotaWindow.count()) + burst + Overage();
+  /// Largest steady demand, in requests per second, of which all windows are
+  /// within the quota.
+  double SteadyRate() const {
+    return WindowRequests() / static_cast<double>(kQuotaWindow.count());
   }
 
+  /// Requests beyond WindowRequests() that a window may contain: a tenth of
+  /// them, and 20.
+  double Overage() const { return 0.1 * WindowRequests() + 20; }
+
+  /// Most requests that may run in any window, summed over all hosts.
+  double WindowLimit() const { return WindowRequests() + Overage(); }
+
   /// Requests that a host which knows nothing of the team's use admits before
   /// its allocator has replied.
   double FirstCredit() const { return 2 + 0.25 * (burst + Overage()); }
