--- a/core/config/table_rows.cc
+++ b/core/config/table_rows.cc
@@ -6,6 +6,7 @@
 
 #include "core/base/json_fields.h"
 #include "core/base/wall_time_text.h"
+#include "core/config/priority.h"
 
 namespace camphor {
 namespace {
@@ -17,7 +18,6 @@
 constexpr std::int64_t kMaxRolloutAttempts = 1LL << 53;
 constexpr std::int64_t kMaxRolloutMs = 7LL * 24 * 3600 * 1000;
 constexpr std::int64_t kMaxWeight = 1'000'000;
-constexpr std::int64_t kLowestPriority = 1'000;
 constexpr double kMaxColdRate = 1e6;
 
 RolloutSpec ReadRollout(JsonFields& fields) {
--- a/core/config/team_table.cc
+++ b/core/config/team_table.cc
@@ -7,10 +7,11 @@
 #include <string>
 #include <utility>
 
+#include "core/config/priority.h"
+
 namespace camphor {
 namespace {
 
-constexpr std::int64_t kLowestPriority = 1'000;
 constexpr double kMaxRate = 1e9;
 constexpr std::size_t kDigestLength = 64;
 
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <utility>
 
+#include "core/config/priority.h"
 #include "proxy/header_names.h"
 #include "proxy/header_rules.h"
 #include "proxy/local_run.h"
@@ -19,9 +20,9 @@
 constexpr Microseconds kMinTimeForRetry{2000};
 constexpr std::uint32_t kMaxTargetDeaths = 2;
 
-/// Refusals by the hosts of cold or evacuated targets that do not count as
-/// attempts of a request: they reach no target, and a request with a single
-/// attempt has to be able to go to a warm one.
+/// Refusals by the hosts of targets that are cold, evacuated or behind a full
+/// link, which do not count as attempts of a request: they reach no target, and
+/// a request with a single attempt has to be able to go to another one.
 constexpr std::uint32_t kMaxFreeRefusals = 2;
 
 /// A target is treated as unresponsive after this multiple of its usual
@@ -31,7 +32,7 @@
 
 /// Number of priorities that a route can have. The priority of a team goes
 /// before that of the route.
-constexpr std::uint32_t kRoutePriorities = 1001;
+constexpr std::uint32_t kRoutePriorities = kLowestPriority + 1;
 
 /// Maps an error to the outcome reported for the chosen target.
 RequestOutcome ToRequestOutcome(ProxyError error) {
@@ -45,6 +46,7 @@
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
     case ProxyError::kBuffersFull:
+    case ProxyError::kLinkFull:
     case ProxyError::kDraining:
       return RequestOutcome::kRefused;
     case ProxyError::kTargetBroke:
@@ -77,6 +79,7 @@
     case ProxyError::kConnectFailed:
     case ProxyError::kSuspectBusy:
     case ProxyError::kBuffersFull:
+    case ProxyError::kLinkFull:
     case ProxyError::kDraining:
     case ProxyError::kTargetBroke:
     case ProxyError::kTargetDied:
@@ -359,8 +362,9 @@
   if (!IsRetryableOnAnotherTarget(error) || options_.body->consumed())
     return false;
   if (!GetErrorTraits(error).not_run && !rule().repeatable) return false;
-  const bool reached_no_target =
-      error == ProxyError::kCold || error == ProxyError::kEvacuated;
+  const bool reached_no_target = error == ProxyError::kCold ||
+                                 error == ProxyError::kEvacuated ||
+                                 error == ProxyError::kLinkFull;
   if (reached_no_target && reached_no_target_ < kMaxFreeRefusals)
     ++reached_no_target_;
   if (attempt_ - reached_no_target_ >= MaxAttempts()) return false;
