--- a/ctl/commands/get_command.cc
+++ b/ctl/commands/get_command.cc
@@ -16,8 +16,8 @@
   std::vector<std::string> columns;  ///< members of each row
 };
 
-const std::array<View, 5>& Views() {
-  static const std::array<View, 5> views = {{
+const std::array<View, 6>& Views() {
+  static const std::array<View, 6> views = {{
       {"routes",
        {"name", "host", "path_prefix", "methods", "pool", "timeout_ms",
         "repeatable", "at_most_once"}},
@@ -26,6 +26,9 @@
       {"hosts", {"host", "failure_domain", "status", "config_version", "mesh"}},
       {"targets",
        {"id", "pool", "version", "slots", "status", "host", "failure_domain"}},
+      {"teams",
+       {"name", "priority", "requests_per_second", "burst", "keys", "limited",
+        "used_per_s", "refused", "demand_of_all_hosts_per_s"}},
       {"rollouts",
        {"id", "stage", "share", "complete_by", "signal", "recorded"}},
   }};
@@ -127,7 +130,7 @@
 Command GetCommand() {
   return {
       .name = "get",
-      .usage = "routes|pools|config|hosts|targets|rollouts|status",
+      .usage = "routes|pools|config|hosts|targets|teams|rollouts|status",
       .summary = "show tables, hosts, targets, rollouts or status of a node",
       .help = "--json prints the unmodified response of the node.",
       .run = &Run};
--- a/node/admin/admin_api.cc
+++ b/node/admin/admin_api.cc
@@ -157,6 +157,15 @@
     return object{{"targets", TargetsView(controller.replicator())},
                   {"routing_pending", controller.routing_pending()}};
   });
+  add("/v1/teams", [](HostController& controller) {
+    const ConfigSnapshotPtr& snapshot = controller.replicator().snapshot();
+    return object{
+        {"version", snapshot == nullptr ? 0 : snapshot->head.version},
+        {"freshness", controller.DumpFreshness()},
+        {"teams",
+         TeamsView(snapshot, ParseJsonOrText(controller.quotas().DumpJson(
+                                 std::chrono::steady_clock::now())))}};
+  });
   add("/v1/rollouts", [](HostController& controller) {
     return object{
         {"rollouts", RolloutsView(controller.replicator())},
--- a/node/admin/state_view.cc
+++ b/node/admin/state_view.cc
@@ -5,13 +5,38 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "core/base/wall_time_text.h"
 #include "core/config/config_codec.h"
 #include "core/config/rollout_key.h"
+#include "core/quota/quota_message.h"
 #include "node/json/record_json.h"
 
 namespace camphor {
+namespace {
+
+// Enough of a digest to tell the keys of a fleet apart.
+constexpr std::size_t kShownDigestLength = 12;
+
+/// Returns the object in the array whose member has the value, or null.
+const boost::json::object* FindRow(const boost::json::value& table,
+                                   std::string_view array,
+                                   std::string_view member,
+                                   const boost::json::value& value) {
+  const boost::json::object* const parent = table.if_object();
+  const boost::json::value* const rows =
+      parent == nullptr ? nullptr : parent->if_contains(array);
+  if (rows == nullptr || !rows->is_array()) return nullptr;
+  for (const boost::json::value& row : rows->get_array()) {
+    const boost::json::value* const found =
+        row.is_object() ? row.get_object().if_contains(member) : nullptr;
+    if (found != nullptr && *found == value) return row.if_object();
+  }
+  return nullptr;
+}
+
+}  // namespace
 
 boost::json::object ConfigView(const ConfigSnapshotPtr& snapshot) {
   boost::json::object view{{"version", 0},
@@ -50,6 +75,34 @@
   return view;
 }
 
+boost::json::array TeamsView(const ConfigSnapshotPtr& snapshot,
+                             const boost::json::value& quotas) {
+  boost::json::array view;
+  if (snapshot == nullptr) return view;
+  for (const TeamSpec& team : snapshot->teams.teams()) {
+    boost::json::array keys;
+    for (const Digest& digest : team.key_digests)
+      keys.emplace_back(digest.hex().substr(0, kShownDigestLength));
+    boost::json::object row{{"name", team.name.value()},
+                            {"priority", team.priority},
+                            {"requests_per_second", team.requests_per_second},
+                            {"burst", team.burst},
+                            {"keys", std::move(keys)}};
+    const boost::json::object* const here =
+        FindRow(quotas, "teams", "team", boost::json::value(team.name.value()));
+    for (const char* const member :
+         {"limited", "rate_of_host", "used_per_s", "admitted", "refused"})
+      if (here != nullptr) row[member] = here->at(member);
+    const boost::json::object* const allocated =
+        FindRow(quotas, "allocated", "team_hash",
+                boost::json::value(HashTeam(team.name)));
+    if (allocated != nullptr)
+      row["demand_of_all_hosts_per_s"] = allocated->at("demand_per_s");
+    view.push_back(std::move(row));
+  }
+  return view;
+}
+
 boost::json::array RolloutsView(const Replicator& replicator) {
   boost::json::array view;
   const ConfigSnapshotPtr& snapshot = replicator.snapshot();
--- a/node/admin/state_view.h
+++ b/node/admin/state_view.h
@@ -26,6 +26,13 @@
 /// specification.
 boost::json::array RolloutsView(const Replicator& replicator);
 
+/// The teams of the active configuration. A key appears as the start of its
+/// digest. `quotas` is the dump of the quota manager: the use of each team on
+/// this host is added, and the use on all hosts where this host is the team's
+/// allocator.
+boost::json::array TeamsView(const ConfigSnapshotPtr& snapshot,
+                             const boost::json::value& quotas);
+
 /// Number of hosts in each status, and number of live hosts that serve the
 /// newest configuration known to this host.
 boost::json::object HostCountsView(const Replicator& replicator);
--- a/unit_tests/node/node_test.cc
+++ b/unit_tests/node/node_test.cc
@@ -170,7 +170,7 @@
   Put(kTables, "Bearer token", "0");
   for (const char* const path :
        {"/v1/config", "/v1/routes", "/v1/pools", "/v1/hosts", "/v1/targets",
-        "/v1/rollouts", "/v1/status", "/v1/dump"}) {
+        "/v1/teams", "/v1/rollouts", "/v1/status", "/v1/dump"}) {
     boost::json::error_code error;
     const auto view = boost::json::parse(Get(path), error);
     EXPECT_TRUE(!error && view.is_object()) << path;
