Refuse request bodies that the link of the target's host cannot carry

Small requests to a target wait behind large bodies when the link of its host, 10 Mbit/s on small machines, is offered more than it carries. The target's host now counts the bodies that it has asked other hosts for, and refuses more with 503 link_full (not run) before they are sent. proxy.link_mbps is the rate of the link; 0, the default, limits nothing.

--- a/node/node.cc
+++ b/node/node.cc
@@ -39,6 +39,7 @@
 /// The process is reported as not alive if the decisions thread has not ticked
 /// for this long.
 constexpr Seconds kMaxTickGap{5};
+constexpr double kBitsPerMegabit = 1e6;
 constexpr Milliseconds kDrainPollInterval{10};
 
 /// Callers on the platform run for only a few hundred milliseconds and retry
@@ -261,6 +262,8 @@
                  .retry_budget = settings.proxy.retry_budget,
                  .buffer_bytes =
                      settings.proxy.buffer_bytes - AdminBufferBytes(settings),
+                 .link_bits_per_second =
+                     settings.proxy.link_mbps * kBitsPerMegabit,
                  .header_fields = settings.proxy.header_fields}};
   if (settings.interface == InterfaceKind::kPlatform) {
     proxy_options.vocabulary = PlatformHeaders();
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -205,6 +205,8 @@
         part.Number("retry_ratio", 0, 1, settings.proxy.retry_ratio);
     settings.proxy.retry_burst =
         part.Number("retry_burst", 0, 1e6, settings.proxy.retry_burst);
+    settings.proxy.link_mbps =
+        part.Number("link_mbps", 0, 1e6, settings.proxy.link_mbps);
     settings.proxy.buffer_bytes = static_cast<std::uint64_t>(
         part.Integer("buffer_bytes", kMinBufferBytes, kMaxBufferBytes,
                      static_cast<std::int64_t>(settings.proxy.buffer_bytes)));
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -86,6 +86,7 @@
   double retry_ratio = 0.1;  ///< retries per request of a pool
   double retry_burst = 100;  ///< additional retries of a pool that can
                              ///< accumulate over all hosts
+  double link_mbps = 0;      ///< rate of the host's link in Mbit/s; 0: unknown
   std::uint64_t buffer_bytes =
       40 * 1024 * 1024;  ///< buffers of all connections: three quarters for
                          ///< callers and other hosts, one for the admin
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -23,6 +23,9 @@
 constexpr std::string_view kInterim = "HTTP/1.1 102 Processing\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+// Counted for a body in chunks, whose length is not known in advance.
+constexpr std::uint64_t kUnknownBodyBytes = 64 * 1024;
+
 template <typename Number>
 Number ParseNumber(std::string_view text, int base, Number fallback) {
   std::from_chars(text.data(), text.data() + text.size(), fallback, base);
@@ -120,14 +123,26 @@
   request.control = &control;
   request.urgency = ReadUrgency(header, arrival, control.deadline());
   request.body = &body;
+  const std::uint64_t held_back_bytes =
+      held_back ? body.length().value_or(kUnknownBodyBytes) : 0;
+  bool body_requested = false;
   if (held_back) {
-    request.before_send = [this]() -> asio::awaitable<bool> {
+    if (!context_.body_transfers.TryAcquire(held_back_bytes, arrival)) {
+      context_.metrics.Count(Counter::kLinkFullRefused);
+      const bool more = co_await WriteError(
+          {.error = ProxyError::kLinkFull, .keep = keep && body.complete()});
+      co_return more;
+    }
+    request.before_send = [this, &body_requested]() -> asio::awaitable<bool> {
+      body_requested = true;
       auto [error, bytes] = co_await asio::async_write(
           socket_, asio::buffer(kContinue.data(), kContinue.size()), kAsTuple);
       co_return !error;
     };
   }
   const bool more = co_await RunRequest(std::move(request), body, keep);
+  if (held_back && !body_requested)
+    context_.body_transfers.Return(held_back_bytes);
   co_return more;
 }
 
--- a/proxy/proxy_context.h
+++ b/proxy/proxy_context.h
@@ -13,6 +13,7 @@
 #include "core/routing/power_of_two_balancer.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/retry_schedule.h"
+#include "core/routing/transfer_limit.h"
 #include "proxy/asio_types.h"
 #include "proxy/proxy_metrics.h"
 #include "proxy/proxy_server.h"
@@ -56,6 +57,7 @@
   PowerOfTwoBalancer balancer;
   RetryBudget retries;
   DeathTracker deaths;
+  TransferLimit body_transfers;  ///< bodies that other hosts send to this one
   std::map<PoolName, RetrySchedule>
       cold_retries;  ///< Retry-After of pools whose cold targets are busy
   std::unique_ptr<LocalTargets> targets;
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -30,6 +30,7 @@
   std::uint64_t buffer_bytes =
       30 * 1024 * 1024;  ///< buffers of all connections together: headers, body
                          ///< prefixes, responses and what a session needs
+  double link_bits_per_second = 0;  ///< rate of this host's link; 0: unknown
   std::uint32_t header_fields = 0;  ///< maximum header fields of a request; 0:
                                     ///< as many as the header's size allows
   std::size_t buffered_response_bytes =
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -56,6 +56,8 @@
                         ///< host is evacuated
     kColdAssumed,       ///< times that a target of this host was taken as cold
                         ///< because it may have restarted
+    kLinkFullRefused,   ///< attempts refused because the link of this host has
+                        ///< no room for their bodies
     kCount,
   };
 
