Add the decision on hedged requests

HedgePolicy learns the latency of each route and decides whether a second copy of a slow request may be sent: within a share of the pool's requests and the retry budget, not if the pool is short of room or slow as a whole, not if the copy is too late or unsafe. The balancer counts targets with room and chooses one of them. Nothing uses it yet.

--- /dev/null
+++ b/core/routing/hedge_policy.h
@@ -0,0 +1,123 @@
+#ifndef CAMPHORHILL_CORE_ROUTING_HEDGE_POLICY_H_
+#define CAMPHORHILL_CORE_ROUTING_HEDGE_POLICY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+
+#include "core/base/identifier.h"
+#include "core/base/time.h"
+#include "core/routing/retry_budget.h"
+
+namespace camphor {
+
+/// Decides whether a second copy (hedge) of a slow request may be sent to
+/// another target.
+///
+/// Load: pools of 2 to 1,800 targets of which a few are slow or stall at times,
+/// with up to some thousand requests a second on this host.
+///
+/// Learns the latency of each route as quantiles that follow the last few
+/// hundred responses. Every request of a pool deposits a share of a token, a
+/// hedge takes a whole one and also a token of the retry budget. Hence, in any
+/// period, the hedges of a pool on this host don't exceed the share times its
+/// requests in that period plus max_tokens(). The state grows with the number
+/// of routes plus the number of pools. Without a share, nothing is learned or
+/// kept. Must be used from one thread; the current time is passed in.
+class HedgePolicy {
+ public:
+  struct Options {
+    double share = 0;   ///< hedges per request of a pool; 0: no hedges
+    double burst = 10;  ///< maximum saved hedges of a pool on all hosts
+                        ///< together; at least one on each host
+  };
+
+  /// @pre share and burst are not negative.
+  explicit HedgePolicy(Options options);
+  ~HedgePolicy();
+  HedgePolicy(const HedgePolicy&) = delete;
+  HedgePolicy& operator=(const HedgePolicy&) = delete;
+
+  /// Returns true if requests may be hedged at all.
+  bool enabled() const { return options_.share > 0; }
+
+  /// Sets the number of hosts that share the burst. @pre hosts > 0.
+  void SetHosts(std::size_t hosts);
+
+  /// Counts a request to the pool, without its retries and hedges.
+  void OnRequest(const PoolName& pool);
+
+  /// The first attempt of a request. No pointer may be null.
+  struct Attempt {
+    const RouteName* route = nullptr;  ///< route of the request
+    const PoolName* pool = nullptr;    ///< pool of the target
+    const TargetId* target = nullptr;  ///< target of the first attempt
+  };
+
+  /// Records the latency of a first attempt that got a good response, or that
+  /// was cancelled because its hedge had one; without the latter, the learned
+  /// quantiles would fall with every hedge. `delay_passed`: OnDelayPassed was
+  /// called for it.
+  void OnEnded(const Attempt& attempt, Microseconds latency, bool delay_passed,
+               MonoTime now);
+
+  /// Records that a first attempt is still without a response after Delay.
+  void OnDelayPassed(const Attempt& attempt, MonoTime now);
+
+  /// Returns the time without a response after which a request of the route
+  /// counts as slow; std::nullopt if too few responses were seen or hedging is
+  /// off.
+  std::optional<Microseconds> Delay(const RouteName& route) const;
+
+  /// What is known of a request when its delay has passed.
+  struct Candidate {
+    Attempt attempt{};
+    bool repeatable = false;    ///< the route allows a repetition, and all of
+                                ///< the body is still available
+    bool target_died = false;   ///< a target died while running it or another
+                                ///< request like it
+    std::uint32_t targets = 1;  ///< targets that it was sent to
+    std::uint32_t max_targets = 1;      ///< attempts limit of its route
+    std::size_t usable_targets = 0;     ///< of the pool
+    std::size_t targets_with_room = 0;  ///< of those, with a free slot as far
+                                        ///< as known
+    Microseconds time_left{0};          ///< until its latency objective, or its
+                                        ///< deadline if there is none
+  };
+
+  enum class Verdict : std::uint8_t {
+    kAllowed,       ///< a token of each budget was taken
+    kOff,           ///< hedging is off, or the route is not known yet
+    kUnsafe,        ///< it may not run twice, or a target died under it
+    kAttempts,      ///< the attempts limit of the route is reached
+    kTooLate,       ///< the copy can't be expected to meet the objective
+    kNoRoom,        ///< the pool is short of room
+    kPoolSlow,      ///< other targets of the pool are slow too
+    kShareUsedUp,   ///< the share of extra work is used up
+    kRetriesUsedUp  ///< the retry budget is used up
+  };
+
+  /// Decides about a hedge. Takes tokens only with kAllowed.
+  Verdict Decide(const Candidate& candidate, RetryBudget& retries,
+                 MonoTime now);
+
+  /// Returns the maximum number of saved hedges per pool on this host.
+  double max_tokens() const { return max_tokens_; }
+
+ private:
+  class RouteLatency;
+  struct Pool;
+
+  bool IsPoolSlow(const Attempt& attempt, MonoTime now) const;
+  Pool& FindPool(const PoolName& pool);
+
+  Options options_;
+  double max_tokens_ = 1;
+  std::unordered_map<RouteName, RouteLatency> routes_;
+  std::unordered_map<PoolName, Pool> pools_;
+};
+
+}  // namespace camphor
+
+#endif  // CAMPHORHILL_CORE_ROUTING_HEDGE_POLICY_H_
--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -54,6 +54,9 @@
 constexpr Milliseconds kMaxRefusalBackoff{1000};
 constexpr std::uint32_t kMaxDoublings = 6;
 
+// A reported load of this age says nothing about free slots any more.
+constexpr Milliseconds kMaxLoadAge{1000};
+
 // Returns true if the host of the target has reported recently.
 bool HasRecentReport(const TargetStats& stats, MonoTime now) {
   return stats.reported_service_us > 0 &&
@@ -193,19 +196,58 @@
     MonoTime now) {
   assert(routing_ && route < routing_->routes.size());
   const RoutedShare part = GetShare(route, share);
+  const std::optional<Placement> chosen =
+      ChoosePlacement(route, part, MakeParams(route, tried, now));
+  if (chosen) {
+    const GroupView& view = pools_[chosen->pool].groups[chosen->group];
+    TakeColdToken(*view.stats[chosen->target], now);
+  }
+  return chosen;
+}
+
+PowerOfTwoBalancer::ChoiceParams PowerOfTwoBalancer::MakeParams(
+    std::uint32_t route, std::span<const Placement> tried, MonoTime now) const {
   const RouteRule& rule = *routing_->routes[route].rule;
-  const ChoiceParams params{
+  return {
       .tried = tried,
       .objective = rule.target_latency,
       .typical_us = latency_.TypicalUs(rule.name),
       .service_us = finish_.HasReports(now) ? finish_.TypicalUs(rule.name) : 0,
       .now = now};
-  const std::optional<Placement> chosen = ChoosePlacement(route, part, params);
-  if (chosen) {
-    const GroupView& view = pools_[chosen->pool].groups[chosen->group];
-    TakeColdToken(*view.stats[chosen->target], now);
+}
+
+PowerOfTwoBalancer::PoolRoom PowerOfTwoBalancer::CountRoom(std::uint32_t route,
+                                                           std::uint32_t share,
+                                                           MonoTime now) const {
+  const std::uint32_t pool = GetShare(route, share).pool;
+  PoolRoom room;
+  for (const GroupView& view : pools_[pool].groups) {
+    const std::vector<RoutedTarget>& targets =
+        routing_->pools[pool].groups[view.group].targets;
+    for (std::uint32_t index = 0; index < targets.size(); ++index) {
+      const TargetStats& stats = *view.stats[index];
+      if (stats.leaving || stats.ejected_until > now) continue;
+      ++room.usable;
+      if (HasRoom(targets[index], stats, now)) ++room.with_room;
+    }
   }
-  return chosen;
+  return room;
+}
+
+std::optional<Placement> PowerOfTwoBalancer::ChooseWithRoom(
+    std::uint32_t route, std::uint32_t share, std::span<const Placement> tried,
+    MonoTime now) {
+  assert(routing_ && route < routing_->routes.size());
+  // Takes no token of a cold target, since cold targets are not returned.
+  const std::optional<Placement> chosen = ChoosePlacement(
+      route, GetShare(route, share), MakeParams(route, tried, now));
+  if (!chosen) return std::nullopt;
+  const RoutedTarget& target = routing_->pools[chosen->pool]
+                                   .groups[chosen->group]
+                                   .targets[chosen->target];
+  const TargetStats& stats =
+      *pools_[chosen->pool].groups[chosen->group].stats[chosen->target];
+  return HasRoom(target, stats, now) ? chosen : std::nullopt;
 }
 
 double PowerOfTwoBalancer::ColdShare(std::uint32_t route,
@@ -451,6 +493,15 @@
   return stats.full_until <= now && stats.in_flight < target.info.slots;
 }
 
+bool PowerOfTwoBalancer::HasRoom(const RoutedTarget& target,
+                                 const TargetStats& stats, MonoTime now) const {
+  if (stats.cold_per_second > 0 || !HasCapacity(target, stats, now))
+    return false;
+  const bool reported = stats.reported_service_us > 0 &&
+                        now - stats.load_reported_at <= kMaxLoadAge;
+  return !reported || stats.reported_load < target.info.slots;
+}
+
 const TargetStats* PowerOfTwoBalancer::FindStats(const TargetId& target) const {
   const auto found = stats_.find(target);
   return found == stats_.end() ? nullptr : &found->second;
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -82,6 +82,24 @@
   bool HasUntriedTarget(std::uint32_t route, std::uint32_t share,
                         std::span<const Placement> tried, MonoTime now) const;
 
+  /// Targets of the pool of a route.
+  struct PoolRoom {
+    std::size_t usable = 0;     ///< neither ejected nor leaving
+    std::size_t with_room = 0;  ///< of those, warm and with a free slot as far
+                                ///< as known from own requests and reports
+  };
+
+  /// Counts the targets that could take a hedge. Same preconditions as Choose.
+  PoolRoom CountRoom(std::uint32_t route, std::uint32_t share,
+                     MonoTime now) const;
+
+  /// As Choose, but returns only a target that CountRoom counts as one with
+  /// room.
+  std::optional<Placement> ChooseWithRoom(std::uint32_t route,
+                                          std::uint32_t share,
+                                          std::span<const Placement> tried,
+                                          MonoTime now);
+
   /// Assigns a request to one of the weighted pools of the route at random.
   /// Returns an index into RoutedRule::split; 0 if the route has no split.
   std::uint32_t ChooseShare(std::uint32_t route);
@@ -151,6 +169,8 @@
     MonoTime now{};
   };
 
+  ChoiceParams MakeParams(std::uint32_t route, std::span<const Placement> tried,
+                          MonoTime now) const;
   std::optional<Placement> ChooseTarget(const Placement& group,
                                         const ChoiceParams& params);
   std::optional<Placement> ChoosePlacement(std::uint32_t route,
@@ -174,6 +194,8 @@
               const ChoiceParams& params) const;
   bool HasCapacity(const RoutedTarget& target, const TargetStats& stats,
                    MonoTime now) const;
+  bool HasRoom(const RoutedTarget& target, const TargetStats& stats,
+               MonoTime now) const;
   OutlierDetector::PoolCount CountPool(const PoolName& pool,
                                        MonoTime now) const;
 
--- /dev/null
+++ b/unit_tests/core/routing/hedge_policy_test.cc
@@ -0,0 +1,246 @@
+#include "core/routing/hedge_policy.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace camphor {
+namespace {
+
+using Verdict = HedgePolicy::Verdict;
+
+constexpr std::size_t kManyRequests = 1000;
+constexpr Microseconds kUsual{10'000};
+
+// A pool of five targets, of which `first` runs the request to be hedged.
+class HedgeDecision : public testing::Test {
+ protected:
+  HedgeDecision() {
+    for (int index = 0; index < 5; ++index)
+      targets_.emplace_back("t" + std::to_string(index));
+    retries_.SetHosts(1);
+  }
+
+  HedgePolicy::Attempt At(const TargetId& target) const {
+    return {.route = &route_, .pool = &pool_, .target = &target};
+  }
+
+  // Requests to all targets in turn, with latencies of 90% to 109% of `usual`.
+  void Learn(HedgePolicy& policy, std::size_t requests = kManyRequests,
+             Microseconds usual = kUsual) {
+    for (std::size_t request = 0; request < requests; ++request) {
+      policy.OnRequest(pool_);
+      retries_.OnRequest(pool_);
+      const Microseconds latency =
+          usual * static_cast<int>(90 + request % 20) / 100;
+      policy.OnEnded(At(targets_[request % targets_.size()]), latency, false,
+                     now_);
+    }
+  }
+
+  HedgePolicy::Candidate MakeCandidate() const {
+    return {.attempt = At(targets_[0]),
+            .repeatable = true,
+            .targets = 1,
+            .max_targets = 3,
+            .usable_targets = 5,
+            .targets_with_room = 5,
+            .time_left = Microseconds(1'000'000)};
+  }
+
+  const RouteName route_{"get"};
+  const PoolName pool_{"billing"};
+  std::vector<TargetId> targets_;
+  MonoTime now_{Seconds(1000)};
+  RetryBudget retries_{{.ratio = 0.2, .burst = 100}};
+  HedgePolicy policy_{{.share = 0.1}};
+};
+
+TEST_F(HedgeDecision, LearnedRoute_DelayIsItsUpperQuantile) {
+  Learn(policy_);
+  const auto delay = policy_.Delay(route_);
+  ASSERT_TRUE(delay);
+  EXPECT_GE(*delay, kUsual * 105 / 100);
+  EXPECT_LE(*delay, kUsual * 110 / 100);
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_), Verdict::kAllowed);
+}
+
+// Guards against a delay that rests on too few responses.
+TEST_F(HedgeDecision, FewResponses_NoDelayIsKnown) {
+  Learn(policy_, 99);
+  EXPECT_FALSE(policy_.Delay(route_));
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_), Verdict::kOff);
+}
+
+// Guards against a delay that stays at what the route was once.
+TEST_F(HedgeDecision, RouteBecomesSlower_DelayFollows) {
+  Learn(policy_);
+  Learn(policy_, 2 * kManyRequests, 3 * kUsual);
+  EXPECT_GE(*policy_.Delay(route_), 3 * kUsual);
+}
+
+TEST_F(HedgeDecision, NoShare_NothingIsLearnedOrAllowed) {
+  HedgePolicy off({});
+  Learn(off);
+  EXPECT_FALSE(off.enabled());
+  EXPECT_FALSE(off.Delay(route_));
+  EXPECT_EQ(off.Decide(MakeCandidate(), retries_, now_), Verdict::kOff);
+}
+
+// Guards against the second run of a request that may run once only.
+TEST_F(HedgeDecision, NotRepeatable_IsUnsafe) {
+  Learn(policy_);
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.repeatable = false;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kUnsafe);
+}
+
+// Guards against a request that kills two targets at once.
+TEST_F(HedgeDecision, TargetDiedUnderRequest_IsUnsafe) {
+  Learn(policy_);
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.target_died = true;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kUnsafe);
+}
+
+TEST_F(HedgeDecision, AttemptsLimitReached_IsDenied) {
+  Learn(policy_);
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.max_targets = 1;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kAttempts);
+}
+
+TEST_F(HedgeDecision, LessTimeThanTheMedian_IsTooLate) {
+  Learn(policy_);
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.time_left = kUsual * 9 / 10;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kTooLate);
+}
+
+TEST_F(HedgeDecision, MostTargetsFull_HasNoRoom) {
+  Learn(policy_);
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.targets_with_room = 2;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kNoRoom);
+  candidate.targets_with_room = 3;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kAllowed);
+}
+
+// Guards against more load on a pool that is slow because of its load.
+TEST_F(HedgeDecision, AllTargetsExceedTheDelay_PoolIsSlow) {
+  Learn(policy_);
+  for (int request = 0; request < 20; ++request)
+    policy_.OnDelayPassed(At(targets_[request % targets_.size()]), now_);
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
+            Verdict::kPoolSlow);
+}
+
+// Guards against a slow target that keeps its own requests from being hedged.
+TEST_F(HedgeDecision, OnlyItsTargetExceedsTheDelay_IsAllowed) {
+  Learn(policy_);
+  for (int request = 0; request < 20; ++request)
+    policy_.OnDelayPassed(At(targets_[0]), now_);
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_), Verdict::kAllowed);
+}
+
+// Guards against a decision by what the other targets were long ago.
+TEST_F(HedgeDecision, NoRecentAttemptOfOtherTargets_IsDenied) {
+  Learn(policy_);
+  now_ += Seconds(11);
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
+            Verdict::kPoolSlow);
+}
+
+TEST_F(HedgeDecision, NoFurtherRequests_ShareIsUsedUp) {
+  Learn(policy_);
+  for (int hedge = 0; hedge < 10; ++hedge) {
+    EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
+              Verdict::kAllowed);
+  }
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
+            Verdict::kShareUsedUp);
+}
+
+// Guards against hedges that come on top of the limit of retries.
+TEST_F(HedgeDecision, RetryBudgetUsedUp_IsDeniedAndTakesNoShare) {
+  Learn(policy_);
+  RetryBudget empty({.ratio = 0, .burst = 0});
+  while (empty.TryAcquire(pool_)) {
+  }
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), empty, now_),
+            Verdict::kRetriesUsedUp);
+  for (int hedge = 0; hedge < 10; ++hedge) {
+    EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
+              Verdict::kAllowed);
+  }
+}
+
+TEST_F(HedgeDecision, Hedge_TakesATokenOfTheRetryBudget) {
+  Learn(policy_);
+  RetryBudget one({.ratio = 0, .burst = 0});
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), one, now_), Verdict::kAllowed);
+  EXPECT_FALSE(one.TryAcquire(pool_));
+}
+
+// Guards against extra work beyond the limit, in any window and on any number
+// of hosts, whatever the latencies are.
+TEST_F(HedgeDecision, AnyLatencies_NoWindowExceedsTheShare) {
+  double allowed = 0;
+  EXPECT_TRUE(rc::check([this, &allowed] {
+    const double share = *rc::gen::element(0.01, 0.05, 0.1, 0.2);
+    const auto hosts = *rc::gen::inRange<std::size_t>(1, 8);
+    // Host, target, latency in milliseconds, requests that want a hedge. Few
+    // are slow, since a pool that is slow as a whole gets no hedges.
+    using Step = std::tuple<int, int, int, int>;
+    const auto latencies = rc::gen::weightedOneOf<int>(
+        {{19, rc::gen::inRange(0, 11)}, {1, rc::gen::inRange(0, 3000)}});
+    const auto steps = *rc::gen::container<std::vector<Step>>(
+        400, rc::gen::tuple(rc::gen::inRange(0, 8), rc::gen::inRange(0, 5),
+                            latencies, rc::gen::inRange(0, 4)));
+    std::deque<HedgePolicy> policies;
+    for (std::size_t host = 0; host < hosts; ++host)
+      policies.emplace_back(HedgePolicy::Options{.share = share});
+    RetryBudget unlimited({.unlimited = true});
+    double max_tokens = 0;
+    for (HedgePolicy& policy : policies) {
+      policy.SetHosts(hosts);
+      max_tokens += policy.max_tokens();
+      Learn(policy);
+    }
+    MonoTime now = now_;
+    std::vector<double> requests{0};
+    std::vector<double> hedges{0};
+    for (const auto& [host, target, latency, wanted] : steps) {
+      HedgePolicy& policy = policies[static_cast<std::size_t>(host) % hosts];
+      const HedgePolicy::Attempt attempt =
+          At(targets_[static_cast<std::size_t>(target)]);
+      policy.OnRequest(pool_);
+      requests.push_back(requests.back() + 1);
+      hedges.push_back(hedges.back());
+      for (int hedge = 0; hedge < wanted; ++hedge) {
+        HedgePolicy::Candidate candidate = MakeCandidate();
+        candidate.attempt = attempt;
+        if (policy.Decide(candidate, unlimited, now) == Verdict::kAllowed)
+          hedges.back() += 1;
+      }
+      now += Milliseconds(latency) / 100;
+      policy.OnEnded(attempt, Milliseconds(latency), false, now);
+    }
+    allowed += hedges.back();
+    for (std::size_t from = 0; from < requests.size(); ++from) {
+      for (std::size_t to = from + 1; to < requests.size(); ++to) {
+        RC_ASSERT(hedges[to] - hedges[from] <=
+                  share * (requests[to] - requests[from]) + max_tokens + 1e-6);
+      }
+    }
+  }));
+  // Guards against a property that holds because nothing is ever hedged.
+  EXPECT_GT(allowed, 100);
+}
+
+}  // namespace
+}  // namespace camphor
