Send a second copy of slow repeatable requests where hedging is on

HedgedAttempt runs the first attempt and the copy with a control of their own each. The first response below 500 wins; the other attempt is cancelled, frees its slot and gives no sample. Without ProxyLimits::hedge_share (default 0) every request takes the same path as before and nothing is learned.

--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -157,8 +157,10 @@
     share_ = context_.balancer.ChooseShare(route_);
     tried_.clear();
   }
-  if (!std::exchange(counted_in_retry_budget_, true))
+  if (!std::exchange(counted_in_retry_budget_, true)) {
     context_.retries.OnRequest(CurrentPool());
+    context_.hedges.OnRequest(CurrentPool());
+  }
   const std::optional<Placement> placement = context_.balancer.Choose(
       route_, share_, tried_, std::chrono::steady_clock::now());
   if (!placement) return false;
@@ -186,9 +188,9 @@
                                                 : body.length()});
 }
 
-std::unique_ptr<RequestRun> CallerRequest::MakeRun() {
+std::unique_ptr<RequestRun> CallerRequest::MakeRun(RequestControl& control) {
   PlacedRequest request{.header = header_,
-                        .control = options_.control,
+                        .control = &control,
                         .body = options_.body,
                         .urgency = MakeUrgency(),
                         .target = target().info.id,
@@ -198,7 +200,8 @@
   if (rule().at_most_once) {
     request.claim_key = HeaderValue(*options_.header, kIdempotencyKeyHeader);
   }
-  if (rule().repeatable && attempt_ - reached_no_target_ < MaxAttempts()) {
+  if (rule().repeatable && !has_copy_ &&
+      attempt_ - reached_no_target_ < MaxAttempts()) {
     request.abandon_after = AbandonTimeout();
     request.may_abandon = [this] { return MayAbandon(); };
   }
@@ -213,26 +216,21 @@
     context_.metrics.Count(Counter::kPoisonRefused);
     co_return ProxyError::kPoison;
   }
-  sent_at_ = std::chrono::steady_clock::now();
-  context_.balancer.OnSent(target().info.id);
-  context_.Record([&] {
-    return fmt::format("event=request_sent t_us={} route={} target={} key={}",
-                       HistoryTimeUs(), rule().name.value(),
-                       target().info.id.value(),
-                       HeaderValue(*options_.header, kIdempotencyKeyHeader));
-  });
-  const std::unique_ptr<RequestRun> run = MakeRun();
-  const std::optional<ProxyError> error = co_await run->Begin();
-  if (const std::optional<LoadReport> load = run->load_report()) {
-    context_.balancer.OnReport(rule().name, target().info.id, *load,
-                               std::chrono::steady_clock::now());
+  if (const std::optional<Microseconds> delay = HedgeDelay()) {
+    const auto failed = co_await HedgedAttemptAfter(*delay);
+    co_return failed;
   }
+  RecordSent();
+  const std::unique_ptr<RequestRun> run = MakeRun(*options_.control);
+  const std::optional<ProxyError> error = co_await run->Begin();
+  OnBegun(*run);
   if (error) {
     co_await run->End(false);
     OnError(*error);
     co_return error;
   }
   const unsigned status = run->exchange().response().result_int();
+  if (attempt_ == 1 && status < kMinServerErrorStatus) LearnLatency();
   const Exchange::RelayResult relayed = co_await Relay(run->exchange());
   OnRelayed(relayed, status);
   if (complete_) co_await run->exchange().FinishBody();
@@ -240,6 +238,24 @@
   co_return std::nullopt;
 }
 
+void CallerRequest::RecordSent() {
+  sent_at_ = std::chrono::steady_clock::now();
+  context_.balancer.OnSent(target().info.id);
+  context_.Record([&] {
+    return fmt::format("event=request_sent t_us={} route={} target={} key={}",
+                       HistoryTimeUs(), rule().name.value(),
+                       target().info.id.value(),
+                       HeaderValue(*options_.header, kIdempotencyKeyHeader));
+  });
+}
+
+void CallerRequest::OnBegun(const RequestRun& run) {
+  if (const std::optional<LoadReport> load = run.load_report()) {
+    context_.balancer.OnReport(rule().name, target().info.id, *load,
+                               std::chrono::steady_clock::now());
+  }
+}
+
 asio::awaitable<Exchange::RelayResult> CallerRequest::Relay(
     Exchange& exchange) {
   http::response_header<> header = exchange.response();
@@ -421,8 +437,8 @@
 }
 
 bool CallerRequest::MayAbandon() {
-  // A streamed body cannot be sent again.
-  if (options_.body->consumed()) return false;
+  // A streamed body cannot be sent again. A hedge is the other attempt already.
+  if (options_.body->consumed() || has_copy_) return false;
   // Without another target, waiting for a slow one is better: its response may
   // be on the way. A draining host aborts no attempts.
   //
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORHILL_PROXY_CALLER_REQUEST_H_
 #define CAMPHORHILL_PROXY_CALLER_REQUEST_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -9,8 +10,10 @@
 #include <vector>
 
 #include "core/config/team_table.h"
+#include "core/routing/hedge_policy.h"
 #include "core/routing/route_matcher.h"
 #include "proxy/exchange.h"
+#include "proxy/hedged_attempt.h"
 #include "proxy/placed_request.h"
 #include "proxy/proxy_context.h"
 
@@ -21,7 +24,9 @@
 RouteQuery MakeRouteQuery(const http::request_header<>& header);
 
 /// Sends one caller's request to a target, relays the response, and retries on
-/// another target where that is safe. Must be used from one thread.
+/// another target where that is safe. If hedging is on, a slow first attempt of
+/// a repeatable request may get a copy on another target (see HedgedAttempt).
+/// Must be used from one thread.
 ///
 /// A retry is safe when the request is known not to have run, or when its route
 /// is repeatable. A retry also requires that no body bytes beyond the buffered
@@ -40,6 +45,10 @@
     std::function<bool()>
         keep_alive{};  ///< returns true if the connection stays open after the
                        ///< response; called once, before its header is written
+    std::function<bool()>
+        charge_copy{};  ///< returns true if there are buffers for a second copy
+                        ///< of the request; called once at most; null: no
+                        ///< hedges
     std::uint32_t responses_before = 0;  ///< responses that the connection owed
                                          ///< when the request was started
   };
@@ -64,7 +73,23 @@
   asio::awaitable<Exchange::RelayResult> Relay(Exchange& exchange);
   asio::awaitable<void> WaitForDeathPropagation();
   std::uint64_t MakeFingerprint() const;
-  std::unique_ptr<RequestRun> MakeRun();
+  std::unique_ptr<RequestRun> MakeRun(RequestControl& control);
+  void RecordSent();
+  void OnBegun(const RequestRun& run);
+
+  // Hedging; see caller_request_hedging.cc.
+  std::optional<Microseconds> HedgeDelay() const;
+  bool IsHedgeable() const;
+  asio::awaitable<std::optional<ProxyError>> HedgedAttemptAfter(
+      Microseconds delay);
+  std::unique_ptr<RequestRun> MakeCopy(RequestControl& control);
+  std::optional<Placement> PlaceCopy(MonoTime now);
+  void SelectSide(HedgedAttempt::Side side);
+  void OnSideBegun(HedgedAttempt::Side side, const RequestRun& run,
+                   const HedgedAttempt::Outcome& outcome);
+  void OnSideLost(HedgedAttempt::Side side, std::optional<unsigned> status);
+  void LearnLatency();
+  HedgePolicy::Attempt HedgeKey() const;
   bool MayRetry(ProxyError error);
   bool MayAbandon();
   const PoolName& CurrentPool() const;
@@ -99,6 +124,13 @@
   std::uint32_t reached_no_target_ =
       0;  ///< attempts refused by the host of a cold or evacuated target
   MonoTime sent_at_{};
+  struct Sent {
+    Placement placement{};
+    MonoTime at{};
+  };
+  std::array<Sent, 2> sides_{};  ///< of a hedged attempt, by side
+  bool hedge_delay_passed_ = false;
+  bool has_copy_ = false;  ///< a hedge was sent and has not failed
   std::optional<ProxyError>
       unknown_outcome_error_;  ///< error of an earlier attempt that may have
                                ///< run
--- /dev/null
+++ b/proxy/caller_request_hedging.cc
@@ -0,0 +1,187 @@
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "proxy/caller_request.h"
+
+namespace camphor {
+namespace {
+
+using Counter = ProxyMetrics::Counter;
+using Side = HedgedAttempt::Side;
+
+constexpr unsigned kMinServerErrorStatus = 500;
+
+}  // namespace
+
+std::optional<Microseconds> CallerRequest::HedgeDelay() const {
+  if (!context_.hedges.enabled() || !IsHedgeable()) return std::nullopt;
+  const std::optional<Microseconds> delay = context_.hedges.Delay(rule().name);
+  if (!delay || *delay >= options_.control->RemainingTime())
+    return std::nullopt;
+  return delay;
+}
+
+bool CallerRequest::IsHedgeable() const {
+  // A request whose first attempt has failed is retried instead.
+  if (!rule().repeatable || rule().at_most_once || attempt_ != 1 ||
+      MaxAttempts() < 2 || !options_.charge_copy)
+    return false;
+  if (!options_.body->prefix_is_complete() || context_.draining) return false;
+  if (target_deaths_ > 0 || routing_->suspects.contains(fingerprint_))
+    return false;
+  // During a rollout, the copies would shift the shares of the versions, and
+  // the cancelled attempts would hide that a version is slow.
+  const PoolRouting& pool = routing_->pools[placement_.pool];
+  return pool.groups.size() == 1 && pool.rollout == RolloutId{};
+}
+
+asio::awaitable<std::optional<ProxyError>> CallerRequest::HedgedAttemptAfter(
+    Microseconds delay) {
+  RecordSent();
+  sides_.front() = {.placement = placement_, .at = sent_at_};
+  HedgedAttempt attempt({.executor = context_.io->get_executor(),
+                         .control = options_.control,
+                         .hedge_at = sent_at_ + delay,
+                         .make_run =
+                             [this](Side side, RequestControl& control) {
+                               return side == Side::kFirst ? MakeRun(control)
+                                                           : MakeCopy(control);
+                             },
+                         .on_begun =
+                             [this](Side side, const RequestRun& run,
+                                    const HedgedAttempt::Outcome& outcome) {
+                               OnSideBegun(side, run, outcome);
+                             },
+                         .on_lost =
+                             [this](Side side, std::optional<unsigned> status) {
+                               OnSideLost(side, status);
+                             }});
+  const std::optional<ProxyError> error = co_await attempt.Begin();
+  if (error) {
+    co_await attempt.Join();
+    has_copy_ = false;
+    co_return error;
+  }
+  SelectSide(attempt.winner());
+  if (attempt.winner() == Side::kCopy)
+    context_.metrics.Count(Counter::kHedgesWon);
+  RequestRun& run = attempt.run();
+  const unsigned status = run.exchange().response().result_int();
+  const Exchange::RelayResult relayed = co_await Relay(run.exchange());
+  OnRelayed(relayed, status);
+  if (complete_) co_await run.exchange().FinishBody();
+  co_await run.End(relayed == Exchange::RelayResult::kTruncated);
+  co_await attempt.Join();
+  co_return std::nullopt;
+}
+
+std::unique_ptr<RequestRun> CallerRequest::MakeCopy(RequestControl& control) {
+  const MonoTime now = std::chrono::steady_clock::now();
+  hedge_delay_passed_ = true;
+  context_.hedges.OnDelayPassed(HedgeKey(), now);
+  const std::optional<Placement> placement = PlaceCopy(now);
+  if (!placement) {
+    context_.metrics.Count(Counter::kHedgesDenied);
+    return nullptr;
+  }
+  placement_ = *placement;
+  tried_.push_back(placement_);
+  ++attempt_;
+  has_copy_ = true;
+  // A retry after a hedge is a third arrival, so it needs a retry token.
+  may_have_reached_target_ = true;
+  context_.metrics.Count(Counter::kHedgesSent);
+  RecordSent();
+  sides_.back() = {.placement = placement_, .at = sent_at_};
+  return MakeRun(control);
+}
+
+std::optional<Placement> CallerRequest::PlaceCopy(MonoTime now) {
+  // Indices into the routing are valid only while it is unchanged. The route,
+  // the poison list and the suspects may have changed with it.
+  if (context_.Routing() != routing_ || placement_routing_ != routing_ ||
+      !IsHedgeable())
+    return std::nullopt;
+  const std::optional<Placement> placement =
+      context_.balancer.ChooseWithRoom(route_, share_, tried_, now);
+  if (!placement || placement->pool != placement_.pool) return std::nullopt;
+  const PowerOfTwoBalancer::PoolRoom room =
+      context_.balancer.CountRoom(route_, share_, now);
+  const MonoTime deadline = options_.control->deadline();
+  const MonoTime wanted = options_.arrival + rule().target_latency;
+  const bool has_objective = rule().target_latency.count() > 0;
+  const MonoTime end = has_objective ? std::min(wanted, deadline) : deadline;
+  const HedgePolicy::Verdict verdict = context_.hedges.Decide(
+      {.attempt = HedgeKey(),
+       .repeatable = rule().repeatable && !rule().at_most_once &&
+                     options_.body->prefix_is_complete(),
+       .target_died = target_deaths_ > 0 ||
+                      routing_->suspects.contains(fingerprint_) ||
+                      routing_->poison.contains(fingerprint_),
+       .targets = attempt_,
+       .max_targets = MaxAttempts(),
+       .usable_targets = room.usable,
+       .targets_with_room = room.with_room,
+       .time_left = std::chrono::duration_cast<Microseconds>(end - now)},
+      context_.retries, now);
+  if (verdict != HedgePolicy::Verdict::kAllowed || !options_.charge_copy())
+    return std::nullopt;
+  return placement;
+}
+
+void CallerRequest::SelectSide(Side side) {
+  const Sent& sent = sides_[static_cast<std::size_t>(side)];
+  placement_ = sent.placement;
+  sent_at_ = sent.at;
+}
+
+void CallerRequest::OnSideBegun(Side side, const RequestRun& run,
+                                const HedgedAttempt::Outcome& outcome) {
+  SelectSide(side);
+  OnBegun(run);
+  if (outcome.error) {
+    // The first attempt may be abandoned for a retry again.
+    if (side == Side::kCopy) has_copy_ = false;
+    OnError(*outcome.error);
+  } else if (side == Side::kFirst && outcome.status < kMinServerErrorStatus) {
+    LearnLatency();
+  }
+}
+
+void CallerRequest::OnSideLost(Side side, std::optional<unsigned> status) {
+  SelectSide(side);
+  if (status) {
+    ReportSample(RequestOutcome::kError);
+    return;
+  }
+  if (side == Side::kFirst) LearnLatency();
+  // Not a sample: that it was slower shows neither an error of its target nor
+  // a fault of its version.
+  const MonoTime now = std::chrono::steady_clock::now();
+  context_.balancer.OnEnded(
+      {.route = &rule().name,
+       .pool = &routing_->pools[placement_.pool].spec.name,
+       .target = &target().info.id},
+      RequestOutcome::kCancelled,
+      std::chrono::duration_cast<Microseconds>(now - sent_at_), now);
+  context_.metrics.OnOutcome(RequestOutcome::kCancelled);
+}
+
+void CallerRequest::LearnLatency() {
+  if (!context_.hedges.enabled() || !rule().repeatable ||
+      !options_.body->prefix_is_complete())
+    return;
+  const MonoTime now = std::chrono::steady_clock::now();
+  context_.hedges.OnEnded(
+      HedgeKey(), std::chrono::duration_cast<Microseconds>(now - sent_at_),
+      hedge_delay_passed_, now);
+}
+
+HedgePolicy::Attempt CallerRequest::HedgeKey() const {
+  return {.route = &rule().name,
+          .pool = &routing_->pools[placement_.pool].spec.name,
+          .target = &target().info.id};
+}
+
+}  // namespace camphor
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -60,7 +60,14 @@
   const http::request_header<>& header() const { return parser->get(); }
   bool is_head() const { return header().method() == http::verb::head; }
 
+  // Charges what a second copy of the request needs.
+  bool ChargeCopy() {
+    return charge.Grow(kHeaderCopies * header_bytes + kRunBytes,
+                       std::chrono::steady_clock::now());
+  }
+
   BufferAccount::Charge charge{};  ///< for the header and for running it
+  std::uint64_t header_bytes = 0;  ///< charged for the header
   std::unique_ptr<RequestParser> parser{};
   MonoTime arrival{};
   bool keep = false;  ///< the caller requested keep-alive
@@ -103,6 +110,7 @@
   auto request = std::make_shared<ReceivedRequest>();
   request->parser = std::move(parser);
   request->charge = std::move(head_charge_);
+  request->header_bytes = request->charge.bytes();
   request->arrival = std::chrono::steady_clock::now();
   request->keep = request->parser->keep_alive();
   context_.metrics.Count(Counter::kCallerRequests);
@@ -346,6 +354,7 @@
              return KeepsOpen(request->response,
                               request->keep && request->body->complete());
            },
+       .charge_copy = [&request] { return request->ChargeCopy(); },
        .responses_before = request->responses_before});
   const CallerRequest::Result result = co_await run.Run();
   bool complete = result.complete;
--- a/proxy/proxy_context.cc
+++ b/proxy/proxy_context.cc
@@ -18,6 +18,7 @@
       retries({.ratio = options.limits.retry_ratio,
                .burst = options.limits.retry_burst,
                .unlimited = !options.limits.retry_budget}),
+      hedges({.share = options.limits.hedge_share}),
       targets(std::make_unique<LocalTargets>(*this)),
       hosts(std::make_unique<HostPools>(*this)) {}
 
@@ -51,6 +52,7 @@
     routing_ = std::move(newest);
     balancer.SetRouting(routing_, std::chrono::steady_clock::now());
     retries.SetHosts(routing_->hosts);
+    hedges.SetHosts(routing_->hosts);
     targets->OnRoutingChanged(*routing_);
   }
   return routing_;
--- a/proxy/proxy_context.h
+++ b/proxy/proxy_context.h
@@ -10,6 +10,7 @@
 
 #include "core/base/buffer_budget.h"
 #include "core/routing/death_tracker.h"
+#include "core/routing/hedge_policy.h"
 #include "core/routing/power_of_two_balancer.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/retry_schedule.h"
@@ -30,7 +31,7 @@
   ~ProxyContext();
 
   /// Returns the current routing and passes changes to the balancer and the
-  /// retry budget; null before the first one.
+  /// budgets of retries and hedges; null before the first one.
   const EffectiveRoutingPtr& Routing();
 
   /// Returns true if a request with this deadline could still be running when
@@ -55,6 +56,7 @@
   ProxyMetrics metrics;
   PowerOfTwoBalancer balancer;
   RetryBudget retries;
+  HedgePolicy hedges;
   DeathTracker deaths;
   std::map<PoolName, RetrySchedule>
       cold_retries;  ///< Retry-After of pools whose cold targets are busy
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -22,6 +22,8 @@
   double retry_ratio = 0.1;    ///< retries allowed per request of a pool
   double retry_burst =
       100;  ///< additional burst of retries of a pool, shared by all hosts
+  double hedge_share = 0;  ///< hedges allowed per request of a pool; 0: none;
+                           ///< see HedgePolicy
   bool load_reports = false;  ///< the speed and load of local targets are sent
                               ///< to the hosts of callers and used to place
   bool retry_budget = true;  ///< false disables the budget, for comparison only
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -18,7 +18,7 @@
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99};
 constexpr double kMicrosPerSecond = 1e6;
 
-constexpr std::array<std::string_view, 31> kCounterNames = {
+constexpr std::array<std::string_view, 34> kCounterNames = {
     "caller_requests",
     "pipelined_requests",
     "forward_requests",
@@ -50,6 +50,9 @@
     "cold_refused",
     "evacuated_refused",
     "cold_assumed",
+    "hedges_sent",
+    "hedges_won",
+    "hedges_denied",
 };
 static_assert(kCounterNames.size() ==
               static_cast<std::size_t>(ProxyMetrics::Counter::kCount));
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -56,6 +56,9 @@
                         ///< host is evacuated
     kColdAssumed,       ///< times that a target of this host was taken as cold
                         ///< because it may have restarted
+    kHedgesSent,        ///< second copies of slow requests
+    kHedgesWon,         ///< of those, the ones whose response was relayed
+    kHedgesDenied,      ///< slow requests that got no second copy
     kCount,
   };
 
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -53,7 +53,7 @@
                   ///< time after which to repeat it if it is refused; null: no
                   ///< quotas
     std::function<void(RequestSample&&)>
-        on_sample{};  ///< called when an attempt ends
+        on_sample{};  ///< called when an attempt ends, unless its hedge won
     std::function<void(std::uint64_t fingerprint, const TargetId&)>
         on_target_death{};  ///< called when a target died while running a
                             ///< request
--- a/proxy/request_control.h
+++ b/proxy/request_control.h
@@ -19,7 +19,7 @@
   enum class Stop : std::uint8_t {
     kNone,        ///< not stopped
     kDeadline,    ///< the deadline passed
-    kCallerGone,  ///< the caller disconnected
+    kCallerGone,  ///< the caller disconnected, or another attempt won
   };
 
   /// Registers the interrupt handler of one operation. The handler runs at most
