--- a/node/node.cc
+++ b/node/node.cc
@@ -257,6 +257,7 @@
                      LimitToDescriptors(settings.proxy.forward_connections, 4),
                  .retry_ratio = settings.proxy.retry_ratio,
                  .retry_burst = settings.proxy.retry_burst,
+                 .hedge_share = settings.proxy.hedge_share,
                  .load_reports = settings.proxy.load_reports,
                  .retry_budget = settings.proxy.retry_budget,
                  .buffer_bytes =
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -16,6 +16,10 @@
 constexpr std::int64_t kMaxConnections = 1'000'000;
 constexpr std::int64_t kMaxHeaderFields = 1'000'000;
 
+/// All arrivals beyond the first of each request, retries included, may be at
+/// most 0.2 x the requests of a pool.
+constexpr double kMaxHedgeShare = 0.2;
+
 /// Below this, the ticks of 100 ms and the queries over the mesh take too large
 /// a part of the bound.
 constexpr Milliseconds kMinRevokeWithin{2000};
@@ -205,6 +209,8 @@
         part.Number("retry_ratio", 0, 1, settings.proxy.retry_ratio);
     settings.proxy.retry_burst =
         part.Number("retry_burst", 0, 1e6, settings.proxy.retry_burst);
+    settings.proxy.hedge_share = part.Number("hedge_share", 0, kMaxHedgeShare,
+                                             settings.proxy.hedge_share);
     settings.proxy.buffer_bytes = static_cast<std::uint64_t>(
         part.Integer("buffer_bytes", kMinBufferBytes, kMaxBufferBytes,
                      static_cast<std::int64_t>(settings.proxy.buffer_bytes)));
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -86,6 +86,7 @@
   double retry_ratio = 0.1;  ///< retries per request of a pool
   double retry_burst = 100;  ///< additional retries of a pool that can
                              ///< accumulate over all hosts
+  double hedge_share = 0;    ///< hedges per request of a pool; 0: no hedges
   std::uint64_t buffer_bytes =
       40 * 1024 * 1024;  ///< buffers of all connections: three quarters for
                          ///< callers and other hosts, one for the admin
--- a/unit_tests/node/settings/settings_test.cc
+++ b/unit_tests/node/settings/settings_test.cc
@@ -82,6 +82,22 @@
   EXPECT_FALSE(unlimited->proxy.retry_budget);
 }
 
+// Guards against second copies that no operator asked for, and against a share
+// beyond what retries and hedges together may add.
+TEST(SettingsReaderRead, HedgeShare_IsZeroByDefaultAndAtMostAFifth) {
+  const auto with_share = [](const std::string& share) {
+    return With("\"mesh_key\"",
+                "\"proxy\": {\"hedge_share\": " + share + "}, \"mesh_key\"");
+  };
+  SettingsReader reader;
+  EXPECT_EQ(reader.Read(kMinimalSettings)->proxy.hedge_share, 0);
+  const auto largest = reader.Read(with_share("0.2"));
+  ASSERT_TRUE(largest.has_value());
+  EXPECT_EQ(largest->proxy.hedge_share, 0.2);
+  EXPECT_FALSE(reader.Read(with_share("0.21")).has_value());
+  EXPECT_FALSE(reader.Read(with_share("-0.1")).has_value());
+}
+
 TEST(SettingsReaderRead, RevocationBound_IsAbsentByDefaultAndNotTooShort) {
   const auto with_bound = [](const std::string& bound) {
     return With("\"mesh_key\"", "\"teams\": {\"revoke_within_ms\": " + bound +
