--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -87,6 +87,7 @@
   double retry_burst = 100;  ///< additional retries of a pool that can
                              ///< accumulate over all hosts
   double link_mbps = 0;      ///< rate of the host's link in Mbit/s; 0: unknown
+  double hedge_share = 0;    ///< hedges per request of a pool; 0: no hedges
   std::uint64_t buffer_bytes =
       40 * 1024 * 1024;  ///< buffers of all connections: three quarters for
                          ///< callers and other hosts, one for the admin
--- a/proxy/proxy_context.cc
+++ b/proxy/proxy_context.cc
@@ -19,6 +19,7 @@
                .burst = options.limits.retry_burst,
                .unlimited = !options.limits.retry_budget}),
       body_transfers({.bits_per_second = options.limits.link_bits_per_second}),
+      hedges({.share = options.limits.hedge_share}),
       targets(std::make_unique<LocalTargets>(*this)),
       hosts(std::make_unique<HostPools>(*this)) {}
 
@@ -52,6 +53,7 @@
     routing_ = std::move(newest);
     balancer.SetRouting(routing_, std::chrono::steady_clock::now());
     retries.SetHosts(routing_->hosts);
+    hedges.SetHosts(routing_->hosts);
     targets->OnRoutingChanged(*routing_);
   }
   return routing_;
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -58,6 +58,9 @@
                         ///< because it may have restarted
     kLinkFullRefused,   ///< attempts refused because the link of this host has
                         ///< no room for their bodies
+    kHedgesSent,        ///< second copies of slow requests
+    kHedgesWon,         ///< of those, the ones whose response was relayed
+    kHedgesDenied,      ///< slow requests that got no second copy
     kCount,
   };
 
