--- a/proxy/proxy_context.cc
+++ b/proxy/proxy_context.cc
@@ -18,8 +18,8 @@
       retries({.ratio = options.limits.retry_ratio,
                .burst = options.limits.retry_burst,
                .unlimited = !options.limits.retry_budget}),
-      body_transfers({.bits_per_second = options.limits.link_bits_per_second}),
       hedges({.share = options.limits.hedge_share}),
+      body_transfers({.bits_per_second = options.limits.link_bits_per_second}),
       targets(std::make_unique<LocalTargets>(*this)),
       hosts(std::make_unique<HostPools>(*this)) {}
 
