--- a/unit_tests/proxy/link_limit_test.cc
+++ b/unit_tests/proxy/link_limit_test.cc
@@ -11,6 +11,7 @@
 class ProxyLinkLimit : public TwoHosts {
  protected:
   void SetUp() override {
+    TwoHosts::SetUp();
     AddTarget("h2", "t1", [](const HttpExchange& exchange) {
       exchange.Respond({.status = 200, .body = "body"});
     });
