--- a/core/quota/quota_allocator.cc
+++ b/core/quota/quota_allocator.cc
@@ -50,9 +50,9 @@
 constexpr double kDemandRise = 2;
 constexpr double kDemandRisePerSecond = 4;
 
-// What hosts may admit beyond their rates, as a part of them, while all
-// together use less than the steady rate. The noise of few requests per host
-// would otherwise be refused.
+// What hosts whose demand together is within the steady rate may admit beyond
+// their rates, as a part of them. The noise of few requests per host would
+// otherwise be refused.
 constexpr double kSteadyOvercommit = 1;
 
 // Part of a limited rate that is divided evenly, for hosts without demand.
@@ -289,14 +289,6 @@
   return std::max(0.0, quota.SteadyRate() * part_ + team.steady - target);
 }
 
-double QuotaAllocator::SpareShare(const Team& team) const {
-  // Not by the demand: it holds the repetitions of refused requests, so that
-  // refusals would cause further ones.
-  const double empty = TargetLevel(team.quota) * part_;
-  const double full = SteadyCeiling(team.quota) * part_;
-  return std::clamp((team.steady - empty) / (full - empty), 0.0, 1.0);
-}
-
 TeamGrant QuotaAllocator::MakeGrant(TeamHash hash, const Team& team,
                                     double demand, MonoTime now) const {
   if (!team.limited) {
@@ -313,8 +305,9 @@
   const double part = team.demand > 0 ? demand / team.demand : 1 / alive_;
   const double granted =
       LimitedRate(team, now) * ((1 - kEvenPart) * part + kEvenPart / alive_);
-  const double extra =
-      IsSteady(team, now) ? kSteadyOvercommit * SpareShare(team) * granted : 0;
+  const bool within =
+      IsSteady(team, now) && team.arrivals <= team.quota.SteadyRate() * part_;
+  const double extra = within ? kSteadyOvercommit * granted : 0;
   return {.team = hash,
           .limited = true,
           .rate = static_cast<float>(granted),
--- a/core/quota/quota_allocator.h
+++ b/core/quota/quota_allocator.h
@@ -107,7 +107,6 @@
   void Notify(MonoTime now);
   static double CurrentDemand(const HostUse& use, MonoTime now);
   static bool IsSteady(const Team& team, MonoTime now);
-  double SpareShare(const Team& team) const;
   double LimitedRate(const Team& team, MonoTime now) const;
   TeamGrant MakeGrant(TeamHash hash, const Team& team, double demand,
                       MonoTime now) const;
