Keep the tokens of both target limits in TokenBucket

ColdTargetLimit repeated the refilling of TargetRateLimit, which stood beside core/base/token_bucket.h. TokenBucket can now change its options and be cleared, and both limits use it. Same admissions; their tests are unchanged and pass.

--- a/core/base/token_bucket.h
+++ b/core/base/token_bucket.h
@@ -32,6 +32,26 @@
     return true;
   }
 
+  /// Returns the number of tokens.
+  double Tokens(MonoTime now) {
+    Refill(now);
+    return tokens_;
+  }
+
+  /// Changes the rate and the burst. Tokens above the new burst are dropped.
+  /// @pre options.per_second > 0 and options.burst > 0.
+  void SetOptions(Options options, MonoTime now) {
+    Refill(now);
+    options_ = options;
+    tokens_ = std::min(tokens_, options_.burst);
+  }
+
+  /// Drops all tokens.
+  void Clear(MonoTime now) {
+    tokens_ = 0;
+    last_refill_ = now;
+  }
+
   /// Returns the time until the given number of tokens is available, as of the
   /// last call of Take.
   Milliseconds TimeUntilAvailable(double tokens) const {
--- a/core/routing/cold_target_limit.cc
+++ b/core/routing/cold_target_limit.cc
@@ -23,35 +23,34 @@
 // there can be thousands.
 constexpr std::size_t kMaxPriorities = 16;
 
+double Burst(double per_second) {
+  return std::clamp(per_second * kBurstSeconds, kMinBurst, kMaxBurst);
+}
+
 }  // namespace
 
 void ColdTargetLimit::Set(std::optional<double> per_second, MonoTime now) {
   assert(!per_second || *per_second > 0);
-  if (per_second && per_second_) {
-    Refill(now);
-  } else if (per_second) {
-    // Requests in flight were admitted before the target was known to be cold.
-    tokens_ = 0;
-    last_refill_ = now;
-    cold_since_ = now;
-    last_asked_.clear();
-  }
   per_second_ = per_second;
-  if (per_second_) tokens_ = std::min(tokens_, MaxTokens());
+  if (!per_second) return bucket_.reset();
+  const TokenBucket::Options options{.per_second = *per_second,
+                                     .burst = Burst(*per_second)};
+  if (bucket_) return bucket_->SetOptions(options, now);
+  // Requests in flight were admitted before the target was known to be cold.
+  bucket_.emplace(options).Clear(now);
+  cold_since_ = now;
+  last_asked_.clear();
 }
 
 bool ColdTargetLimit::HasRoom(std::uint32_t priority, MonoTime now) {
-  if (!per_second_) return true;
-  Refill(now);
+  if (!bucket_) return true;
   const double reserve = static_cast<double>(MoreUrgent(priority, now));
-  const double needed = 1 + std::min(reserve, MaxTokens() - 1);
-  return tokens_ >= needed;
+  const double needed = 1 + std::min(reserve, Burst(*per_second_) - 1);
+  return bucket_->Tokens(now) >= needed;
 }
 
 bool ColdTargetLimit::TryAcquire(std::uint32_t priority, MonoTime now) {
-  if (!HasRoom(priority, now)) return false;
-  if (per_second_) tokens_ -= 1;
-  return true;
+  return HasRoom(priority, now) && (!bucket_ || bucket_->Take(1, now));
 }
 
 std::size_t ColdTargetLimit::MoreUrgent(std::uint32_t priority, MonoTime now) {
@@ -65,15 +64,4 @@
       std::distance(last_asked_.begin(), last_asked_.lower_bound(priority)));
 }
 
-double ColdTargetLimit::MaxTokens() const {
-  return std::clamp(*per_second_ * kBurstSeconds, kMinBurst, kMaxBurst);
-}
-
-void ColdTargetLimit::Refill(MonoTime now) {
-  if (now <= last_refill_) return;
-  const std::chrono::duration<double> elapsed = now - last_refill_;
-  tokens_ = std::min(MaxTokens(), tokens_ + elapsed.count() * *per_second_);
-  last_refill_ = now;
-}
-
 }  // namespace camphor
--- a/core/routing/cold_target_limit.h
+++ b/core/routing/cold_target_limit.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/base/time.h"
+#include "core/base/token_bucket.h"
 
 namespace camphor {
 
@@ -42,13 +43,10 @@
   MonoTime cold_since() const { return cold_since_; }
 
  private:
-  double MaxTokens() const;
-  void Refill(MonoTime now);
   std::size_t MoreUrgent(std::uint32_t priority, MonoTime now);
 
   std::optional<double> per_second_;
-  double tokens_ = 0;
-  MonoTime last_refill_{};
+  std::optional<TokenBucket> bucket_;  ///< set while the target is cold
   MonoTime cold_since_{};
   std::map<std::uint32_t, MonoTime> last_asked_;  ///< by priority
 };
--- a/core/routing/target_rate_limit.h
+++ b/core/routing/target_rate_limit.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "core/base/time.h"
+#include "core/base/token_bucket.h"
 
 namespace camphor {
 
@@ -25,13 +26,8 @@
   const std::optional<double>& per_second() const { return per_second_; }
 
  private:
-  double Rate() const;
-  double MaxTokens() const;
-  void Refill(MonoTime now);
-
   std::optional<double> per_second_;
-  double tokens_ = 0;
-  MonoTime last_refill_{};
+  std::optional<TokenBucket> bucket_;  ///< set while there is a limit
 };
 
 }  // namespace camphor
