Share the check for server errors and the record of an outcome

kMinServerErrorStatus stood in four files; IsServerError() in header_rules.h replaces it. A cancelled attempt of a hedged request repeated what ReportSample() tells the balancer and the metrics; RecordOutcome() serves both. No change of behaviour; proxy tests unchanged and pass.

--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -28,8 +28,6 @@
 /// A target is treated as unresponsive after this multiple of its usual
 /// latency.
 constexpr int kSilenceLatencyFactor = 8;
-constexpr unsigned kMinServerErrorStatus = 500;
-
 /// Number of priorities that a route can have. The priority of a team goes
 /// before that of the route.
 constexpr std::uint32_t kRoutePriorities = kLowestPriority + 1;
@@ -233,7 +231,7 @@
     co_return error;
   }
   const unsigned status = run->exchange().response().result_int();
-  if (attempt_ == 1 && status < kMinServerErrorStatus) LearnLatency();
+  if (attempt_ == 1 && !IsServerError(status)) LearnLatency();
   const Exchange::RelayResult relayed = co_await Relay(run->exchange());
   OnRelayed(relayed, status);
   if (complete_) co_await run->exchange().FinishBody();
@@ -286,7 +284,7 @@
   complete_ = relayed == Exchange::RelayResult::kComplete;
   const RequestControl::Stop stopped = options_.control->stopped();
   if (complete_) {
-    const bool failed = status >= kMinServerErrorStatus;
+    const bool failed = IsServerError(status);
     ReportSample(failed ? RequestOutcome::kError : RequestOutcome::kSuccess);
     const MonoTime now = std::chrono::steady_clock::now();
     context_.metrics.Count(Counter::kAnswered);
@@ -349,12 +347,7 @@
   const auto latency = std::chrono::duration_cast<Microseconds>(now - sent_at_);
   if (outcome == RequestOutcome::kCancelled && MissedLatencyTarget(latency))
     outcome = RequestOutcome::kTimeout;
-  context_.balancer.OnEnded(
-      {.route = &rule().name,
-       .pool = &routing_->pools[placement_.pool].spec.name,
-       .target = &target().info.id},
-      outcome, latency, now);
-  context_.metrics.OnOutcome(outcome);
+  RecordOutcome(outcome, latency, now);
   if (!context_.options.on_sample) return;
   context_.options.on_sample({.routing = routing_,
                               .route = route_,
@@ -365,6 +358,16 @@
                               .latency = latency});
 }
 
+void CallerRequest::RecordOutcome(RequestOutcome outcome, Microseconds latency,
+                                  MonoTime now) {
+  context_.balancer.OnEnded(
+      {.route = &rule().name,
+       .pool = &routing_->pools[placement_.pool].spec.name,
+       .target = &target().info.id},
+      outcome, latency, now);
+  context_.metrics.OnOutcome(outcome);
+}
+
 bool CallerRequest::MissedLatencyTarget(Microseconds latency) const {
   // A caller that disconnects this late is assumed to do so because the target
   // is slow.
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -102,6 +102,8 @@
   void OnError(ProxyError error);
   void OnRelayed(Exchange::RelayResult relayed, unsigned status);
   void ReportSample(RequestOutcome outcome);
+  void RecordOutcome(RequestOutcome outcome, Microseconds latency,
+                     MonoTime now);
   Result Refuse(ProxyError error);
   void RecordResponse(unsigned status, bool complete) const;
   void Report(RequestDecision::Kind kind, std::string_view reason,
--- a/proxy/caller_request_hedging.cc
+++ b/proxy/caller_request_hedging.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "proxy/caller_request.h"
+#include "proxy/header_rules.h"
 
 namespace camphor {
 namespace {
@@ -10,8 +11,6 @@
 using Counter = ProxyMetrics::Counter;
 using Side = HedgedAttempt::Side;
 
-constexpr unsigned kMinServerErrorStatus = 500;
-
 }  // namespace
 
 std::optional<Microseconds> CallerRequest::HedgeDelay() const {
@@ -144,7 +143,7 @@
     // The first attempt may be abandoned for a retry again.
     if (side == Side::kCopy) has_copy_ = false;
     OnError(*outcome.error);
-  } else if (side == Side::kFirst && outcome.status < kMinServerErrorStatus) {
+  } else if (side == Side::kFirst && !IsServerError(outcome.status)) {
     LearnLatency();
   }
 }
@@ -163,13 +162,8 @@
   // Not a sample: that it was slower shows neither an error of its target nor
   // a fault of its version.
   const MonoTime now = std::chrono::steady_clock::now();
-  context_.balancer.OnEnded(
-      {.route = &rule().name,
-       .pool = &routing_->pools[placement_.pool].spec.name,
-       .target = &target().info.id},
-      RequestOutcome::kCancelled,
-      std::chrono::duration_cast<Microseconds>(now - sent_at_), now);
-  context_.metrics.OnOutcome(RequestOutcome::kCancelled);
+  RecordOutcome(RequestOutcome::kCancelled,
+                std::chrono::duration_cast<Microseconds>(now - sent_at_), now);
 }
 
 void CallerRequest::LearnLatency() {
--- a/proxy/header_rules.h
+++ b/proxy/header_rules.h
@@ -16,6 +16,9 @@
 /// absent. Thread-safe.
 std::string_view HeaderValue(const http::fields& fields, std::string_view name);
 
+/// Returns true if a response status says that the target failed. Thread-safe.
+constexpr bool IsServerError(unsigned status) { return status >= 500; }
+
 /// Validates a request header. Returns a message when it is unsafe to forward:
 /// conflicting or repeated lengths, unknown transfer encodings, a missing or
 /// repeated Host, an absolute or empty path. Returns std::nullopt when it is
--- a/proxy/hedged_attempt.cc
+++ b/proxy/hedged_attempt.cc
@@ -6,11 +6,11 @@
 #include <chrono>
 #include <utility>
 
+#include "proxy/header_rules.h"
+
 namespace camphor {
 namespace {
 
-constexpr unsigned kMinServerErrorStatus = 500;
-
 std::size_t IndexOf(HedgedAttempt::Side side) {
   return static_cast<std::size_t>(side);
 }
@@ -26,7 +26,7 @@
 // outlives what its pending operations refer to.
 struct HedgedAttempt::Branch {
   bool good() const {
-    return begun && !outcome.error && outcome.status < kMinServerErrorStatus;
+    return begun && !outcome.error && !IsServerError(outcome.status);
   }
 
   std::shared_ptr<asio::steady_timer> changed;
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -16,8 +16,6 @@
 
 using Counter = ProxyMetrics::Counter;
 
-constexpr unsigned kMinServerErrorStatus = 500;
-
 /// Delays before each check whether a target died.
 constexpr std::array<Milliseconds, 4> kDeathProbeDelays = {
     Milliseconds(0), Milliseconds(5), Milliseconds(15), Milliseconds(30)};
@@ -399,8 +397,8 @@
         std::chrono::steady_clock::now() - sent_at_);
     std::optional<ConcurrencyLimiter::ServiceSample> ended;
     if (tracked_ && !refused_by_target_) {
-      const bool good = answered_ && exchange_->response().result_int() <
-                                         kMinServerErrorStatus;
+      const bool good =
+          answered_ && !IsServerError(exchange_->response().result_int());
       ended = {.work_class = request_.urgency.work_class,
                .took = took,
                .failed = !good};
