--- a/unit_tests/core/quota/quota_manager_test.cc
+++ b/unit_tests/core/quota/quota_manager_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,20 +24,26 @@
   return {.rate = rate, .burst = rate};
 }
 
+// Any quota and seed, and any number of hosts unless it is given.
+QuotaSimulation::Options AnyOptions(
+    std::optional<std::size_t> hosts = std::nullopt) {
+  QuotaSimulation::Options options{.quota = AnyQuota()};
+  options.hosts = hosts ? *hosts : *rc::gen::inRange<std::size_t>(1, 59);
+  options.seed = *rc::gen::inRange<std::uint64_t>(1, 1000);
+  return options;
+}
+
 // Guards against over-admission while hosts are connected: demand that jumps to
 // five times the rate, moves between hosts, and meets lowered limits.
 TEST(QuotaManager, ConnectedHostsWithAnyDemand_NoWindowExceedsTheLimit) {
   EXPECT_TRUE(rc::check([] {
-    const TeamQuota quota = AnyQuota();
-    const auto hosts = *rc::gen::inRange<std::size_t>(1, 59);
-    QuotaSimulation simulation(
-        {.hosts = hosts,
-         .quota = quota,
-         .seed = *rc::gen::inRange<std::uint64_t>(1, 1000)});
+    const QuotaSimulation::Options options = AnyOptions();
+    QuotaSimulation simulation(options);
     for (int phase = 0; phase < 4; ++phase) {
-      simulation.SetWeights(SomeBusyHosts(hosts));
+      simulation.SetWeights(SomeBusyHosts(options.hosts));
       const double share = *rc::gen::element(0.1, 0.5, 0.9, 1.0, 2.0, 5.0);
-      simulation.Run(Seconds(*rc::gen::inRange(1, 6)), share * quota.rate);
+      simulation.Run(Seconds(*rc::gen::inRange(1, 6)),
+                     share * options.quota.rate);
     }
     RC_ASSERT(simulation.worst_window() <= 1);
   }));
@@ -46,17 +53,14 @@
 // while the team is limited.
 TEST(QuotaManager, AllocatorLostOrRestarted_NoWindowExceedsTheLimit) {
   EXPECT_TRUE(rc::check([] {
-    const TeamQuota quota = AnyQuota();
-    QuotaSimulation simulation(
-        {.hosts = 20,
-         .quota = quota,
-         .seed = *rc::gen::inRange<std::uint64_t>(1, 1000)});
-    simulation.Run(Seconds(8), 2 * quota.rate);
+    const QuotaSimulation::Options options = AnyOptions(20);
+    QuotaSimulation simulation(options);
+    simulation.Run(Seconds(8), 2 * options.quota.rate);
     const std::size_t allocator = simulation.allocator();
     simulation.Kill(allocator);
-    simulation.Run(Seconds(*rc::gen::inRange(1, 16)), 3 * quota.rate);
+    simulation.Run(Seconds(*rc::gen::inRange(1, 16)), 3 * options.quota.rate);
     simulation.Restart(allocator);
-    simulation.Run(Seconds(12), 3 * quota.rate);
+    simulation.Run(Seconds(12), 3 * options.quota.rate);
     RC_ASSERT(simulation.worst_window() <= 1);
   }));
 }
@@ -65,19 +69,16 @@
 // limited: they go on with shares whose sum was within the rate.
 TEST(QuotaManager, PartitionOfLimitedTeam_NoWindowExceedsTheLimit) {
   EXPECT_TRUE(rc::check([] {
-    const TeamQuota quota = AnyQuota();
-    QuotaSimulation simulation(
-        {.hosts = 20,
-         .quota = quota,
-         .seed = *rc::gen::inRange<std::uint64_t>(1, 1000)});
-    simulation.Run(Seconds(8), 2 * quota.rate);
+    const QuotaSimulation::Options options = AnyOptions(20);
+    QuotaSimulation simulation(options);
+    simulation.Run(Seconds(8), 2 * options.quota.rate);
     const int groups = *rc::gen::inRange(2, 5);
     simulation.Partition([groups](std::size_t index) {
       return static_cast<int>(index) % groups;
     });
-    simulation.Run(Seconds(*rc::gen::inRange(1, 20)), 2 * quota.rate);
+    simulation.Run(Seconds(*rc::gen::inRange(1, 20)), 2 * options.quota.rate);
     simulation.Partition([](std::size_t) { return 0; });
-    simulation.Run(Seconds(8), 2 * quota.rate);
+    simulation.Run(Seconds(8), 2 * options.quota.rate);
     RC_ASSERT(simulation.worst_window() <= 1);
   }));
 }
@@ -97,16 +98,13 @@
 // hosts, which have no grant yet.
 TEST(QuotaManager, DemandWithinRateThatMoves_RefusesNothing) {
   EXPECT_TRUE(rc::check([] {
-    const TeamQuota quota = AnyQuota();
-    const auto hosts = *rc::gen::inRange<std::size_t>(1, 59);
-    QuotaSimulation simulation(
-        {.hosts = hosts,
-         .quota = quota,
-         .seed = *rc::gen::inRange<std::uint64_t>(1, 1000)});
+    const QuotaSimulation::Options options = AnyOptions();
+    QuotaSimulation simulation(options);
     for (int phase = 0; phase < 6; ++phase) {
-      simulation.SetWeights(SomeBusyHosts(hosts));
+      simulation.SetWeights(SomeBusyHosts(options.hosts));
       const double share = *rc::gen::element(0.1, 0.5, 0.9);
-      simulation.Run(Seconds(*rc::gen::inRange(1, 6)), share * quota.rate);
+      simulation.Run(Seconds(*rc::gen::inRange(1, 6)),
+                     share * options.quota.rate);
     }
     RC_ASSERT(simulation.refused() == 0U);
   }));
--- a/unit_tests/proxy/hedging_test.cc
+++ b/unit_tests/proxy/hedging_test.cc
@@ -96,6 +96,14 @@
     return Call({.method = "GET", .target = "/get/test"});
   }
 
+  // Sends the test's request. The body names the arrival that was answered.
+  void ExpectResponse(int status, const std::string& body) {
+    const auto response = CallTest();
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, status);
+    EXPECT_EQ(response->body, body);
+  }
+
   std::future<std::optional<HttpResponse>> CallLater(
       const std::string& path = "/get/test") {
     return std::async(std::launch::async, [this, path] {
@@ -181,10 +189,7 @@
 TEST_P(Hedging, FirstStalls_CopyIsRelayedAndTheSlotOfTheFirstIsFreed) {
   script_ = HoldFirst();
   StartAndLearn();
-  const auto response = CallTest();
-  ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, 200);
-  EXPECT_EQ(response->body, "2");
+  ExpectResponse(200, "2");
   EXPECT_EQ(Sent(), 1U);
   EXPECT_EQ(Won(), 1U);
   WaitFor([this] { return Running() == 0; });
@@ -242,10 +247,7 @@
     return Answer(arrival);
   };
   StartAndLearn();
-  const auto response = CallTest();
-  ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, 200);
-  EXPECT_EQ(response->body, "2");
+  ExpectResponse(200, "2");
   EXPECT_EQ(arrivals_, 2);
   EXPECT_EQ(Samples(RequestOutcome::kError), 1U);
 }
@@ -259,10 +261,7 @@
     return Answer(arrival);
   };
   StartAndLearn();
-  const auto response = CallTest();
-  ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, 200);
-  EXPECT_EQ(response->body, "1");
+  ExpectResponse(200, "1");
   EXPECT_EQ(arrivals_, 2);
   EXPECT_EQ(Won(), 0U);
   EXPECT_EQ(Samples(RequestOutcome::kError), 1U);
@@ -280,10 +279,7 @@
     return Answer(arrival);
   };
   StartAndLearn();
-  const auto response = CallTest();
-  ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, 200);
-  EXPECT_EQ(response->body, "3");
+  ExpectResponse(200, "3");
 }
 
 // Guards against a first attempt that is given up at half of the time although
@@ -300,10 +296,7 @@
     return Answer(arrival);
   };
   StartAndLearn();
-  const auto response = CallTest();
-  ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, 200);
-  EXPECT_EQ(response->body, "1");
+  ExpectResponse(200, "1");
 }
 
 // Guards against an error response that is preferred because it is faster.
@@ -315,10 +308,7 @@
     return Answer(arrival);
   };
   StartAndLearn();
-  const auto response = CallTest();
-  ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, 200);
-  EXPECT_EQ(response->body, "1");
+  ExpectResponse(200, "1");
   EXPECT_EQ(Samples(RequestOutcome::kError), 1U);
 }
 
@@ -331,10 +321,7 @@
     return {.close = true};
   };
   StartAndLearn();
-  const auto response = CallTest();
-  ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, 500);
-  EXPECT_EQ(response->body, "2");
+  ExpectResponse(500, "2");
   EXPECT_EQ(arrivals_, 2);
 }
 
@@ -347,10 +334,7 @@
     return Answer(arrival);
   };
   StartAndLearn();
-  const auto response = CallTest();
-  ASSERT_TRUE(response);
-  EXPECT_EQ(response->status, 200);
-  EXPECT_EQ(response->body, "3");
+  ExpectResponse(200, "3");
   EXPECT_EQ(arrivals_, 3);
 }
 
