Release admin sessions on the thread of their server

A callback of a request may be dropped on the decisions thread, which then destroyed the session and changed the buffer budget while the server's thread used it. The new test fails before the change: the connection is closed by the other thread.

--- a/node/admin/admin_server.cc
+++ b/node/admin/admin_server.cc
@@ -205,9 +205,9 @@
         .if_match = std::string(message[http::field::if_match]),
         .operation_id = std::string(message["Operation-Id"]),
         .from_loopback = !error && IsLocalPeer(peer.address())};
-    // The response may be sent from another thread.
+    // The response may be sent, and the callback destroyed, on another thread.
     state_.options.handle(
-        request, [self = shared_from_this()](AdminResponse response) {
+        request, [self = OwnFromAnyThread()](AdminResponse response) {
           asio::post(self->stream_.get_executor(),
                      [self, response = std::move(response)]() mutable {
                        self->Write(std::move(response));
@@ -215,6 +215,16 @@
         });
   }
 
+  /// Returns an owner that may be released on any thread. The session uses the
+  /// buffers of its server until it is destroyed, so the owner hands its
+  /// reference to the thread of the server.
+  std::shared_ptr<Session> OwnFromAnyThread() {
+    return {this, [self = shared_from_this()](Session* session) mutable {
+              asio::post(session->stream_.get_executor(),
+                         [owned = std::move(self)] {});
+            }};
+  }
+
   /// Whether the peer is on this host.
   bool IsLocalPeer(const asio::ip::address& peer) {
     beast::error_code error;
--- a/unit_tests/node/admin/admin_server_test.cc
+++ b/unit_tests/node/admin/admin_server_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio.hpp>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -10,6 +12,9 @@
 namespace camphor {
 namespace {
 
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
 class AdminServerTest : public testing::Test {
  protected:
   AdminServerTest() { EXPECT_TRUE(server_.Start()) << server_.last_reason(); }
@@ -30,6 +35,7 @@
 };
 
 using AdminServerHandle = AdminServerTest;
+using AdminServerRespond = AdminServerTest;
 using AdminServerLimits = AdminServerTest;
 using AdminServerStart = AdminServerTest;
 
@@ -42,6 +48,47 @@
   EXPECT_EQ(answer->body, "PUT /v1/a b text");
 }
 
+// Guards against a session that is destroyed on the thread that drops the
+// callback of its request while the server's thread changes the same buffers.
+TEST_F(AdminServerRespond, CallbackDropped_SessionEndsOnServerThread) {
+  std::promise<AdminRespond> first;
+  std::promise<void> blocked;
+  std::promise<void> release;
+  AdminServer server(
+      {.listen = {.address = "127.0.0.1"},
+       .handle = [&](const AdminRequest& request, const AdminRespond& respond) {
+         if (request.path == "/first") return first.set_value(respond);
+         blocked.set_value();
+         release.get_future().wait();
+         respond({.body = "ok"});
+       }});
+  ASSERT_TRUE(server.Start()) << server.last_reason();
+  asio::io_context context;
+  Tcp::socket socket(context);
+  socket.connect({asio::ip::make_address(server.endpoint().address),
+                  static_cast<asio::ip::port_type>(server.endpoint().port)});
+  asio::write(socket, asio::buffer(std::string("GET /first HTTP/1.1\r\n\r\n")));
+  AdminRespond respond = first.get_future().get();
+  std::thread second([&server] {
+    HttpConnection(server.endpoint()).Call({.method = "GET", .target = "/"});
+  });
+  blocked.get_future().wait();
+  respond = nullptr;
+  socket.non_blocking(true);
+  // A close from this thread would be seen at once; the server's thread is
+  // blocked.
+  std::this_thread::sleep_for(Milliseconds(50));
+  char byte = 0;
+  boost::system::error_code error;
+  socket.read_some(asio::buffer(&byte, 1), error);
+  EXPECT_EQ(error, asio::error::would_block);
+  release.set_value();
+  second.join();
+  socket.non_blocking(false);
+  socket.read_some(asio::buffer(&byte, 1), error);
+  EXPECT_EQ(error, asio::error::eof);
+}
+
 TEST_F(AdminServerLimits, BodyTooLong_413) {
   const auto answer = Send({.method = "PUT",
                             .target = "/",
