Let the balancer be copied for previews and record its comparisons

The copy has its own statistics and the state of the random engine. FindExclusion replaces HasCapacity, so that a preview gives the reason that Choose applied. Real requests pass no place for the comparisons and record none.

--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -98,6 +98,20 @@
       outliers_(options_.outliers),
       random_(options_.random_seed) {}
 
+PowerOfTwoBalancer::PowerOfTwoBalancer(const PowerOfTwoBalancer& other)
+    : options_(other.options_),
+      outliers_(other.outliers_),
+      random_(other.random_),
+      routing_(other.routing_),
+      new_version_credit_(other.new_version_credit_),
+      saved_credit_(other.saved_credit_),
+      stats_(other.stats_),
+      latency_(other.latency_),
+      finish_(other.finish_) {
+  // The views point to the statistics of their own balancer.
+  if (routing_) BuildViews();
+}
+
 void PowerOfTwoBalancer::SetRouting(const EffectiveRoutingPtr& routing,
                                     MonoTime now) {
   if (routing == routing_) return;
@@ -120,9 +134,12 @@
   saved_credit_.clear();
 
   UpdateStats(previous.get(), now);
+  BuildViews();
+}
 
+void PowerOfTwoBalancer::BuildViews() {
   pools_.clear();
-  for (const PoolRouting& pool : routing->pools) {
+  for (const PoolRouting& pool : routing_->pools) {
     PoolView& view = pools_.emplace_back();
     for (std::uint32_t group = 0; group < pool.groups.size(); ++group) {
       GroupView& group_view = view.groups.emplace_back();
@@ -193,11 +210,12 @@
 
 std::optional<Placement> PowerOfTwoBalancer::Choose(
     std::uint32_t route, std::uint32_t share, std::span<const Placement> tried,
-    MonoTime now) {
+    MonoTime now, std::vector<ChoiceDraw>* draws) {
   assert(routing_ && route < routing_->routes.size());
   const RoutedShare part = GetShare(route, share);
-  const std::optional<Placement> chosen =
-      ChoosePlacement(route, part, MakeParams(route, tried, now));
+  ChoiceParams params = MakeParams(route, tried, now);
+  params.draws = draws;
+  const std::optional<Placement> chosen = ChoosePlacement(route, part, params);
   if (chosen) {
     const GroupView& view = pools_[chosen->pool].groups[chosen->group];
     TakeColdToken(*view.stats[chosen->target], now);
@@ -216,6 +234,37 @@
       .now = now};
 }
 
+std::vector<PowerOfTwoBalancer::Candidate> PowerOfTwoBalancer::Candidates(
+    std::uint32_t route, std::uint32_t share, MonoTime now) const {
+  const std::uint32_t pool = GetShare(route, share).pool;
+  const ChoiceParams params = MakeParams(route, {}, now);
+  std::vector<Candidate> candidates;
+  for (const GroupView& view : pools_[pool].groups) {
+    const std::vector<RoutedTarget>& targets =
+        routing_->pools[pool].groups[view.group].targets;
+    for (std::uint32_t index = 0; index < targets.size(); ++index) {
+      const TargetStats& stats = *view.stats[index];
+      Candidate candidate{
+          .placement = {.pool = pool, .group = view.group, .target = index},
+          .exclusion = FindExclusion(targets[index], stats, now),
+          .stats = stats};
+      // Choose substitutes a constant for what was not measured.
+      const bool measured =
+          params.service_us > 0 ||
+          LatencyModel::ExpectedUs(params.typical_us, stats) > 0;
+      if (measured) {
+        candidate.expected = Microseconds(static_cast<std::int64_t>(
+            ExpectedUs(targets[index], stats, params)));
+      }
+      if (stats.relative_service > 0 &&
+          now - stats.speed_reported_at <= FinishModel::kMaxSpeedAge)
+        candidate.speed = 1 / FinishModel::RelativeService(stats, now);
+      candidates.push_back(std::move(candidate));
+    }
+  }
+  return candidates;
+}
+
 PowerOfTwoBalancer::PoolRoom PowerOfTwoBalancer::CountRoom(std::uint32_t route,
                                                            std::uint32_t share,
                                                            MonoTime now) const {
@@ -414,10 +463,11 @@
   // Takes the first usable target from each of two random starting points,
   // which gives two distinct random choices if most targets are usable.
   const auto usable = [&](std::uint32_t index) {
-    const TargetStats& stats = *view.stats[index];
-    if (stats.leaving || stats.ejected_until > params.now) return false;
-    if (require_capacity && !HasCapacity(targets[index], stats, params.now))
-      return false;
+    const std::optional<TargetExclusion> exclusion =
+        FindExclusion(targets[index], *view.stats[index], params.now);
+    const bool lacks_capacity = exclusion == TargetExclusion::kCold ||
+                                exclusion == TargetExclusion::kFull;
+    if (exclusion && (require_capacity || !lacks_capacity)) return false;
     const Placement placement{
         .pool = group.pool, .group = group.group, .target = index};
     return std::ranges::find(params.tried, placement) == params.tried.end();
@@ -435,8 +485,26 @@
   if (first == count) return std::nullopt;
   const std::size_t second =
       first_usable(DrawBySpeed(candidates, view, params), first);
-  if (second == count) return candidates[first];
+  const auto record = [&](std::uint32_t better) {
+    if (params.draws == nullptr) return;
+    const auto placement_of = [&group](std::uint32_t index) {
+      return Placement{
+          .pool = group.pool, .group = group.group, .target = index};
+    };
+    params.draws->push_back(
+        {.first = placement_of(candidates[first]),
+         .second = second == count
+                       ? std::nullopt
+                       : std::optional(placement_of(candidates[second])),
+         .better = placement_of(better),
+         .own_domain = &candidates == &view.local_domain,
+         .with_capacity = require_capacity});
+  };
   const std::uint32_t left = candidates[first];
+  if (second == count) {
+    record(left);
+    return left;
+  }
   const std::uint32_t right = candidates[second];
   // Two targets without a recent report are compared by own statistics.
   ChoiceParams compared = params;
@@ -445,7 +513,9 @@
     compared.service_us = 0;
   const bool keep_left = Cost(targets[left], *view.stats[left], compared) <=
                          Cost(targets[right], *view.stats[right], compared);
-  return keep_left ? left : right;
+  const std::uint32_t better = keep_left ? left : right;
+  record(better);
+  return better;
 }
 
 std::size_t PowerOfTwoBalancer::DrawBySpeed(
@@ -486,16 +556,20 @@
   return std::clamp(age, kMinSlowStartFactor, 1.0);
 }
 
-bool PowerOfTwoBalancer::HasCapacity(const RoutedTarget& target,
-                                     const TargetStats& stats,
-                                     MonoTime now) const {
-  if (stats.cold_per_second > 0 && ColdTokens(stats, now) < 1) return false;
-  return stats.full_until <= now && stats.in_flight < target.info.slots;
+std::optional<TargetExclusion> PowerOfTwoBalancer::FindExclusion(
+    const RoutedTarget& target, const TargetStats& stats, MonoTime now) {
+  if (stats.leaving) return TargetExclusion::kLeaving;
+  if (stats.ejected_until > now) return TargetExclusion::kEjected;
+  if (stats.cold_per_second > 0 && ColdTokens(stats, now) < 1)
+    return TargetExclusion::kCold;
+  if (stats.full_until > now || stats.in_flight >= target.info.slots)
+    return TargetExclusion::kFull;
+  return std::nullopt;
 }
 
 bool PowerOfTwoBalancer::HasRoom(const RoutedTarget& target,
                                  const TargetStats& stats, MonoTime now) const {
-  if (stats.cold_per_second > 0 || !HasCapacity(target, stats, now))
+  if (stats.cold_per_second > 0 || FindExclusion(target, stats, now))
     return false;
   const bool reported = stats.reported_service_us > 0 &&
                         now - stats.load_reported_at <= kMaxLoadAge;
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -30,6 +30,24 @@
   auto operator<=>(const Placement&) const = default;
 };
 
+/// Why a target gets no request, or only if no other target is left.
+enum class TargetExclusion : std::uint8_t {
+  kLeaving,  ///< it said that it is leaving; gets no request
+  kEjected,  ///< ejected as an outlier; gets no request
+  kCold,     ///< cold, and this proxy's share of its rate is used up
+  kFull,     ///< refused a request recently, or this proxy uses all its slots
+};
+
+/// One comparison of two random targets, recorded for a preview.
+struct ChoiceDraw {
+  Placement first{};                  ///< drawn first
+  std::optional<Placement> second{};  ///< drawn second; std::nullopt: no other
+                                      ///< target could be drawn
+  Placement better{};                 ///< the one with the lower cost
+  bool own_domain = false;     ///< drawn from the preferred failure domain
+  bool with_capacity = false;  ///< drawn from targets with capacity only
+};
+
 /// Power-of-two-choices load balancer. Chooses the target version by its
 /// traffic share, then the better of two random targets, based on the
 /// statistics of this proxy.
@@ -58,6 +76,12 @@
 
   explicit PowerOfTwoBalancer(Options options);
 
+  /// Copies the complete state, including that of the random engine, so that a
+  /// preview can make the next choices without changing the original. The cost
+  /// grows with the number of targets.
+  PowerOfTwoBalancer(const PowerOfTwoBalancer& other);
+  PowerOfTwoBalancer& operator=(const PowerOfTwoBalancer&) = delete;
+
   /// Replaces the routing. Statistics of targets that it still contains are
   /// kept.
   void SetRouting(const EffectiveRoutingPtr& routing, MonoTime now);
@@ -72,10 +96,29 @@
   }
 
   /// As above, for one share of a route that splits its requests.
+  /// Appends its comparisons to `draws`, unless that is null.
   /// @pre `share` was returned by ChooseShare for the route.
   std::optional<Placement> Choose(std::uint32_t route, std::uint32_t share,
                                   std::span<const Placement> tried,
-                                  MonoTime now);
+                                  MonoTime now,
+                                  std::vector<ChoiceDraw>* draws = nullptr);
+
+  /// A target of the pool of a route, as Choose sees it.
+  struct Candidate {
+    Placement placement{};                       ///< the target
+    std::optional<TargetExclusion> exclusion{};  ///< std::nullopt: none
+    std::optional<Microseconds> expected{};  ///< expected time to the end of a
+                                             ///< new request; std::nullopt:
+                                             ///< nothing was measured
+    std::optional<double> speed{};  ///< relative to the pool, 1 is the mean;
+                                    ///< std::nullopt: no recent report
+    TargetStats stats{};            ///< statistics of this proxy
+  };
+
+  /// Returns the targets of the pool of a route in all its groups, for a
+  /// preview. Same preconditions as Choose.
+  std::vector<Candidate> Candidates(std::uint32_t route, std::uint32_t share,
+                                    MonoTime now) const;
 
   /// Returns true if Choose could still return a target that was not tried.
   /// Same preconditions as Choose.
@@ -167,8 +210,11 @@
     double service_us = 0;  ///< mean service time of the route as reported; 0:
                             ///< no recent report, own statistics decide
     MonoTime now{};
+    std::vector<ChoiceDraw>* draws = nullptr;  ///< receives the comparisons of
+                                               ///< a preview; null: none
   };
 
+  void BuildViews();
   ChoiceParams MakeParams(std::uint32_t route, std::span<const Placement> tried,
                           MonoTime now) const;
   std::optional<Placement> ChooseTarget(const Placement& group,
@@ -192,8 +238,8 @@
   void UpdateStats(const EffectiveRouting* previous, MonoTime now);
   double Cost(const RoutedTarget& target, const TargetStats& stats,
               const ChoiceParams& params) const;
-  bool HasCapacity(const RoutedTarget& target, const TargetStats& stats,
-                   MonoTime now) const;
+  static std::optional<TargetExclusion> FindExclusion(
+      const RoutedTarget& target, const TargetStats& stats, MonoTime now);
   bool HasRoom(const RoutedTarget& target, const TargetStats& stats,
                MonoTime now) const;
   OutlierDetector::PoolCount CountPool(const PoolName& pool,
