--- a/core/quota/quota_limiter.cc
+++ b/core/quota/quota_limiter.cc
@@ -77,7 +77,32 @@
   if (teams_.empty()) return std::nullopt;
   const auto found = teams_.find(HashTeam(name));
   if (found == teams_.end()) return std::nullopt;
-  Team& team = found->second;
+  const std::optional<Milliseconds> wait = AdmitOne(found->second, now);
+  if (wait) ++refused_;
+  return wait;
+}
+
+std::optional<QuotaLimiter::AdmitPreview> QuotaLimiter::PreviewAdmit(
+    const TeamName& name, MonoTime now) const {
+  const auto found = teams_.find(HashTeam(name));
+  if (found == teams_.end()) return std::nullopt;
+  Team team = found->second;
+  const bool granted =
+      team.seen && !IsForgotten(team, now) && now <= team.lease_ends;
+  AdmitPreview preview;
+  if (granted) {
+    preview.lease_left =
+        std::chrono::duration_cast<Milliseconds>(team.lease_ends - now);
+  }
+  preview.retry_after = AdmitOne(team, now);
+  preview.remaining = team.tokens + (preview.retry_after ? 0 : 1);
+  preview.limited = team.limited;
+  preview.rate = granted ? team.rate : FallbackRate(team);
+  return preview;
+}
+
+std::optional<Milliseconds> QuotaLimiter::AdmitOne(Team& team,
+                                                   MonoTime now) const {
   if (!team.seen || IsForgotten(team, now)) Start(team, now);
   if (team.demand == 0 && !team.reported) team.period_start = now;
   Refill(team, now);
@@ -88,7 +113,6 @@
     return std::nullopt;
   }
   ++team.refused;
-  ++refused_;
   // Each refused request gets a later time than those before it: all of them
   // could not be admitted at once.
   const double rate = std::max(
@@ -104,7 +128,7 @@
                   std::chrono::ceil<Milliseconds>(team.promised - now));
 }
 
-void QuotaLimiter::Start(Team& team, MonoTime now) {
+void QuotaLimiter::Start(Team& team, MonoTime now) const {
   team.seen = true;
   team.limited = false;
   team.rate = 0;
--- a/core/quota/quota_limiter.h
+++ b/core/quota/quota_limiter.h
@@ -56,6 +56,22 @@
   /// are always admitted.
   std::optional<Milliseconds> Admit(const TeamName& team, MonoTime now);
 
+  /// What Admit would do with the next request of a team. Immutable value type.
+  struct AdmitPreview {
+    std::optional<Milliseconds> retry_after{};  ///< set: it would be refused
+    double remaining = 0;  ///< requests that this host admits at once
+    std::optional<Milliseconds>
+        lease_left{};      ///< validity of the grant; std::nullopt: none
+    bool limited = false;  ///< the rate of this host is limited
+    double rate = 0;       ///< as granted, or the share that applies without
+                           ///< a grant; requests per second
+  };
+
+  /// Runs Admit on a copy of the team's state. Returns std::nullopt if the team
+  /// has no rate.
+  std::optional<AdmitPreview> PreviewAdmit(const TeamName& name,
+                                           MonoTime now) const;
+
   /// Returns the teams that have something to report: requests since the last
   /// report, or a grant to return by a last report of zero requests. Starts a
   /// new report period for them.
@@ -111,7 +127,8 @@
     std::uint64_t refused = 0;
   };
 
-  void Start(Team& team, MonoTime now);
+  std::optional<Milliseconds> AdmitOne(Team& team, MonoTime now) const;
+  void Start(Team& team, MonoTime now) const;
   void Refill(Team& team, MonoTime now) const;
   bool IsForgotten(const Team& team, MonoTime now) const;
   double FallbackRate(const Team& team) const;
--- a/core/quota/quota_manager.cc
+++ b/core/quota/quota_manager.cc
@@ -213,6 +213,14 @@
   return shards_.empty() ? HostId() : shards_[ShardOf(team)].allocator;
 }
 
+std::optional<QuotaAllocator::TeamState> QuotaManager::AllocatedState(
+    TeamHash team) const {
+  for (const QuotaAllocator::TeamState& state : allocator_.Teams()) {
+    if (state.team == team) return state;
+  }
+  return std::nullopt;
+}
+
 std::string QuotaManager::DumpJson(MonoTime now) const {
   boost::json::array teams;
   std::uint64_t refused = 0;
--- a/core/quota/quota_manager.h
+++ b/core/quota/quota_manager.h
@@ -70,6 +70,10 @@
   /// Host that is the allocator of a team; empty before SetHosts().
   HostId AllocatorOf(TeamHash team) const;
 
+  /// State of a team over all hosts; std::nullopt unless this host is its
+  /// allocator and has had reports about it.
+  std::optional<QuotaAllocator::TeamState> AllocatedState(TeamHash team) const;
+
   /// State as JSON text for the state dump.
   std::string DumpJson(MonoTime now) const;
 
