--- a/node/admin/state_view.cc
+++ b/node/admin/state_view.cc
@@ -9,6 +9,7 @@
 
 #include "core/base/wall_time_text.h"
 #include "core/config/config_codec.h"
+#include "core/config/key_digest.h"
 #include "core/config/rollout_key.h"
 #include "core/quota/quota_message.h"
 #include "node/json/record_json.h"
@@ -16,9 +17,6 @@
 namespace camphor {
 namespace {
 
-// Enough of a digest to tell the keys of a fleet apart.
-constexpr std::size_t kShownDigestLength = 12;
-
 /// Returns the rows of a table in a dump; empty if there is no such table.
 boost::json::array Rows(const boost::json::value& dump,
                         std::string_view table) {
@@ -91,7 +89,7 @@
   for (const TeamSpec& team : snapshot->teams.teams()) {
     boost::json::array keys;
     for (const Digest& digest : team.key_digests)
-      keys.emplace_back(digest.hex().substr(0, kShownDigestLength));
+      keys.emplace_back(ShownKeyDigest(digest));
     boost::json::object row{{"name", team.name.value()},
                             {"priority", team.priority},
                             {"requests_per_second", team.requests_per_second},
