--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -6,7 +6,7 @@
 #include <chrono>
 #include <utility>
 
-#include "core/config/priority.h"
+#include "proxy/attempt_rules.h"
 #include "proxy/header_names.h"
 #include "proxy/header_rules.h"
 #include "proxy/local_run.h"
@@ -20,76 +20,15 @@
 constexpr Microseconds kMinTimeForRetry{2000};
 constexpr std::uint32_t kMaxTargetDeaths = 2;
 
-/// Refusals by the hosts of targets that are cold, evacuated or behind a full
-/// link, which do not count as attempts of a request: they reach no target, and
-/// a request with a single attempt has to be able to go to another one.
-constexpr std::uint32_t kMaxFreeRefusals = 2;
-
 /// A target is treated as unresponsive after this multiple of its usual
 /// latency.
 constexpr int kSilenceLatencyFactor = 8;
-/// Number of priorities that a route can have. The priority of a team goes
-/// before that of the route.
-constexpr std::uint32_t kRoutePriorities = kLowestPriority + 1;
-
-/// Maps an error to the outcome reported for the chosen target.
-RequestOutcome ToRequestOutcome(ProxyError error) {
-  switch (error) {
-    case ProxyError::kNoTarget:
-    case ProxyError::kFull:
-    case ProxyError::kRateLimited:
-    case ProxyError::kCold:
-    case ProxyError::kEvacuated:
-    case ProxyError::kRefused:
-    case ProxyError::kTooLate:
-    case ProxyError::kConnectFailed:
-    case ProxyError::kBuffersFull:
-    case ProxyError::kLinkFull:
-    case ProxyError::kDraining:
-      return RequestOutcome::kRefused;
-    case ProxyError::kTargetBroke:
-    case ProxyError::kBadAnswer:
-      return RequestOutcome::kError;
-    case ProxyError::kTargetDied:
-      return RequestOutcome::kTargetDied;
-    case ProxyError::kDeadline:
-      return RequestOutcome::kTimeout;
-    default:
-      return RequestOutcome::kCancelled;
-  }
-}
 
 /// Returns true when the target may have received the request.
 bool MayHaveReachedTarget(ProxyError error) {
   return !GetErrorTraits(error).not_run || error == ProxyError::kRefused;
 }
 
-/// Returns true when another target may succeed.
-bool IsRetryableOnAnotherTarget(ProxyError error) {
-  switch (error) {
-    case ProxyError::kNoTarget:
-    case ProxyError::kFull:
-    case ProxyError::kRateLimited:
-    case ProxyError::kCold:
-    case ProxyError::kEvacuated:
-    case ProxyError::kRefused:
-    case ProxyError::kTooLate:
-    case ProxyError::kConnectFailed:
-    case ProxyError::kSuspectBusy:
-    case ProxyError::kBuffersFull:
-    case ProxyError::kLinkFull:
-    case ProxyError::kDraining:
-    case ProxyError::kTargetBroke:
-    case ProxyError::kTargetDied:
-    case ProxyError::kBadAnswer:
-    case ProxyError::kSilent:
-    case ProxyError::kDeadline:
-      return true;
-    default:
-      return false;
-  }
-}
-
 }  // namespace
 
 RouteQuery MakeRouteQuery(const http::request_header<>& header) {
@@ -190,14 +129,18 @@
 }
 
 std::unique_ptr<RequestRun> CallerRequest::MakeRun(RequestControl& control) {
-  PlacedRequest request{.header = header_,
-                        .control = &control,
-                        .body = options_.body,
-                        .urgency = MakeUrgency(),
-                        .target = target().info.id,
-                        .fingerprint = fingerprint_,
-                        .suspect = target_deaths_ > 0,
-                        .attempt = attempt_};
+  PlacedRequest request{
+      .header = header_,
+      .control = &control,
+      .body = options_.body,
+      .urgency = MakeUrgency(rule(), options_.team.get(),
+                             {.arrival = options_.arrival,
+                              .deadline = options_.control->deadline(),
+                              .now = std::chrono::steady_clock::now()}),
+      .target = target().info.id,
+      .fingerprint = fingerprint_,
+      .suspect = target_deaths_ > 0,
+      .attempt = attempt_};
   if (rule().at_most_once) {
     request.claim_key = HeaderValue(*options_.header, kIdempotencyKeyHeader);
   }
@@ -381,11 +324,7 @@
   if (!IsRetryableOnAnotherTarget(error) || options_.body->consumed())
     return false;
   if (!GetErrorTraits(error).not_run && !rule().repeatable) return false;
-  const bool reached_no_target = error == ProxyError::kCold ||
-                                 error == ProxyError::kEvacuated ||
-                                 error == ProxyError::kLinkFull;
-  if (reached_no_target && reached_no_target_ < kMaxFreeRefusals)
-    ++reached_no_target_;
+  CountFreeRefusal(error, reached_no_target_);
   if (attempt_ - reached_no_target_ >= MaxAttempts()) return false;
   if (target_deaths_ >= kMaxTargetDeaths) return false;
   if (options_.control->stopped() != RequestControl::Stop::kNone ||
@@ -409,20 +348,6 @@
   return routing_->pools[pool].spec.name;
 }
 
-Urgency CallerRequest::MakeUrgency() const {
-  const MonoTime deadline = options_.control->deadline();
-  const MonoTime wanted = options_.arrival + rule().target_latency;
-  const bool useful = rule().target_latency.count() > 0 && wanted < deadline &&
-                      wanted > std::chrono::steady_clock::now();
-  const std::uint32_t team_priority =
-      options_.team ? options_.team->priority : 0;
-  return {.priority = team_priority * kRoutePriorities + rule().priority,
-          .soft_deadline = useful ? wanted : deadline,
-          .deadline = deadline,
-          .work_class =
-              static_cast<std::uint32_t>(std::hash<RouteName>()(rule().name))};
-}
-
 Milliseconds CallerRequest::AbandonTimeout() const {
   // The connection may be dead, so half of the remaining time is kept for
   // another target.
@@ -439,8 +364,7 @@
 }
 
 std::uint32_t CallerRequest::MaxAttempts() const {
-  return rule().attempts > 0 ? rule().attempts
-                             : context_.options.limits.attempts;
+  return camphor::MaxAttempts(rule(), context_.options.limits);
 }
 
 bool CallerRequest::MayAbandon() {
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -94,7 +94,6 @@
   bool MayAbandon();
   const PoolName& CurrentPool() const;
   bool MissedLatencyTarget(Microseconds latency) const;
-  Urgency MakeUrgency() const;
   void SetTeamHeader();
   Milliseconds AbandonTimeout() const;
   std::uint32_t MaxAttempts() const;
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -11,21 +11,17 @@
 #include <string>
 #include <utility>
 
-#include "core/routing/route_matcher.h"
 #include "proxy/caller_request.h"
 #include "proxy/header_names.h"
 #include "proxy/header_rules.h"
 #include "proxy/inbound_body.h"
+#include "proxy/request_check.h"
 
 namespace camphor {
 namespace {
 
 using Counter = ProxyMetrics::Counter;
 
-constexpr std::size_t kMaxKeyLength = 255;
-/// A host whose knowledge is too old looks for a newer proof about once a
-/// second.
-constexpr Milliseconds kStaleKeysRetryAfter{1000};
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Copies of the header that a running request keeps besides the received one:
@@ -36,23 +32,6 @@
 /// Buffer for a body that is streamed.
 constexpr std::uint64_t kStreamBytes = 16 * 1024;
 
-/// Returns true for 1 to 255 visible ASCII characters.
-bool IsValidIdempotencyKey(std::string_view key) {
-  return !key.empty() && key.size() <= kMaxKeyLength &&
-         std::ranges::all_of(
-             key, [](char letter) { return letter > ' ' && letter < 127; });
-}
-
-/// Returns the team that the request's API key belongs to; null if there is no
-/// such team or the key is missing or repeated.
-std::shared_ptr<const TeamSpec> FindTeam(const EffectiveRouting& routing,
-                                         const http::request_header<>& header,
-                                         const HeaderVocabulary& vocabulary) {
-  if (!routing.teams || header.count(vocabulary.team_key) != 1) return nullptr;
-  return {routing.teams,
-          routing.teams->FindByKey(HeaderValue(header, vocabulary.team_key))};
-}
-
 }  // namespace
 
 // A request whose header was read, until its response is complete.
@@ -150,80 +129,38 @@
 
 std::optional<HttpSession::ErrorReply> CallerSession::Examine(
     ReceivedRequest& request) const {
-  const http::request_header<>& header = request.header();
-  if (const auto fault = FindRequestHeaderError(header)) {
-    context_.metrics.Count(Counter::kBadRequests);
-    request.fault = *fault;
-    return ErrorReply{.detail = request.fault};
-  }
-
-  // Find the route and validate the headers that it requires.
-  const bool keep = request.keep && request.parser->is_done();
   // Before the routing is loaded: a proof applies to the configuration that is
   // published by then, not to earlier ones.
   const bool accepts_keys =
       !context_.options.accepts_keys || context_.options.accepts_keys();
   request.routing = context_.Routing();
-  const EffectiveRoutingPtr& routing = request.routing;
-  const std::optional<std::uint32_t> route =
-      routing ? MatchRoute(*routing, MakeRouteQuery(header)) : std::nullopt;
-  if (!route) {
-    context_.metrics.Count(Counter::kRefusedNotRun);
-    const ProxyError error =
-        routing ? ProxyError::kNoRoute : ProxyError::kNotReady;
-    ReportRefusal(request, error);
-    return ErrorReply{.error = error, .keep = keep};
+  RequestCheck check =
+      CheckRequest(context_, {.header = request.header(),
+                              .routing = request.routing,
+                              .accepts_keys = accepts_keys,
+                              .arrival = request.arrival,
+                              .admit = context_.options.admit});
+  request.team = std::move(check.team);
+  request.time_limit = check.time_limit;
+  if (!check.error) {
+    request.repeatable = request.routing->routes[*check.route].rule->repeatable;
+    return std::nullopt;
   }
-  const RouteRule& rule = *routing->routes[*route].rule;
-  const HeaderVocabulary& vocabulary = context_.options.vocabulary;
-  if (routing->teams && !rule.is_public && !accepts_keys) {
-    context_.metrics.Count(Counter::kRefusedNotRun);
-    ReportRefusal(request, ProxyError::kStaleKeys);
-    return ErrorReply{.error = ProxyError::kStaleKeys,
-                      .keep = keep,
-                      .retry_after = kStaleKeysRetryAfter};
-  }
-  request.team = FindTeam(*routing, header, vocabulary);
-  if (routing->teams && !request.team && !rule.is_public) {
-    context_.metrics.Count(Counter::kUnauthorized);
-    ReportRefusal(request, ProxyError::kUnknownKey);
-    return ErrorReply{.error = ProxyError::kUnknownKey, .keep = keep};
-  }
-  const std::optional<Milliseconds> limit =
-      ReadDeadline(header, vocabulary.deadline, rule.timeout);
-  const std::string_view key = HeaderValue(header, kIdempotencyKeyHeader);
-  if (!limit || (!key.empty() && !IsValidIdempotencyKey(key)) ||
-      header.count(kIdempotencyKeyHeader) > 1) {
-    context_.metrics.Count(Counter::kBadRequests);
-    request.fault =
-        limit ? "Idempotency-Key must occur once, with 1 to 255 "
-                "visible characters"
-              : vocabulary.deadline + " must be a number of milliseconds";
-    return ErrorReply{.keep = keep, .detail = request.fault};
-  }
-  if (rule.at_most_once && key.empty()) {
-    context_.metrics.Count(Counter::kBadRequests);
-    return ErrorReply{.error = ProxyError::kKeyMissing, .keep = keep};
-  }
-  request.repeatable = rule.repeatable;
-  request.time_limit = std::min(*limit, rule.timeout);
-  if (context_.MayOutlastThisProxy(request.arrival + request.time_limit)) {
-    context_.metrics.Count(Counter::kRefusedNotRun);
-    ReportRefusal(request, ProxyError::kDraining);
-    return ErrorReply{.error = ProxyError::kDraining};
-  }
-  // Only requests that nothing else refuses count against the quota.
-  if (request.team && !rule.is_public && context_.options.admit) {
-    const std::optional<Milliseconds> wait =
-        context_.options.admit(*request.team);
-    if (wait) {
-      context_.metrics.Count(Counter::kOverQuota);
-      ReportRefusal(request, ProxyError::kOverQuota);
-      return ErrorReply{
-          .error = ProxyError::kOverQuota, .keep = keep, .retry_after = *wait};
-    }
-  }
-  return std::nullopt;
+  const ProxyError error = *check.error;
+  const bool bad =
+      error == ProxyError::kBadRequest || error == ProxyError::kKeyMissing;
+  context_.metrics.Count(
+      bad                                ? Counter::kBadRequests
+      : error == ProxyError::kUnknownKey ? Counter::kUnauthorized
+      : error == ProxyError::kOverQuota  ? Counter::kOverQuota
+                                         : Counter::kRefusedNotRun);
+  if (!bad) ReportRefusal(request, error);
+  request.fault = std::move(check.fault);
+  const bool keep = request.keep && request.parser->is_done();
+  return ErrorReply{.error = error,
+                    .keep = keep && check.MayKeepConnection(),
+                    .detail = request.fault,
+                    .retry_after = check.retry_after};
 }
 
 void CallerSession::ReportRefusal(const ReceivedRequest& request,
--- a/proxy/error_response.cc
+++ b/proxy/error_response.cc
@@ -97,6 +97,11 @@
   return kTraits[static_cast<std::size_t>(error)];
 }
 
+bool HasRetryAfter(const ProxyErrorTraits& traits) {
+  return traits.not_run && (traits.status == status::service_unavailable ||
+                            traits.status == status::too_many_requests);
+}
+
 std::optional<ProxyError> FindErrorByReason(std::string_view reason) {
   const auto found =
       std::ranges::find(kTraits, reason, &ProxyErrorTraits::reason);
@@ -115,8 +120,7 @@
   } else {
     response.set(kOutcomeHeader, "unknown");
   }
-  if (traits.not_run && (traits.status == status::service_unavailable ||
-                         traits.status == status::too_many_requests)) {
+  if (HasRetryAfter(traits)) {
     response.set(http::field::retry_after, RetryAfterText(detail));
   }
   const std::string_view message =
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -58,6 +58,9 @@
 /// Returns the properties of an error. Thread-safe.
 const ProxyErrorTraits& GetErrorTraits(ProxyError error);
 
+/// Returns true if the response to an error carries Retry-After. Thread-safe.
+bool HasRetryAfter(const ProxyErrorTraits& traits);
+
 /// Returns the error with the given reason, or std::nullopt when it is unknown.
 /// Thread-safe.
 std::optional<ProxyError> FindErrorByReason(std::string_view reason);
--- a/proxy/local_run.cc
+++ b/proxy/local_run.cc
@@ -100,14 +100,11 @@
   if (const auto poison = CheckPoison()) co_return poison;
   if (const auto evacuated = CheckEvacuation()) co_return evacuated;
   target_ = context_.targets->Find(request_.target);
-  if (!target_ || target_->statement().leaving) co_return ProxyError::kNoTarget;
-  const MonoTime now = std::chrono::steady_clock::now();
-  if (!target_->rate_limit().HasRoom(now)) co_return ProxyError::kRateLimited;
-  if (!target_->cold_limit().HasRoom(request_.urgency.priority, now))
-    co_return ProxyError::kCold;
-  // Do not claim the key when the target has no free slot or queue entry.
-  if (!request_.claim_key.empty() && target_->IsFull())
-    co_return ProxyError::kFull;
+  if (!target_) co_return ProxyError::kNoTarget;
+  const auto refusal = target_->CheckAdmission(
+      request_.urgency.priority, !request_.claim_key.empty(),
+      std::chrono::steady_clock::now());
+  if (refusal) co_return refusal;
   co_return Stopped();
 }
 
--- a/proxy/local_targets.cc
+++ b/proxy/local_targets.cc
@@ -50,6 +50,21 @@
                  row.spec->cold_requests_per_second, now);
 }
 
+/// Maps the result of asking for a slot to an error; std::nullopt: admitted or
+/// queued.
+std::optional<ProxyError> FindRefusal(ConcurrencyLimiter::AdmitResult verdict) {
+  switch (verdict) {
+    case ConcurrencyLimiter::AdmitResult::kFull:
+      return ProxyError::kFull;
+    case ConcurrencyLimiter::AdmitResult::kTooLate:
+      return ProxyError::kTooLate;
+    case ConcurrencyLimiter::AdmitResult::kAdmitted:
+    case ConcurrencyLimiter::AdmitResult::kQueued:
+      break;
+  }
+  return std::nullopt;
+}
+
 asio::awaitable<void> MaintainPool(std::shared_ptr<ConnectionPool> pool) {
   co_await pool->Maintain();
 }
@@ -70,16 +85,8 @@
   const ConcurrencyLimiter::AdmitResult verdict =
       gate_.Acquire(id, urgency, std::chrono::steady_clock::now());
   if (gate_.displaced()) ResumeWaiter(*gate_.displaced(), false, true);
-  switch (verdict) {
-    case ConcurrencyLimiter::AdmitResult::kAdmitted:
-      co_return std::nullopt;
-    case ConcurrencyLimiter::AdmitResult::kFull:
-      co_return ProxyError::kFull;
-    case ConcurrencyLimiter::AdmitResult::kTooLate:
-      co_return ProxyError::kTooLate;
-    case ConcurrencyLimiter::AdmitResult::kQueued:
-      break;
-  }
+  if (verdict != ConcurrencyLimiter::AdmitResult::kQueued)
+    co_return FindRefusal(verdict);
 
   // Wait until a slot is granted, the request is displaced or its deadline
   // passes.
@@ -143,6 +150,32 @@
   return gate_.running() >= limits_.slots && gate_.waiting() >= limits_.queue;
 }
 
+std::optional<ProxyError> LocalTarget::CheckAdmission(std::uint32_t priority,
+                                                      bool claims,
+                                                      MonoTime now) {
+  if (leaving_) return ProxyError::kNoTarget;
+  if (!rate_limit_.HasRoom(now)) return ProxyError::kRateLimited;
+  if (!cold_limit_.HasRoom(priority, now)) return ProxyError::kCold;
+  // Do not claim the key when the target has no free slot or queue entry.
+  if (claims && IsFull()) return ProxyError::kFull;
+  return std::nullopt;
+}
+
+RunPreview LocalTarget::SimulateRun(const Urgency& urgency, bool claims,
+                                    MonoTime now) {
+  RunPreview preview{.running = gate_.running(),
+                     .waiting = gate_.waiting(),
+                     .slots = limits_.slots,
+                     .queue = limits_.queue};
+  preview.refusal = CheckAdmission(urgency.priority, claims, now);
+  if (preview.refusal) return preview;
+  const ConcurrencyLimiter::AdmitResult verdict =
+      gate_.Acquire(next_id_, urgency, now);
+  preview.refusal = FindRefusal(verdict);
+  preview.waits = verdict == ConcurrencyLimiter::AdmitResult::kQueued;
+  return preview;
+}
+
 void LocalTarget::ReleaseSlot(
     const std::optional<ConcurrencyLimiter::ServiceSample>& ended) {
   const ConcurrencyLimiter::ReleaseResult handover =
@@ -195,6 +228,27 @@
   return target;
 }
 
+RunPreview LocalTargets::PreviewRun(const EffectiveRouting& routing,
+                                    const TargetId& id, const Urgency& urgency,
+                                    bool claims, MonoTime now) const {
+  if (routing.IsEvacuated(context_.options.domain))
+    return {.refusal = ProxyError::kEvacuated};
+  const LocalRow row = FindRow(routing, id);
+  if (row.target == nullptr || !context_.options.local_target)
+    return {.refusal = ProxyError::kNoTarget};
+  const Endpoint address = context_.options.local_target(id);
+  if (address.port == 0) return {.refusal = ProxyError::kNoTarget};
+  // As in Find, a target at a new address is a new instance.
+  const auto known = targets_.find(id);
+  LocalTarget copy =
+      known != targets_.end() && known->second->pool()->endpoint() == address
+          ? *known->second
+          : LocalTarget(context_.io->get_executor(), MakeSlotLimits(row),
+                        nullptr);
+  SetCold(copy, row, now);
+  return copy.SimulateRun(urgency, claims, now);
+}
+
 bool LocalTargets::IsEvacuated() const {
   const EffectiveRoutingPtr& routing = context_.Routing();
   return routing && routing->IsEvacuated(context_.options.domain);
--- a/proxy/local_targets.h
+++ b/proxy/local_targets.h
@@ -15,6 +15,7 @@
 #include "proxy/connection_pool.h"
 #include "proxy/error_response.h"
 #include "proxy/request_control.h"
+#include "proxy/run_preview.h"
 
 namespace camphor {
 
@@ -36,6 +37,16 @@
   /// Returns true when a request would be refused now.
   bool IsFull() const;
 
+  /// Returns why a request is refused before it asks for a slot. `claims` says
+  /// that it would claim an idempotency key. Remembers that a request of this
+  /// priority has asked.
+  std::optional<ProxyError> CheckAdmission(std::uint32_t priority, bool claims,
+                                           MonoTime now);
+
+  /// Admits a request and tells what happened to it. Changes the state without
+  /// starting a request: call it on a copy, and don't use that copy further.
+  RunPreview SimulateRun(const Urgency& urgency, bool claims, MonoTime now);
+
   /// Refuses the requests that wait for a slot: the failure domain is
   /// evacuated.
   void RefuseWaiters();
@@ -116,6 +127,12 @@
   /// otherwise.
   std::shared_ptr<LocalTarget> Find(const TargetId& id);
 
+  /// Returns what would happen to a request at a target of this host under
+  /// `routing`, without changing anything.
+  RunPreview PreviewRun(const EffectiveRouting& routing, const TargetId& id,
+                        const Urgency& urgency, bool claims,
+                        MonoTime now) const;
+
   /// Updates which targets are cold, and refuses what waits for a slot if this
   /// host's failure domain is evacuated. Call with each new routing.
   void OnRoutingChanged(const EffectiveRouting& routing);
