--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -296,6 +296,19 @@
   return text.get();
 }
 
+bool ProxyServer::Preview(
+    PreviewRequest request,
+    std::function<void(const PlacementPreview&)> done) const {
+  const std::scoped_lock lock(state_->posting);
+  if (!state_->takes_posts) return false;
+  asio::post(*state_->context.io,
+             [state = state_.get(), request = std::move(request),
+              done = std::move(done)] {
+               done(PreviewPlacement(state->context, request, Now()));
+             });
+  return true;
+}
+
 std::string ProxyServer::MetricsText() const {
   return state_->context.metrics.Text();
 }
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -11,9 +11,11 @@
 #include "core/base/identifier.h"
 #include "core/base/time.h"
 #include "core/claims/claim_status.h"
+#include "core/quota/quota_limiter.h"
 #include "core/routing/effective_routing.h"
 #include "core/routing/request_sample.h"
 #include "proxy/header_vocabulary.h"
+#include "proxy/placement_preview.h"
 #include "proxy/proxy_limit.h"
 #include "proxy/proxy_limits.h"
 #include "proxy/request_decision.h"
@@ -52,6 +54,10 @@
         admit{};  ///< counts a request against its team's quota; returns the
                   ///< time after which to repeat it if it is refused; null: no
                   ///< quotas
+    std::function<std::optional<QuotaLimiter::AdmitPreview>(const TeamSpec&)>
+        preview_admit{};  ///< returns what `admit` would do with the next
+                          ///< request, which is not counted; std::nullopt: the
+                          ///< team has no rate; null: not known
     std::function<void(RequestSample&&)>
         on_sample{};  ///< called when an attempt ends, unless its hedge won
     std::function<void(std::uint64_t fingerprint, const TargetId&)>
@@ -125,6 +131,13 @@
   /// and once the server closes. Thread-safe.
   std::string DumpJson() const;
 
+  /// Determines on the proxy thread where the request would go now, and calls
+  /// back there with the result. Changes no state. The callback must not block.
+  /// Returns false, and never calls back, before Start and once the server
+  /// closes. Thread-safe.
+  bool Preview(PreviewRequest request,
+               std::function<void(const PlacementPreview&)> done) const;
+
   /// Returns the metrics in the Prometheus text format. Thread-safe.
   std::string MetricsText() const;
 
