--- a/ctl/command_list.cc
+++ b/ctl/command_list.cc
@@ -6,6 +6,7 @@
 #include "ctl/commands/get_command.h"
 #include "ctl/commands/log_commands.h"
 #include "ctl/commands/node_commands.h"
+#include "ctl/commands/preview_command.h"
 #include "ctl/commands/rollout_command.h"
 #include "ctl/commands/watch_command.h"
 
@@ -21,6 +22,8 @@
   -j, --json             print JSON
       --logs DIR|FILE|-  logs for explain and logs (default: -, standard
                          input)
+      --method M, --host H, --path P, --header "Name: value", --file FILE|-
+                         request of preview; see its help
       --timeout SECONDS  maximum wait of watch and apply --wait (default: 120)
   -h, --help             print this, or the help of a command
   -V, --version          print the version
@@ -39,9 +42,9 @@
 
 const std::vector<Command>& CommandList() {
   static const std::vector<Command> commands = {
-      GetCommand(),      ApplyCommand(),   WatchCommand(),
-      RolloutCommand(),  DumpCommand(),    DrainCommand(),
-      LogLevelCommand(), ExplainCommand(), LogsCommand()};
+      GetCommand(),     ApplyCommand(), WatchCommand(),    RolloutCommand(),
+      DumpCommand(),    DrainCommand(), LogLevelCommand(), PreviewCommand(),
+      ExplainCommand(), LogsCommand()};
   return commands;
 }
 
--- a/ctl/ctl_options.cc
+++ b/ctl/ctl_options.cc
@@ -23,6 +23,11 @@
   char* operation_id = nullptr;
   char* base = nullptr;
   char* logs = nullptr;
+  char* method = nullptr;
+  char* host = nullptr;
+  char* path = nullptr;
+  char** headers = nullptr;  ///< ends with a null pointer
+  char* file = nullptr;
   int timeout_s = 120;
   int json = 0;
   int dry_run = 0;
@@ -36,6 +41,15 @@
   return owned == nullptr ? std::string() : std::string(owned.get());
 }
 
+std::vector<std::string> TakeStrings(char** texts) {
+  std::vector<std::string> strings;
+  if (texts == nullptr) return strings;
+  for (char** text = texts; *text != nullptr; ++text)
+    strings.push_back(TakeString(*text));
+  std::free(texts);
+  return strings;
+}
+
 std::optional<std::uint64_t> ParseNumber(const std::string& text) {
   std::uint64_t number = 0;
   const char* const end = text.data() + text.size();
@@ -85,7 +99,7 @@
 std::optional<CtlOptions> CtlOptions::Parse(int argc, const char** argv,
                                             std::string& reason) {
   RawOptions raw;
-  const std::array<poptOption, 12> table = {{
+  const std::array<poptOption, 17> table = {{
       {"nodes", 'n', POPT_ARG_STRING, &raw.nodes, 0, nullptr, nullptr},
       {"token-file", 't', POPT_ARG_STRING, &raw.token_file, 0, nullptr,
        nullptr},
@@ -93,6 +107,11 @@
        nullptr},
       {"base", 0, POPT_ARG_STRING, &raw.base, 0, nullptr, nullptr},
       {"logs", 0, POPT_ARG_STRING, &raw.logs, 0, nullptr, nullptr},
+      {"method", 0, POPT_ARG_STRING, &raw.method, 0, nullptr, nullptr},
+      {"host", 0, POPT_ARG_STRING, &raw.host, 0, nullptr, nullptr},
+      {"path", 0, POPT_ARG_STRING, &raw.path, 0, nullptr, nullptr},
+      {"header", 0, POPT_ARG_ARGV, &raw.headers, 0, nullptr, nullptr},
+      {"file", 0, POPT_ARG_STRING, &raw.file, 0, nullptr, nullptr},
       {"timeout", 0, POPT_ARG_INT, &raw.timeout_s, 0, nullptr, nullptr},
       {"json", 'j', POPT_ARG_NONE, &raw.json, 0, nullptr, nullptr},
       {"dry-run", 0, POPT_ARG_NONE, &raw.dry_run, 0, nullptr, nullptr},
@@ -111,6 +130,11 @@
   const std::string token_file = TakeString(raw.token_file);
   options.operation_id = TakeString(raw.operation_id);
   const std::string base = TakeString(raw.base);
+  options.method = TakeString(raw.method);
+  options.host = TakeString(raw.host);
+  options.path = TakeString(raw.path);
+  options.headers = TakeStrings(raw.headers);
+  options.file = TakeString(raw.file);
   if (raw.logs != nullptr) options.logs = TakeString(raw.logs);
   if (result < -1) {
     reason = std::string(poptBadOption(context.get(), 0)) + ": " +
--- a/ctl/ctl_options.h
+++ b/ctl/ctl_options.h
@@ -29,12 +29,17 @@
   std::string operation_id{};           ///< id of the edit to retry
   std::optional<std::uint64_t> base{};  ///< version the edit is based on
   std::string logs = "-";  ///< log file or folder; -: standard input
-  Seconds timeout{120};    ///< maximum wait of watch
-  bool json = false;       ///< print JSON
-  bool dry_run = false;    ///< show what apply would change
-  bool wait = false;       ///< apply waits until all hosts serve it
-  bool help = false;       ///< print help
-  bool version = false;    ///< print the version
+  std::string method{};    ///< method of the request to preview
+  std::string host{};      ///< its Host header
+  std::string path{};      ///< its path
+  std::vector<std::string> headers{};  ///< its other headers, "Name: value"
+  std::string file{};    ///< file with its head; -: standard input
+  Seconds timeout{120};  ///< maximum wait of watch
+  bool json = false;     ///< print JSON
+  bool dry_run = false;  ///< show what apply would change
+  bool wait = false;     ///< apply waits until all hosts serve it
+  bool help = false;     ///< print help
+  bool version = false;  ///< print the version
   std::vector<std::string> arguments{};  ///< command and its arguments
 
   /// Parses the command line. Falls back to the environment variables
