--- a/node/admin/admin_api.cc
+++ b/node/admin/admin_api.cc
@@ -11,6 +11,7 @@
 
 #include "core/config/config_codec.h"
 #include "core/routing/routing_builder.h"
+#include "node/admin/preview_message.h"
 #include "node/admin/state_view.h"
 #include "node/json/record_json.h"
 
@@ -277,6 +278,11 @@
       [this](const AdminRouter::Call& call, const AdminRespond& respond) {
         PutLogLevel(call, respond);
       });
+  // It changes nothing, but it tells whose a key is, and takes time of the
+  // proxy thread.
+  router_.Add("POST", "/v1/preview", AdminAccess::kOperator,
+              [this](const AdminRouter::Call& call,
+                     const AdminRespond& respond) { Preview(call, respond); });
   router_.Add("POST", "/v1/drain", AdminAccess::kOperator,
               [this](const AdminRouter::Call&, const AdminRespond& respond) {
                 options_.drain();
@@ -382,6 +388,48 @@
   });
 }
 
+void AdminApi::Preview(const AdminRouter::Call& call,
+                       const AdminRespond& respond) {
+  std::vector<FieldError> errors;
+  std::optional<PreviewRequest> request =
+      ParsePreviewRequest(call.request.body, errors);
+  if (!request.has_value()) return respond(Invalid(errors));
+  const bool posted = options_.preview(
+      std::move(*request), [this, respond](const PlacementPreview& preview) {
+        // The rest is known to the decisions thread. The proxy thread must not
+        // wait for it.
+        const bool accepted = options_.decisions->TryPost(
+            DecisionThread::Source::kProxy,
+            [this, respond, preview] { respond(MakePreview(preview)); });
+        if (!accepted) {
+          respond(AdminError(503, "busy",
+                             "the host is busy or shutting down; try again"));
+        }
+      });
+  if (!posted) {
+    respond(AdminError(503, "stopping", "the process is shutting down"));
+  }
+}
+
+AdminResponse AdminApi::MakePreview(const PlacementPreview& preview) const {
+  if (!preview.routing || preview.routing->head.version == 0) {
+    return AdminError(503, "not_ready", "this host has no configuration yet");
+  }
+  HostController& controller = *options_.controller;
+  PreviewSurroundings surroundings{
+      .host = options_.settings.host,
+      .domain = options_.settings.failure_domain,
+      .hosts = controller.replicator().hosts(),
+      .rollouts = controller.replicator().rollouts(),
+      .config_age = controller.ConfigAge()};
+  if (preview.team) {
+    const TeamHash team = HashTeam(preview.team->name);
+    surroundings.allocator = controller.quotas().AllocatorOf(team);
+    surroundings.allocated = controller.quotas().AllocatedState(team);
+  }
+  return Json(PreviewView(preview, surroundings));
+}
+
 void AdminApi::PutLogLevel(const AdminRouter::Call& call,
                            const AdminRespond& respond) {
   std::string reason;
--- a/node/admin/admin_api.h
+++ b/node/admin/admin_api.h
@@ -10,6 +10,7 @@
 #include "node/decisions/host_controller.h"
 #include "node/log/log_sink.h"
 #include "node/settings/settings.h"
+#include "proxy/placement_preview.h"
 #include "store/config_repository.h"
 
 namespace camphor {
@@ -38,6 +39,10 @@
     std::function<boost::json::object()>
         dump{};  ///< state of the other components; called on the decisions
                  ///< thread
+    std::function<bool(PreviewRequest,
+                       std::function<void(const PlacementPreview&)>)>
+        preview{};  ///< see ProxyServer::Preview; called on the admin thread,
+                    ///< calls back on the proxy thread
     std::function<std::string()>
         metrics{};  ///< Prometheus text; called on the decisions thread
     std::function<bool()>
@@ -73,6 +78,8 @@
   void PutConfig(const AdminRouter::Call& call, const AdminRespond& respond);
   void Report(const AdminRouter::Call& call, const AdminRespond& respond);
   void Announce(const AdminRouter::Call& call, const AdminRespond& respond);
+  void Preview(const AdminRouter::Call& call, const AdminRespond& respond);
+  AdminResponse MakePreview(const PlacementPreview& preview) const;
   void PutLogLevel(const AdminRouter::Call& call, const AdminRespond& respond);
 
   Options options_;
--- a/node/decisions/decision_thread.cc
+++ b/node/decisions/decision_thread.cc
@@ -51,6 +51,12 @@
   return false;
 }
 
+bool DecisionThread::TryPost(Source source, Task task) {
+  if (stopping_) return false;
+  return rings_.at(static_cast<std::size_t>(source))
+      ->Push(std::make_shared<Task>(std::move(task)));
+}
+
 void DecisionThread::RunAfter(Milliseconds delay, Task task) {
   {
     const std::lock_guard lock(mutex_);
--- a/node/decisions/decision_thread.h
+++ b/node/decisions/decision_thread.h
@@ -68,6 +68,10 @@
   /// names or from the decisions thread, whose own tasks bypass the rings.
   bool Post(Source source, Task task);
 
+  /// As Post, but returns false instead of blocking if the ring is full. Must
+  /// not be called from the decisions thread.
+  bool TryPost(Source source, Task task);
+
   /// Runs a task after the delay, with an accuracy of one tick. Must be called
   /// from the decisions thread.
   void RunAfter(Milliseconds delay, Task task);
--- a/node/node.cc
+++ b/node/node.cc
@@ -204,6 +204,11 @@
         const std::lock_guard lock(limiter_mutex);
         return limiter.Admit(team.name, Now());
       },
+      .preview_admit =
+          [this](const TeamSpec& team) {
+            const std::lock_guard lock(limiter_mutex);
+            return limiter.PreviewAdmit(team.name, Now());
+          },
       .on_sample =
           [this](RequestSample&& sample) { decisions.PostSample(sample); },
       .on_target_death =
@@ -385,6 +390,11 @@
               },
           .status = [this] { return Report().Status(); },
           .dump = [this] { return Report().Dump(); },
+          .preview =
+              [this](PreviewRequest request,
+                     std::function<void(const PlacementPreview&)> done) {
+                return proxy.Preview(std::move(request), std::move(done));
+              },
           .metrics = [this] { return Report().Metrics(); },
           .alive =
               [this] {
--- a/unit_tests/node/node_test.cc
+++ b/unit_tests/node/node_test.cc
@@ -206,6 +206,67 @@
   target.Stop();
 }
 
+using NodePreview = NodeTest;
+
+// Guards against a preview that anybody may ask for, that runs the request, or
+// that repeats what may be a key.
+TEST_F(NodePreview, AnnouncedTarget_IsChosenWithoutARequest) {
+  const auto preview = [this](const std::string& token,
+                              const std::string& body) {
+    const auto answer = Admin({.method = "POST",
+                               .target = "/v1/preview",
+                               .fields = {{"authorization", token}},
+                               .body = body});
+    last_body_ = answer.has_value() ? answer->body : "";
+    return answer.has_value() ? answer->status : 0;
+  };
+  const std::string body =
+      R"({"method": "GET", "host": "h", "path": "/billing/1",
+          "headers": {"X-Key": "s3cr3t"}})";
+  EXPECT_EQ(preview("Bearer token", body), 503) << last_body_;
+  EXPECT_NE(last_body_.find("not_ready"), std::string::npos);
+  ASSERT_EQ(Put(kTables, "Bearer token", "0"), 200);
+  TargetStandIn target({.id = "t1", .version = "v1"});
+  ASSERT_TRUE(target.Start());
+  ASSERT_EQ(Announce(target.endpoint()), 200);
+  EXPECT_TRUE(WaitUntil(kMaxWait, [&] {
+    return preview("Bearer token", body) == 200 &&
+           last_body_.find(R"("chosen":{)") != std::string::npos;
+  })) << last_body_;
+  const boost::json::value shown = boost::json::parse(last_body_);
+  EXPECT_EQ(shown.at("host"), "h1");
+  EXPECT_EQ(shown.at("route").at("name"), "bills");
+  EXPECT_EQ(shown.at("chosen").at("target"), "t1");
+  EXPECT_EQ(shown.at("outcome").at("kind"), "runs");
+  EXPECT_EQ(last_body_.find("s3cr3t"), std::string::npos);
+  EXPECT_NE(Get("/metrics").find("camphor_proxy_caller_requests_total 0"),
+            std::string::npos);
+
+  EXPECT_EQ(preview("", body), 401);
+  EXPECT_EQ(preview("Bearer token",
+                    R"({"method": "GET", "host": "h", "path": "x",
+                        "headers": {"X-Key": "s3cr3t\u0001"}})"),
+            400);
+  EXPECT_NE(last_body_.find(R"("field":"path")"), std::string::npos);
+  EXPECT_NE(last_body_.find(R"("field":"headers.X-Key")"), std::string::npos)
+      << last_body_;
+  EXPECT_EQ(last_body_.find("s3cr3t"), std::string::npos);
+  target.Stop();
+}
+
+TEST_F(NodePreview, DrainedHost_AnswersThatItStops) {
+  ASSERT_EQ(Put(kTables, "Bearer token", "0"), 200);
+  EXPECT_TRUE(node_->Drain());
+  const auto answer =
+      Admin({.method = "POST",
+             .target = "/v1/preview",
+             .fields = {{"authorization", "Bearer token"}},
+             .body = R"({"method": "GET", "host": "h", "path": "/"})"});
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, 503);
+  node_->Stop();
+}
+
 TEST_F(NodeDrain, NoRequestsInFlight_DrainsAndIsNotReady) {
   EXPECT_TRUE(node_->Drain());
   EXPECT_EQ(Admin({.method = "GET", .target = "/readyz"})->status, 503);
