--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -259,7 +259,7 @@
       if (stats.relative_service > 0 &&
           now - stats.speed_reported_at <= FinishModel::kMaxSpeedAge)
         candidate.speed = 1 / FinishModel::RelativeService(stats, now);
-      candidates.push_back(std::move(candidate));
+      candidates.push_back(candidate);
     }
   }
   return candidates;
--- a/ctl/commands/preview_command.cc
+++ b/ctl/commands/preview_command.cc
@@ -161,7 +161,7 @@
 std::string OutcomeText(const value& preview) {
   const value* const outcome = Find(preview, "outcome");
   if (outcome == nullptr) return std::string(kUnknown);
-  const std::string kind = Get(*outcome, "kind");
+  std::string kind = Get(*outcome, "kind");
   if (kind == "runs") return "runs at once";
   if (kind == "waits") return "waits for a slot";
   if (kind == "sent")
@@ -193,9 +193,9 @@
   }
   for (const value& attempt : Rows(preview, "attempts")) {
     if (Find(attempt, "refused_by_this_host") == nullptr) continue;
-    text +=
-        Line("", fmt::format("{} of this host refuses it: {}", Get(attempt, "target"),
-                             Get(attempt, "refused_by_this_host")));
+    text += Line("", fmt::format("{} of this host refuses it: {}",
+                                 Get(attempt, "target"),
+                                 Get(attempt, "refused_by_this_host")));
   }
   return text;
 }
--- a/proxy/placement_preview.cc
+++ b/proxy/placement_preview.cc
@@ -196,10 +196,10 @@
 
   void DescribeTargets(const PowerOfTwoBalancer& balancer,
                        std::uint32_t share) {
-    for (PowerOfTwoBalancer::Candidate& candidate :
+    for (const PowerOfTwoBalancer::Candidate& candidate :
          balancer.Candidates(*preview_.route, share, preview_.now)) {
       PlacementPreview::Target& target = preview_.targets.emplace_back();
-      target.candidate = std::move(candidate);
+      target.candidate = candidate;
       if (TargetAt(target.candidate.placement).local)
         target.local = PreviewRun(target.candidate.placement);
     }
