Add the field hedge_share to routes; keep unknown fields of routes

The field is optional and written last, so that tables without it keep their bytes and digests. Values are rounded to a millionth: the parser reads numbers of more than 15 digits inexactly, and each host would compute another digest.

Decoders reported every unknown field, also in tables that another host had accepted, and lost it from the canonical encoding. A host of a version before a field therefore kept its old tables. Tables from the store and from other hosts now keep unknown fields of routes and pass them on; edits of operators are still rejected with the name of the field.

--- a/core/base/json_fields.cc
+++ b/core/base/json_fields.cc
@@ -94,6 +94,14 @@
   return number;
 }
 
+std::optional<double> JsonFields::OptionalNumber(std::string_view key,
+                                                 double min, double max) {
+  if (Find(key, false) == nullptr) return std::nullopt;
+  const std::size_t errors = errors_.size();
+  const double number = Number(key, min, max, min);
+  return errors_.size() == errors ? std::optional(number) : std::nullopt;
+}
+
 bool JsonFields::Boolean(std::string_view key, std::optional<bool> fallback) {
   const boost::json::value* value = Find(key, !fallback.has_value());
   if (value == nullptr) return fallback.value_or(false);
@@ -163,6 +171,17 @@
   errors_.push_back({.field = FieldPath(key), .message = std::move(message)});
 }
 
+boost::json::object JsonFields::TakeUnread() {
+  boost::json::object unread;
+  for (const auto& member : object_) {
+    const std::string_view key(member.key().data(), member.key().size());
+    if (requested_.contains(key)) continue;
+    unread.emplace(member.key(), member.value());
+    requested_.emplace(key);
+  }
+  return unread;
+}
+
 void JsonFields::Finish() {
   if (unknown_ == Unknown::kIgnore) return;
   for (const auto& member : object_) {
--- a/core/base/json_fields.h
+++ b/core/base/json_fields.h
@@ -58,6 +58,11 @@
   double Number(std::string_view key, double min, double max,
                 std::optional<double> fallback = {});
 
+  /// Reads a number from `min` to `max`; std::nullopt if the key is missing or
+  /// the value is invalid.
+  std::optional<double> OptionalNumber(std::string_view key, double min,
+                                       double max);
+
   /// Reads a boolean.
   bool Boolean(std::string_view key, std::optional<bool> fallback = {});
 
@@ -75,6 +80,10 @@
   /// Adds an error for the given key.
   void Report(std::string_view key, std::string message);
 
+  /// Returns the members that were not read, in their order, and counts them as
+  /// read.
+  boost::json::object TakeUnread();
+
   /// Reports all keys that were not read, unless unknown keys are ignored.
   void Finish();
 
--- a/core/config/config_codec.cc
+++ b/core/config/config_codec.cc
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "core/base/json_fields.h"
-#include "core/config/table_rows.h"
 
 namespace camphor {
 namespace {
@@ -101,6 +100,12 @@
 
 std::optional<ConfigSnapshot> ConfigCodec::Decode(std::string_view text,
                                                   ConfigVersion version) {
+  return Read(text, version, UnknownFields::kReport);
+}
+
+std::optional<ConfigSnapshot> ConfigCodec::Read(std::string_view text,
+                                                ConfigVersion version,
+                                                UnknownFields unknown) {
   errors_.clear();
   std::string syntax;
   const std::optional<boost::json::value> document =
@@ -120,7 +125,7 @@
   std::vector<FieldError> field_errors;
   JsonFields fields(document->get_object(), "", field_errors);
   fields.Objects("routes", [&](JsonFields& row) {
-    snapshot.routes.push_back(ReadRoute(row));
+    snapshot.routes.push_back(ReadRoute(row, unknown));
   });
   fields.Objects("pools", [&](JsonFields& row) {
     snapshot.pools.push_back(ReadPool(row));
@@ -158,7 +163,7 @@
 
 std::optional<ConfigSnapshot> ConfigCodec::DecodeVerified(
     std::string_view text, const ConfigHead& head) {
-  return Verify(Decode(text, head.version), head);
+  return Verify(Read(text, head.version, UnknownFields::kKeep), head);
 }
 
 std::optional<ConfigSnapshot> ConfigCodec::BuildVerifiedSnapshot(
--- a/core/config/config_codec.h
+++ b/core/config/config_codec.h
@@ -8,6 +8,7 @@
 
 #include "core/config/config_error.h"
 #include "core/config/config_snapshot.h"
+#include "core/config/table_rows.h"
 
 namespace camphor {
 
@@ -25,13 +26,15 @@
 class ConfigCodec {
  public:
   /// Parses and validates a document, and assigns `version` to the result.
-  /// Errors: invalid syntax, invalid fields, duplicate names, references to
-  /// undefined pools.
+  /// Errors: invalid syntax, unknown or invalid fields, duplicate names,
+  /// references to undefined pools.
   std::optional<ConfigSnapshot> Decode(std::string_view text,
                                        ConfigVersion version);
 
-  /// Decodes a document and checks that its canonical encoding has the digest
-  /// of `head`. Errors: as Decode(), and digest mismatch.
+  /// Decodes a document that another host has accepted and checks that its
+  /// canonical encoding has the digest of `head`. Unknown fields of routes are
+  /// kept, so that a host accepts and passes on tables of a later version.
+  /// Errors: as Decode(), and digest mismatch.
   std::optional<ConfigSnapshot> DecodeVerified(std::string_view text,
                                                const ConfigHead& head);
 
@@ -60,6 +63,9 @@
   static Digest ComputeDigest(const ConfigSnapshot& snapshot);
 
  private:
+  std::optional<ConfigSnapshot> Read(std::string_view text,
+                                     ConfigVersion version,
+                                     UnknownFields unknown);
   std::optional<ConfigSnapshot> Fail();
   std::optional<ConfigSnapshot> Verify(std::optional<ConfigSnapshot> snapshot,
                                        const ConfigHead& head);
--- a/core/config/config_delta.cc
+++ b/core/config/config_delta.cc
@@ -123,7 +123,7 @@
   delta.removed_routes = ReadNames<RouteName>(fields.Strings("removed_routes"));
   delta.removed_pools = ReadNames<PoolName>(fields.Strings("removed_pools"));
   fields.Objects("routes", [&](JsonFields& row) {
-    delta.routes.push_back(ReadRoute(row));
+    delta.routes.push_back(ReadRoute(row, UnknownFields::kKeep));
   });
   fields.Objects(
       "pools", [&](JsonFields& row) { delta.pools.push_back(ReadPool(row)); });
--- a/core/config/config_delta.h
+++ b/core/config/config_delta.h
@@ -41,8 +41,9 @@
   /// Returns the changes as JSON text, without `base` and `head`. Thread-safe.
   std::string Encode() const;
 
-  /// Parses the output of Encode(). Returns std::nullopt and sets `reason` if
-  /// the text is invalid. Thread-safe.
+  /// Parses the output of Encode(), also of a later version whose routes have
+  /// fields that are unknown here (see ConfigCodec::DecodeVerified). Returns
+  /// std::nullopt and sets `reason` if the text is invalid. Thread-safe.
   static std::optional<ConfigDelta> Decode(std::string_view text,
                                            const ConfigHead& base,
                                            const ConfigHead& head,
--- a/core/config/route_rule.h
+++ b/core/config/route_rule.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,12 @@
                                    ///< have their full value; 0: none
   std::uint32_t priority = 0;      ///< priority under overload; 0 is highest
   bool is_public = false;  ///< whether requests need no API key of a team
+  std::optional<double>
+      hedge_share{};  ///< hedges per request, 0 to 1 in steps of a millionth;
+                      ///< 0: never; not set: the setting proxy.hedge_share
+  std::string unknown_fields{};  ///< fields of a later version, as the JSON
+                                 ///< text of an object; passed on to other
+                                 ///< hosts but without effect; empty: none
 
   auto operator<=>(const RouteRule&) const = default;
 };
--- a/core/config/table_rows.cc
+++ b/core/config/table_rows.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cmath>
 #include <optional>
 
 #include "core/base/json_fields.h"
@@ -20,6 +21,10 @@
 constexpr std::int64_t kMaxWeight = 1'000'000;
 constexpr double kMaxColdRate = 1e6;
 
+// Shares are rounded to a millionth. The parser is exact for numbers of up to
+// 15 digits only, and with a longer one each host would compute another digest.
+constexpr double kShareSteps = 1e6;
+
 RolloutSpec ReadRollout(JsonFields& fields) {
   const RolloutSpec defaults;
   RolloutSpec rollout;
@@ -62,7 +67,7 @@
 
 }  // namespace
 
-RouteRule ReadRoute(JsonFields& fields) {
+RouteRule ReadRoute(JsonFields& fields, UnknownFields unknown) {
   const RouteRule defaults;
   RouteRule rule;
   rule.name = RouteName(fields.String("name"));
@@ -88,6 +93,12 @@
       Milliseconds(fields.Integer("target_latency_ms", 0, kMaxTimeoutMs, 0));
   rule.priority = ReadCount(fields, "priority", 0, kLowestPriority, 0);
   rule.is_public = fields.Boolean("public", defaults.is_public);
+  if (const auto share = fields.OptionalNumber("hedge_share", 0, 1))
+    rule.hedge_share = std::round(*share * kShareSteps) / kShareSteps;
+  if (unknown == UnknownFields::kKeep) {
+    const boost::json::object rest = fields.TakeUnread();
+    if (!rest.empty()) rule.unknown_fields = boost::json::serialize(rest);
+  }
   if (rule.repeatable && rule.at_most_once)
     fields.Report("at_most_once", "cannot be combined with repeatable");
   return rule;
@@ -143,6 +154,12 @@
     out["target_latency_ms"] = rule.target_latency.count();
   if (rule.priority > 0) out["priority"] = rule.priority;
   if (rule.is_public) out["public"] = true;
+  if (rule.hedge_share) out["hedge_share"] = *rule.hedge_share;
+  if (!rule.unknown_fields.empty()) {
+    const boost::json::value rest = boost::json::parse(rule.unknown_fields);
+    for (const auto& member : rest.as_object())
+      out[member.key()] = member.value();
+  }
   return out;
 }
 
