--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -201,7 +201,7 @@
   if (rule().at_most_once) {
     request.claim_key = HeaderValue(*options_.header, kIdempotencyKeyHeader);
   }
-  if (rule().repeatable && !has_copy_ &&
+  if (rule().repeatable && !has_hedge_ &&
       attempt_ - reached_no_target_ < MaxAttempts()) {
     request.abandon_after = AbandonTimeout();
     request.may_abandon = [this] { return MayAbandon(); };
@@ -445,7 +445,7 @@
 
 bool CallerRequest::MayAbandon() {
   // A streamed body cannot be sent again. A hedge is the other attempt already.
-  if (options_.body->consumed() || has_copy_) return false;
+  if (options_.body->consumed() || has_hedge_) return false;
   // Without an attempt left, giving up this one would fail the request. A hedge
   // may have used the last one.
   if (attempt_ - reached_no_target_ >= MaxAttempts()) return false;
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -25,7 +25,7 @@
 
 /// Sends one caller's request to a target, relays the response, and retries on
 /// another target where that is safe. If hedging is on, a slow first attempt of
-/// a repeatable request may get a copy on another target (see HedgedAttempt).
+/// a repeatable request may get a hedge on another target (see HedgedAttempt).
 /// Must be used from one thread.
 ///
 /// A retry is safe when the request is known not to have run, or when its route
@@ -46,9 +46,9 @@
         keep_alive{};  ///< returns true if the connection stays open after the
                        ///< response; called once, before its header is written
     std::function<bool()>
-        charge_copy{};  ///< returns true if there are buffers for a second copy
-                        ///< of the request; called once at most; null: no
-                        ///< hedges
+        charge_hedge{};  ///< returns true if there are buffers for a hedge of
+                         ///< the request; called once at most; null: no
+                         ///< hedges
     std::uint32_t responses_before = 0;  ///< responses that the connection owed
                                          ///< when the request was started
   };
@@ -82,12 +82,12 @@
   bool IsHedgeable() const;
   asio::awaitable<std::optional<ProxyError>> HedgedAttemptAfter(
       Microseconds delay);
-  std::unique_ptr<RequestRun> MakeCopy(RequestControl& control);
-  std::optional<Placement> PlaceCopy(MonoTime now);
-  void SelectSide(HedgedAttempt::Side side);
-  void OnSideBegun(HedgedAttempt::Side side, const RequestRun& run,
-                   const HedgedAttempt::Outcome& outcome);
-  void OnSideLost(HedgedAttempt::Side side, std::optional<unsigned> status);
+  std::unique_ptr<RequestRun> MakeHedge(RequestControl& control);
+  std::optional<Placement> PlaceHedge(MonoTime now);
+  void SelectAttempt(HedgedAttempt::Kind kind);
+  void OnAttemptBegun(HedgedAttempt::Kind kind, const RequestRun& run,
+                      const HedgedAttempt::Outcome& outcome);
+  void OnAttemptLost(HedgedAttempt::Kind kind, std::optional<unsigned> status);
   void LearnLatency();
   HedgePolicy::Attempt HedgeKey() const;
   bool MayRetry(ProxyError error);
@@ -131,9 +131,9 @@
     Placement placement{};
     MonoTime at{};
   };
-  std::array<Sent, 2> sides_{};  ///< of a hedged attempt, by side
+  std::array<Sent, 2> sent_{};  ///< of a hedged attempt, by kind
   bool hedge_delay_passed_ = false;
-  bool has_copy_ = false;  ///< a hedge was sent and has not failed
+  bool has_hedge_ = false;  ///< a hedge was sent and has not failed
   std::optional<ProxyError>
       unknown_outcome_error_;  ///< error of an earlier attempt that may have
                                ///< run
--- a/proxy/caller_request_hedging.cc
+++ b/proxy/caller_request_hedging.cc
@@ -9,7 +9,7 @@
 namespace {
 
 using Counter = ProxyMetrics::Counter;
-using Side = HedgedAttempt::Side;
+using Kind = HedgedAttempt::Kind;
 
 }  // namespace
 
@@ -24,12 +24,12 @@
 bool CallerRequest::IsHedgeable() const {
   // A request whose first attempt has failed is retried instead.
   if (!rule().repeatable || rule().at_most_once || attempt_ != 1 ||
-      MaxAttempts() < 2 || !options_.charge_copy)
+      MaxAttempts() < 2 || !options_.charge_hedge)
     return false;
   if (!options_.body->prefix_is_complete() || context_.draining) return false;
   if (target_deaths_ > 0 || routing_->suspects.contains(fingerprint_))
     return false;
-  // During a rollout, the copies would shift the shares of the versions, and
+  // During a rollout, the hedges would shift the shares of the versions, and
   // the cancelled attempts would hide that a version is slow.
   const PoolRouting& pool = routing_->pools[placement_.pool];
   return pool.groups.size() == 1 && pool.rollout == RolloutId{};
@@ -38,32 +38,33 @@
 asio::awaitable<std::optional<ProxyError>> CallerRequest::HedgedAttemptAfter(
     Microseconds delay) {
   RecordSent();
-  sides_.front() = {.placement = placement_, .at = sent_at_};
+  sent_.front() = {.placement = placement_, .at = sent_at_};
   HedgedAttempt attempt({.executor = context_.io->get_executor(),
                          .control = options_.control,
                          .hedge_at = sent_at_ + delay,
                          .make_run =
-                             [this](Side side, RequestControl& control) {
-                               return side == Side::kFirst ? MakeRun(control)
-                                                           : MakeCopy(control);
+                             [this](Kind kind, RequestControl& control) {
+                               return kind == Kind::kPrimary
+                                          ? MakeRun(control)
+                                          : MakeHedge(control);
                              },
                          .on_begun =
-                             [this](Side side, const RequestRun& run,
+                             [this](Kind kind, const RequestRun& run,
                                     const HedgedAttempt::Outcome& outcome) {
-                               OnSideBegun(side, run, outcome);
+                               OnAttemptBegun(kind, run, outcome);
                              },
                          .on_lost =
-                             [this](Side side, std::optional<unsigned> status) {
-                               OnSideLost(side, status);
+                             [this](Kind kind, std::optional<unsigned> status) {
+                               OnAttemptLost(kind, status);
                              }});
   const std::optional<ProxyError> error = co_await attempt.Begin();
   if (error) {
     co_await attempt.Join();
-    has_copy_ = false;
+    has_hedge_ = false;
     co_return error;
   }
-  SelectSide(attempt.winner());
-  if (attempt.winner() == Side::kCopy)
+  SelectAttempt(attempt.winner());
+  if (attempt.winner() == Kind::kHedge)
     context_.metrics.Count(Counter::kHedgesWon);
   RequestRun& run = attempt.run();
   const unsigned status = run.exchange().response().result_int();
@@ -75,11 +76,11 @@
   co_return std::nullopt;
 }
 
-std::unique_ptr<RequestRun> CallerRequest::MakeCopy(RequestControl& control) {
+std::unique_ptr<RequestRun> CallerRequest::MakeHedge(RequestControl& control) {
   const MonoTime now = std::chrono::steady_clock::now();
   hedge_delay_passed_ = true;
   context_.hedges.OnDelayPassed(HedgeKey(), now);
-  const std::optional<Placement> placement = PlaceCopy(now);
+  const std::optional<Placement> placement = PlaceHedge(now);
   if (!placement) {
     context_.metrics.Count(Counter::kHedgesDenied);
     return nullptr;
@@ -87,16 +88,16 @@
   placement_ = *placement;
   tried_.push_back(placement_);
   ++attempt_;
-  has_copy_ = true;
+  has_hedge_ = true;
   // A retry after a hedge is a third arrival, so it needs a retry token.
   may_have_reached_target_ = true;
   context_.metrics.Count(Counter::kHedgesSent);
   RecordSent();
-  sides_.back() = {.placement = placement_, .at = sent_at_};
+  sent_.back() = {.placement = placement_, .at = sent_at_};
   return MakeRun(control);
 }
 
-std::optional<Placement> CallerRequest::PlaceCopy(MonoTime now) {
+std::optional<Placement> CallerRequest::PlaceHedge(MonoTime now) {
   // Indices into the routing are valid only while it is unchanged. The route,
   // the poison list and the suspects may have changed with it.
   if (context_.Routing() != routing_ || placement_routing_ != routing_ ||
@@ -124,32 +125,32 @@
        .targets_with_room = room.with_room,
        .time_left = std::chrono::duration_cast<Microseconds>(end - now)},
       context_.retries, now);
-  if (verdict != HedgePolicy::Verdict::kAllowed || !options_.charge_copy())
+  if (verdict != HedgePolicy::Verdict::kAllowed || !options_.charge_hedge())
     return std::nullopt;
   return placement;
 }
 
-void CallerRequest::SelectSide(Side side) {
-  const Sent& sent = sides_[static_cast<std::size_t>(side)];
+void CallerRequest::SelectAttempt(Kind kind) {
+  const Sent& sent = sent_[static_cast<std::size_t>(kind)];
   placement_ = sent.placement;
   sent_at_ = sent.at;
 }
 
-void CallerRequest::OnSideBegun(Side side, const RequestRun& run,
-                                const HedgedAttempt::Outcome& outcome) {
-  SelectSide(side);
+void CallerRequest::OnAttemptBegun(Kind kind, const RequestRun& run,
+                                   const HedgedAttempt::Outcome& outcome) {
+  SelectAttempt(kind);
   OnBegun(run);
   if (outcome.error) {
     // The first attempt may be abandoned for a retry again.
-    if (side == Side::kCopy) has_copy_ = false;
+    if (kind == Kind::kHedge) has_hedge_ = false;
     OnError(*outcome.error);
-  } else if (side == Side::kFirst && !IsServerError(outcome.status)) {
+  } else if (kind == Kind::kPrimary && !IsServerError(outcome.status)) {
     LearnLatency();
   }
 }
 
-void CallerRequest::OnSideLost(Side side, std::optional<unsigned> status) {
-  SelectSide(side);
+void CallerRequest::OnAttemptLost(Kind kind, std::optional<unsigned> status) {
+  SelectAttempt(kind);
   if (status) {
     ReportSample(RequestOutcome::kError);
     return;
@@ -158,7 +159,7 @@
     ReportSample(RequestOutcome::kTimeout);
     return;
   }
-  if (side == Side::kFirst) LearnLatency();
+  if (kind == Kind::kPrimary) LearnLatency();
   // Not a sample: that it was slower shows neither an error of its target nor
   // a fault of its version.
   const MonoTime now = std::chrono::steady_clock::now();
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -60,8 +60,8 @@
   const http::request_header<>& header() const { return parser->get(); }
   bool is_head() const { return header().method() == http::verb::head; }
 
-  // Charges what a second copy of the request needs.
-  bool ChargeCopy() {
+  // Charges what a hedge of the request needs.
+  bool ChargeHedge() {
     return charge.Grow(kHeaderCopies * header_bytes + kRunBytes,
                        std::chrono::steady_clock::now());
   }
@@ -354,7 +354,7 @@
              return KeepsOpen(request->response,
                               request->keep && request->body->complete());
            },
-       .charge_copy = [&request] { return request->ChargeCopy(); },
+       .charge_hedge = [&request] { return request->ChargeHedge(); },
        .responses_before = request->responses_before});
   const CallerRequest::Result result = co_await run.Run();
   bool complete = result.complete;
--- a/proxy/hedged_attempt.cc
+++ b/proxy/hedged_attempt.cc
@@ -11,20 +11,20 @@
 namespace camphor {
 namespace {
 
-std::size_t IndexOf(HedgedAttempt::Side side) {
-  return static_cast<std::size_t>(side);
+std::size_t IndexOf(HedgedAttempt::Kind kind) {
+  return static_cast<std::size_t>(kind);
 }
 
-HedgedAttempt::Side OtherSide(HedgedAttempt::Side side) {
-  return side == HedgedAttempt::Side::kFirst ? HedgedAttempt::Side::kCopy
-                                             : HedgedAttempt::Side::kFirst;
+HedgedAttempt::Kind OtherKind(HedgedAttempt::Kind kind) {
+  return kind == HedgedAttempt::Kind::kPrimary ? HedgedAttempt::Kind::kHedge
+                                               : HedgedAttempt::Kind::kPrimary;
 }
 
 }  // namespace
 
-// One of the two runs. Shared with the coroutine that runs it, so that it
+// The primary or the hedge. Shared with the coroutine that runs it, so that it
 // outlives what its pending operations refer to.
-struct HedgedAttempt::Branch {
+struct HedgedAttempt::Attempt {
   bool good() const {
     return begun && !outcome.error && !IsServerError(outcome.status);
   }
@@ -35,7 +35,7 @@
   std::unique_ptr<RequestRun> run;
   Outcome outcome{};
   bool begun = false;  ///< it has a response or has failed
-  bool lost = false;   ///< the other run has won
+  bool lost = false;   ///< the other attempt has won
   bool ended = false;  ///< its resources are released
 };
 
@@ -51,14 +51,14 @@
 asio::awaitable<std::optional<ProxyError>> HedgedAttempt::Begin() {
   scope_.emplace(*options_.control, [this] { StopAll(); });
   std::shared_ptr<RequestControl> control = MakeControl();
-  std::unique_ptr<RequestRun> run = options_.make_run(Side::kFirst, *control);
-  Start(Side::kFirst, std::move(run), std::move(control));
-  const BranchPtr first = branches_.front();
-  while (!first->begun &&
+  std::unique_ptr<RequestRun> run = options_.make_run(Kind::kPrimary, *control);
+  Start(Kind::kPrimary, std::move(run), std::move(control));
+  const AttemptPtr primary = attempts_.front();
+  while (!primary->begun &&
          std::chrono::steady_clock::now() < options_.hedge_at) {
     co_await WaitForChange(options_.hedge_at);
   }
-  if (!first->begun && !first->outcome.error) MaybeStartCopy();
+  if (!primary->begun && !primary->outcome.error) MaybeStartHedge();
   while (!IsDecided()) {
     const bool holds_response = FindWinner().has_value();
     // A response that is ready is delivered even if it is an error.
@@ -66,16 +66,16 @@
     if (holds_response && std::chrono::steady_clock::now() >= deadline) break;
     co_await WaitForChange(holds_response ? deadline : MonoTime::max());
   }
-  const std::optional<Side> winner = FindWinner();
+  const std::optional<Kind> winner = FindWinner();
   if (!winner) co_return CombineErrors();
   Win(*winner);
   co_return std::nullopt;
 }
 
-RequestRun& HedgedAttempt::run() { return *branches_[IndexOf(winner_)]->run; }
+RequestRun& HedgedAttempt::run() { return *attempts_[IndexOf(winner_)]->run; }
 
 asio::awaitable<void> HedgedAttempt::Join() {
-  const BranchPtr other = branches_[IndexOf(OtherSide(winner_))];
+  const AttemptPtr other = attempts_[IndexOf(OtherKind(winner_))];
   while (other && !other->ended) co_await WaitForChange(MonoTime::max());
   scope_.reset();
 }
@@ -89,47 +89,48 @@
   return control;
 }
 
-void HedgedAttempt::Start(Side side, std::unique_ptr<RequestRun> run,
+void HedgedAttempt::Start(Kind kind, std::unique_ptr<RequestRun> run,
                           std::shared_ptr<RequestControl> control) {
-  auto branch = std::make_shared<Branch>();
-  branch->changed = changed_;
-  branch->on_begun = [this, side](const RequestRun& begun,
-                                  const Outcome& outcome) {
-    options_.on_begun(side, begun, outcome);
+  auto attempt = std::make_shared<Attempt>();
+  attempt->changed = changed_;
+  attempt->on_begun = [this, kind](const RequestRun& begun,
+                                   const Outcome& outcome) {
+    options_.on_begun(kind, begun, outcome);
   };
-  branch->control = std::move(control);
-  branch->run = std::move(run);
-  branches_[IndexOf(side)] = branch;
-  asio::co_spawn(options_.executor, RunBranch(std::move(branch)),
+  attempt->control = std::move(control);
+  attempt->run = std::move(run);
+  attempts_[IndexOf(kind)] = attempt;
+  asio::co_spawn(options_.executor, RunAttempt(std::move(attempt)),
                  asio::detached);
 }
 
-asio::awaitable<void> HedgedAttempt::RunBranch(BranchPtr branch) {
-  branch->outcome.error = co_await branch->run->Begin();
-  if (!branch->lost) {
-    if (!branch->outcome.error)
-      branch->outcome.status = branch->run->exchange().response().result_int();
-    branch->on_begun(*branch->run, branch->outcome);
+asio::awaitable<void> HedgedAttempt::RunAttempt(AttemptPtr attempt) {
+  attempt->outcome.error = co_await attempt->run->Begin();
+  if (!attempt->lost) {
+    if (!attempt->outcome.error)
+      attempt->outcome.status =
+          attempt->run->exchange().response().result_int();
+    attempt->on_begun(*attempt->run, attempt->outcome);
   }
-  if (branch->lost || branch->outcome.error) {
-    co_await branch->run->End(false);
-    branch->ended = true;
+  if (attempt->lost || attempt->outcome.error) {
+    co_await attempt->run->End(false);
+    attempt->ended = true;
   }
-  branch->begun = true;
-  branch->changed->cancel();
+  attempt->begun = true;
+  attempt->changed->cancel();
 }
 
-asio::awaitable<void> HedgedAttempt::EndBranch(BranchPtr branch) {
-  co_await branch->run->End(false);
-  branch->ended = true;
-  branch->changed->cancel();
+asio::awaitable<void> HedgedAttempt::EndAttempt(AttemptPtr attempt) {
+  co_await attempt->run->End(false);
+  attempt->ended = true;
+  attempt->changed->cancel();
 }
 
-void HedgedAttempt::MaybeStartCopy() {
+void HedgedAttempt::MaybeStartHedge() {
   if (options_.control->stopped() != RequestControl::Stop::kNone) return;
   std::shared_ptr<RequestControl> control = MakeControl();
-  std::unique_ptr<RequestRun> run = options_.make_run(Side::kCopy, *control);
-  if (run) Start(Side::kCopy, std::move(run), std::move(control));
+  std::unique_ptr<RequestRun> run = options_.make_run(Kind::kHedge, *control);
+  if (run) Start(Kind::kHedge, std::move(run), std::move(control));
 }
 
 asio::awaitable<void> HedgedAttempt::WaitForChange(MonoTime until) {
@@ -137,40 +138,40 @@
   co_await changed_->async_wait(kAsTuple);
 }
 
-std::optional<HedgedAttempt::Side> HedgedAttempt::FindWinner() const {
-  std::optional<Side> found;
-  for (const Side side : {Side::kFirst, Side::kCopy}) {
-    const BranchPtr& branch = branches_[IndexOf(side)];
-    if (!branch || !branch->begun || branch->outcome.error) continue;
-    if (branch->good()) return side;
-    if (!found) found = side;
+std::optional<HedgedAttempt::Kind> HedgedAttempt::FindWinner() const {
+  std::optional<Kind> found;
+  for (const Kind kind : {Kind::kPrimary, Kind::kHedge}) {
+    const AttemptPtr& attempt = attempts_[IndexOf(kind)];
+    if (!attempt || !attempt->begun || attempt->outcome.error) continue;
+    if (attempt->good()) return kind;
+    if (!found) found = kind;
   }
   return found;
 }
 
 bool HedgedAttempt::IsDecided() const {
   bool all_begun = true;
-  for (const BranchPtr& branch : branches_) {
-    if (branch && branch->good()) return true;
-    all_begun = all_begun && (!branch || branch->begun);
+  for (const AttemptPtr& attempt : attempts_) {
+    if (attempt && attempt->good()) return true;
+    all_begun = all_begun && (!attempt || attempt->begun);
   }
   return all_begun;
 }
 
 ProxyError HedgedAttempt::CombineErrors() const {
-  const std::optional<ProxyError> first = branches_.front()->outcome.error;
-  const std::optional<ProxyError> copy =
-      branches_.back() ? branches_.back()->outcome.error : std::nullopt;
-  if (!copy) return *first;
-  if (copy == ProxyError::kCallerGone) return *copy;
+  const std::optional<ProxyError> primary = attempts_.front()->outcome.error;
+  const std::optional<ProxyError> hedge =
+      attempts_.back() ? attempts_.back()->outcome.error : std::nullopt;
+  if (!hedge) return *primary;
+  if (hedge == ProxyError::kCallerGone) return *hedge;
   // A refusal promises that the request has not run anywhere.
-  return GetErrorTraits(*first).not_run ? *copy : *first;
+  return GetErrorTraits(*primary).not_run ? *hedge : *primary;
 }
 
-void HedgedAttempt::Win(Side side) {
-  winner_ = side;
-  const Side other = OtherSide(side);
-  const BranchPtr& loser = branches_[IndexOf(other)];
+void HedgedAttempt::Win(Kind kind) {
+  winner_ = kind;
+  const Kind other = OtherKind(kind);
+  const AttemptPtr& loser = attempts_[IndexOf(other)];
   if (!loser || loser->outcome.error) return;
   loser->lost = true;
   const bool bad_response = loser->begun && !loser->good();
@@ -179,13 +180,13 @@
   loser->control->StopNow(RequestControl::Stop::kCallerGone);
   // Otherwise its coroutine ends it as soon as the stop takes effect.
   if (loser->begun) {
-    asio::co_spawn(options_.executor, EndBranch(loser), asio::detached);
+    asio::co_spawn(options_.executor, EndAttempt(loser), asio::detached);
   }
 }
 
 void HedgedAttempt::StopAll() {
-  for (const BranchPtr& branch : branches_) {
-    if (branch) branch->control->StopNow(options_.control->stopped());
+  for (const AttemptPtr& attempt : attempts_) {
+    if (attempt) attempt->control->StopNow(options_.control->stopped());
   }
 }
 
--- a/proxy/hedged_attempt.h
+++ b/proxy/hedged_attempt.h
@@ -15,22 +15,23 @@
 
 namespace camphor {
 
-/// Runs an attempt of a request and, if it is slow, a copy of it (hedge) on
-/// another target. Must be used from one thread.
+/// Runs an attempt of a request (primary) and, if it is slow, a second one on
+/// another target (hedge). Must be used from one thread.
 ///
-/// The first response with a status below 500 wins. The other run is cancelled
-/// then and its slot is released without waiting for the relay. A run that
-/// fails leaves the decision to the other one; a response of 500 or above is
-/// kept until the other run has ended or the deadline has passed.
+/// The first response with a status below 500 wins. The other attempt is
+/// cancelled then and its slot is released without waiting for the relay. An
+/// attempt that fails leaves the decision to the other one; a response of 500
+/// or above is kept until the other attempt has ended or the deadline has
+/// passed.
 ///
 /// Await Begin. If it returns no error, relay the winner's response, then await
 /// End of the winner. Await Join in any case before destruction, also before
-/// anything that the runs refer to is destroyed.
+/// anything that the attempts refer to is destroyed.
 class HedgedAttempt {
  public:
-  enum class Side : std::uint8_t { kFirst, kCopy };
+  enum class Kind : std::uint8_t { kPrimary, kHedge };
 
-  /// What came of a run: an error, or the status of a response.
+  /// Result of an attempt: an error, or the status of a response.
   struct Outcome {
     std::optional<ProxyError> error{};
     unsigned status = 0;
@@ -38,18 +39,20 @@
 
   struct Options {
     asio::any_io_executor executor{};
-    RequestControl* control = nullptr;  ///< of the request; stops both runs
-    MonoTime hedge_at{};  ///< when to ask for a copy, unless the first run has
+    RequestControl* control = nullptr;  ///< of the request; stops both attempts
+    MonoTime hedge_at{};  ///< when to ask for the hedge, unless the primary has
                           ///< a response or has failed by then
-    std::function<std::unique_ptr<RequestRun>(Side, RequestControl&)>
-        make_run{};  ///< returns a run with the given control; called with
-                     ///< kCopy at most once, and null then means no copy
-    std::function<void(Side, const RequestRun&, const Outcome&)>
-        on_begun{};  ///< called when a run that was not cancelled has a
+    std::function<std::unique_ptr<RequestRun>(Kind, RequestControl&)>
+        make_run{};  ///< returns what runs an attempt, with the given control;
+                     ///< called with kHedge at most once, and null then means
+                     ///< no hedge
+    std::function<void(Kind, const RequestRun&, const Outcome&)>
+        on_begun{};  ///< called when an attempt that was not cancelled has a
                      ///< response or has failed, before its End
-    std::function<void(Side, std::optional<unsigned> status)>
-        on_lost{};  ///< called when the other run has won over this one; the
-                    ///< status is that of its response of 500 or above, if any
+    std::function<void(Kind, std::optional<unsigned> status)>
+        on_lost{};  ///< called when the other attempt has won over this one;
+                    ///< the status is that of its response of 500 or above, if
+                    ///< any
   };
 
   /// @pre every hook and pointer is set and outlives the return of Join.
@@ -59,41 +62,41 @@
   HedgedAttempt& operator=(const HedgedAttempt&) = delete;
 
   /// Returns std::nullopt once a response has won, otherwise the error of the
-  /// request: if one of the runs may have reached a target, an error that says
-  /// so.
+  /// request: if one of the attempts may have reached a target, an error that
+  /// says so.
   asio::awaitable<std::optional<ProxyError>> Begin();
 
-  /// The run whose response is to be relayed. @pre Begin returned no error.
-  Side winner() const { return winner_; }
+  /// The attempt whose response is to be relayed. @pre Begin returned no error.
+  Kind winner() const { return winner_; }
   RequestRun& run();
 
-  /// Waits until the run that was cancelled has released its resources. A
+  /// Waits until the attempt that was cancelled has released its resources. A
   /// pending connect or check for a dead target is not interrupted, so this may
   /// take four connect timeouts and 50 ms.
   asio::awaitable<void> Join();
 
  private:
-  struct Branch;
-  using BranchPtr = std::shared_ptr<Branch>;
+  struct Attempt;
+  using AttemptPtr = std::shared_ptr<Attempt>;
 
-  static asio::awaitable<void> RunBranch(BranchPtr branch);
-  static asio::awaitable<void> EndBranch(BranchPtr branch);
-  void Start(Side side, std::unique_ptr<RequestRun> run,
+  static asio::awaitable<void> RunAttempt(AttemptPtr attempt);
+  static asio::awaitable<void> EndAttempt(AttemptPtr attempt);
+  void Start(Kind kind, std::unique_ptr<RequestRun> run,
              std::shared_ptr<RequestControl> control);
   std::shared_ptr<RequestControl> MakeControl() const;
   asio::awaitable<void> WaitForChange(MonoTime until);
-  void MaybeStartCopy();
-  std::optional<Side> FindWinner() const;
+  void MaybeStartHedge();
+  std::optional<Kind> FindWinner() const;
   bool IsDecided() const;
   ProxyError CombineErrors() const;
-  void Win(Side side);
+  void Win(Kind kind);
   void StopAll();
 
   Options options_;
   std::shared_ptr<asio::steady_timer> changed_;  ///< cancelled on each change
-  std::array<BranchPtr, 2> branches_{};          ///< by side
+  std::array<AttemptPtr, 2> attempts_{};         ///< by kind
   std::optional<RequestControl::Scope> scope_;
-  Side winner_ = Side::kFirst;
+  Kind winner_ = Kind::kPrimary;
 };
 
 }  // namespace camphor
