Check in one place whether a request may have a hedge

HedgePolicy::CheckRequest replaces the proxy's copy of these conditions. The poison list is tested before the first attempt as well, where a poisoned request has already been refused, so the decisions are the same.

--- a/core/routing/hedge_policy.cc
+++ b/core/routing/hedge_policy.cc
@@ -162,14 +162,20 @@
   return std::max(kMinDelay, Microseconds(static_cast<std::int64_t>(delay)));
 }
 
+HedgePolicy::Verdict HedgePolicy::CheckRequest(const Candidate& candidate) {
+  if (!candidate.repeatable || candidate.target_died) return Verdict::kUnsafe;
+  if (candidate.targets >= candidate.max_targets) return Verdict::kAttempts;
+  return Verdict::kAllowed;
+}
+
 HedgePolicy::Verdict HedgePolicy::Decide(const Candidate& candidate,
                                          RetryBudget& retries, MonoTime now) {
   const Attempt& attempt = candidate.attempt;
   const auto route = routes_.find(*attempt.route);
   if (!enabled() || route == routes_.end() || !route->second.known())
     return Verdict::kOff;
-  if (!candidate.repeatable || candidate.target_died) return Verdict::kUnsafe;
-  if (candidate.targets >= candidate.max_targets) return Verdict::kAttempts;
+  const Verdict checked = CheckRequest(candidate);
+  if (checked != Verdict::kAllowed) return checked;
   if (static_cast<double>(candidate.time_left.count()) <=
       route->second.Value(kMedian))
     return Verdict::kTooLate;
--- a/core/routing/hedge_policy.h
+++ b/core/routing/hedge_policy.h
@@ -98,7 +98,13 @@
     kRetriesUsedUp  ///< the retry budget is used up
   };
 
-  /// Decides about a hedge. Takes tokens only with kAllowed.
+  /// Returns kUnsafe or kAttempts if the request may not have a hedge at any
+  /// time, otherwise kAllowed. Uses the members from `repeatable` to
+  /// `max_targets` only.
+  static Verdict CheckRequest(const Candidate& candidate);
+
+  /// Decides about a hedge. Takes tokens only with kAllowed. Includes
+  /// CheckRequest.
   Verdict Decide(const Candidate& candidate, RetryBudget& retries,
                  MonoTime now);
 
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -79,7 +79,8 @@
 
   // Hedging; see caller_request_hedging.cc.
   std::optional<Microseconds> HedgeDelay() const;
-  bool IsHedgeable() const;
+  bool MayHedgeNow() const;
+  HedgePolicy::Candidate HedgeCandidate() const;
   asio::awaitable<std::optional<ProxyError>> HedgedAttemptAfter(
       Microseconds delay);
   std::unique_ptr<RequestRun> MakeHedge(RequestControl& control);
--- a/proxy/caller_request_hedging.cc
+++ b/proxy/caller_request_hedging.cc
@@ -14,20 +14,30 @@
 }  // namespace
 
 std::optional<Microseconds> CallerRequest::HedgeDelay() const {
-  if (!context_.hedges.enabled() || !IsHedgeable()) return std::nullopt;
+  if (!context_.hedges.enabled() || !MayHedgeNow() ||
+      HedgePolicy::CheckRequest(HedgeCandidate()) !=
+          HedgePolicy::Verdict::kAllowed)
+    return std::nullopt;
   const std::optional<Microseconds> delay = context_.hedges.Delay(rule().name);
   if (!delay || *delay >= options_.control->RemainingTime())
     return std::nullopt;
   return delay;
 }
 
-bool CallerRequest::IsHedgeable() const {
+HedgePolicy::Candidate CallerRequest::HedgeCandidate() const {
+  return {.attempt = HedgeKey(),
+          .repeatable = rule().repeatable && !rule().at_most_once &&
+                        options_.body->prefix_is_complete(),
+          .target_died = target_deaths_ > 0 ||
+                         routing_->suspects.contains(fingerprint_) ||
+                         routing_->poison.contains(fingerprint_),
+          .targets = attempt_,
+          .max_targets = MaxAttempts()};
+}
+
+bool CallerRequest::MayHedgeNow() const {
   // A request whose first attempt has failed is retried instead.
-  if (!rule().repeatable || rule().at_most_once || attempt_ != 1 ||
-      MaxAttempts() < 2 || !options_.charge_hedge)
-    return false;
-  if (!options_.body->prefix_is_complete() || context_.draining) return false;
-  if (target_deaths_ > 0 || routing_->suspects.contains(fingerprint_))
+  if (attempt_ != 1 || !options_.charge_hedge || context_.draining)
     return false;
   // During a rollout, the hedges would shift the shares of the versions, and
   // the cancelled attempts would hide that a version is slow.
@@ -101,7 +111,7 @@
   // Indices into the routing are valid only while it is unchanged. The route,
   // the poison list and the suspects may have changed with it.
   if (context_.Routing() != routing_ || placement_routing_ != routing_ ||
-      !IsHedgeable())
+      !MayHedgeNow())
     return std::nullopt;
   const std::optional<Placement> placement =
       context_.balancer.ChooseWithRoom(route_, share_, tried_, now);
@@ -112,19 +122,12 @@
   const MonoTime wanted = options_.arrival + rule().target_latency;
   const bool has_objective = rule().target_latency.count() > 0;
   const MonoTime end = has_objective ? std::min(wanted, deadline) : deadline;
-  const HedgePolicy::Verdict verdict = context_.hedges.Decide(
-      {.attempt = HedgeKey(),
-       .repeatable = rule().repeatable && !rule().at_most_once &&
-                     options_.body->prefix_is_complete(),
-       .target_died = target_deaths_ > 0 ||
-                      routing_->suspects.contains(fingerprint_) ||
-                      routing_->poison.contains(fingerprint_),
-       .targets = attempt_,
-       .max_targets = MaxAttempts(),
-       .usable_targets = room.usable,
-       .targets_with_room = room.with_room,
-       .time_left = std::chrono::duration_cast<Microseconds>(end - now)},
-      context_.retries, now);
+  HedgePolicy::Candidate candidate = HedgeCandidate();
+  candidate.usable_targets = room.usable;
+  candidate.targets_with_room = room.with_room;
+  candidate.time_left = std::chrono::duration_cast<Microseconds>(end - now);
+  const HedgePolicy::Verdict verdict =
+      context_.hedges.Decide(candidate, context_.retries, now);
   if (verdict != HedgePolicy::Verdict::kAllowed || !options_.charge_hedge())
     return std::nullopt;
   return placement;
