Let a route's hedge_share override the setting

Requests deposit the share of their route, so that the hedges of a pool in any period are at most the sum over its routes of share x requests, plus the saved tokens. 0 keeps a route from being hedged; a share hedges it also where the setting is 0.

--- a/core/routing/hedge_policy.cc
+++ b/core/routing/hedge_policy.cc
@@ -130,17 +130,18 @@
   return pools_[pool];
 }
 
-void HedgePolicy::OnRequest(const PoolName& pool) {
-  if (!enabled()) return;
+void HedgePolicy::OnRequest(const PoolName& pool, RouteShare share) {
+  if (!enabled(share)) return;
   double& tokens = FindPool(pool).tokens;
-  tokens = std::min(tokens + options_.share, max_tokens_);
+  tokens = std::min(tokens + ShareOf(share), max_tokens_);
 }
 
 void HedgePolicy::OnEnded(const Attempt& attempt, Microseconds latency,
                           bool delay_passed, MonoTime now) {
-  if (!enabled()) return;
+  if (!enabled(attempt.share)) return;
   if (!delay_passed) {
-    const std::optional<Microseconds> delay = Delay(*attempt.route);
+    const std::optional<Microseconds> delay =
+        Delay(*attempt.route, attempt.share);
     FindPool(*attempt.pool)
         .Add(*attempt.target, delay && latency > *delay, now);
   }
@@ -150,15 +151,17 @@
 }
 
 void HedgePolicy::OnDelayPassed(const Attempt& attempt, MonoTime now) {
-  if (enabled()) FindPool(*attempt.pool).Add(*attempt.target, true, now);
+  if (enabled(attempt.share))
+    FindPool(*attempt.pool).Add(*attempt.target, true, now);
 }
 
-std::optional<Microseconds> HedgePolicy::Delay(const RouteName& route) const {
-  if (!enabled()) return std::nullopt;
+std::optional<Microseconds> HedgePolicy::Delay(const RouteName& route,
+                                               RouteShare share) const {
+  if (!enabled(share)) return std::nullopt;
   const auto found = routes_.find(route);
   if (found == routes_.end() || !found->second.known()) return std::nullopt;
   const double delay = found->second.Value(
-      options_.share >= kShareForUsualDelay ? kUsualDelay : kLateDelay);
+      ShareOf(share) >= kShareForUsualDelay ? kUsualDelay : kLateDelay);
   return std::max(kMinDelay, Microseconds(static_cast<std::int64_t>(delay)));
 }
 
@@ -172,7 +175,8 @@
                                          RetryBudget& retries, MonoTime now) {
   const Attempt& attempt = candidate.attempt;
   const auto route = routes_.find(*attempt.route);
-  if (!enabled() || route == routes_.end() || !route->second.known())
+  if (!enabled(attempt.share) || route == routes_.end() ||
+      !route->second.known())
     return Verdict::kOff;
   const Verdict checked = CheckRequest(candidate);
   if (checked != Verdict::kAllowed) return checked;
--- a/core/routing/hedge_policy.h
+++ b/core/routing/hedge_policy.h
@@ -19,40 +19,48 @@
 /// with up to some thousand requests a second on this host.
 ///
 /// Learns the latency of each route as quantiles that follow the last few
-/// hundred responses. Every request of a pool deposits a share of a token, a
-/// hedge takes a whole one and also a token of the retry budget. Hence, in any
-/// period, the hedges of a pool on this host don't exceed the share times its
-/// requests in that period plus max_tokens(). The state grows with the number
-/// of routes plus the number of pools. Without a share, nothing is learned or
-/// kept. Must be used from one thread; the current time is passed in.
+/// hundred responses. Every request of a pool deposits the share of its route,
+/// a hedge takes a whole token and also one of the retry budget. Hence, in any
+/// period, the hedges of a pool on this host don't exceed the sum over its
+/// routes of the share times the requests in that period, plus max_tokens().
+/// The tokens of a pool serve all of its routes that have a share. The state
+/// grows with the number of routes plus the number of pools. For routes without
+/// a share, nothing is learned or kept. Must be used from one thread; the
+/// current time is passed in.
 class HedgePolicy {
  public:
   struct Options {
-    double share = 0;   ///< hedges per request of a pool; 0: no hedges
+    double share = 0;   ///< hedges per request of routes that have no share of
+                        ///< their own; 0: no hedges
     double burst = 10;  ///< maximum saved hedges of a pool on all hosts
                         ///< together; at least one on each host
   };
 
+  /// Share of a route that overrides that of the options; not set: it does not.
+  /// Never negative.
+  using RouteShare = std::optional<double>;
+
   /// @pre share and burst are not negative.
   explicit HedgePolicy(Options options);
   ~HedgePolicy();
   HedgePolicy(const HedgePolicy&) = delete;
   HedgePolicy& operator=(const HedgePolicy&) = delete;
 
-  /// Returns true if requests may be hedged at all.
-  bool enabled() const { return options_.share > 0; }
+  /// Returns true if requests of a route with this share may be hedged at all.
+  bool enabled(RouteShare share = {}) const { return ShareOf(share) > 0; }
 
   /// Sets the number of hosts that share the burst. @pre hosts > 0.
   void SetHosts(std::size_t hosts);
 
   /// Counts a request to the pool, without its retries and hedges.
-  void OnRequest(const PoolName& pool);
+  void OnRequest(const PoolName& pool, RouteShare share = {});
 
   /// The first attempt of a request. No pointer may be null.
   struct Attempt {
     const RouteName* route = nullptr;  ///< route of the request
     const PoolName* pool = nullptr;    ///< pool of the target
     const TargetId* target = nullptr;  ///< target of the first attempt
+    RouteShare share{};                ///< of the route
   };
 
   /// Records the latency of a first attempt that got a good response, or that
@@ -68,7 +76,8 @@
   /// Returns the time without a response after which a request of the route
   /// counts as slow; std::nullopt if too few responses were seen or hedging is
   /// off.
-  std::optional<Microseconds> Delay(const RouteName& route) const;
+  std::optional<Microseconds> Delay(const RouteName& route,
+                                    RouteShare share = {}) const;
 
   /// What is known of a request when its delay has passed.
   struct Candidate {
@@ -88,7 +97,7 @@
 
   enum class Verdict : std::uint8_t {
     kAllowed,       ///< a token of each budget was taken
-    kOff,           ///< hedging is off, or the route is not known yet
+    kOff,           ///< hedging is off for the route, or it isn't known yet
     kUnsafe,        ///< it may not run twice, or a target died under it
     kAttempts,      ///< the attempts limit of the route is reached
     kTooLate,       ///< the copy can't be expected to meet the objective
@@ -115,6 +124,9 @@
   class RouteLatency;
   struct Pool;
 
+  double ShareOf(RouteShare share) const {
+    return share.value_or(options_.share);
+  }
   bool IsPoolSlow(const Attempt& attempt, MonoTime now) const;
   Pool& FindPool(const PoolName& pool);
 
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -160,7 +160,7 @@
   }
   if (!std::exchange(counted_in_retry_budget_, true)) {
     context_.retries.OnRequest(CurrentPool());
-    context_.hedges.OnRequest(CurrentPool());
+    context_.hedges.OnRequest(CurrentPool(), rule().hedge_share);
   }
   const std::optional<Placement> placement = context_.balancer.Choose(
       route_, share_, tried_, std::chrono::steady_clock::now());
--- a/proxy/caller_request_hedging.cc
+++ b/proxy/caller_request_hedging.cc
@@ -14,11 +14,12 @@
 }  // namespace
 
 std::optional<Microseconds> CallerRequest::HedgeDelay() const {
-  if (!context_.hedges.enabled() || !MayHedgeNow() ||
+  if (!context_.hedges.enabled(rule().hedge_share) || !MayHedgeNow() ||
       HedgePolicy::CheckRequest(HedgeCandidate()) !=
           HedgePolicy::Verdict::kAllowed)
     return std::nullopt;
-  const std::optional<Microseconds> delay = context_.hedges.Delay(rule().name);
+  const std::optional<Microseconds> delay =
+      context_.hedges.Delay(rule().name, rule().hedge_share);
   if (!delay || *delay >= options_.control->RemainingTime())
     return std::nullopt;
   return delay;
@@ -171,7 +172,7 @@
 }
 
 void CallerRequest::LearnLatency() {
-  if (!context_.hedges.enabled() || !rule().repeatable ||
+  if (!context_.hedges.enabled(rule().hedge_share) || !rule().repeatable ||
       !options_.body->prefix_is_complete())
     return;
   const MonoTime now = std::chrono::steady_clock::now();
@@ -183,7 +184,8 @@
 HedgePolicy::Attempt CallerRequest::HedgeKey() const {
   return {.route = &rule().name,
           .pool = &routing_->pools[placement_.pool].spec.name,
-          .target = &target().info.id};
+          .target = &target().info.id,
+          .share = rule().hedge_share};
 }
 
 }  // namespace camphor
--- a/unit_tests/core/routing/hedge_policy_test.cc
+++ b/unit_tests/core/routing/hedge_policy_test.cc
@@ -242,5 +242,126 @@
   EXPECT_GT(allowed, 100);
 }
 
+// Guards against hedges of a route that its operator has excluded, which could
+// be paid for by the other routes of its pool.
+TEST_F(HedgeDecision, RouteShareOfZero_IsOffAndDepositsNothing) {
+  Learn(policy_);
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.attempt.share = 0;
+  EXPECT_FALSE(policy_.enabled(0));
+  EXPECT_FALSE(policy_.Delay(route_, 0));
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kOff);
+  for (int hedge = 0; hedge < 10; ++hedge)
+    policy_.Decide(MakeCandidate(), retries_, now_);
+  for (int request = 0; request < 100; ++request) policy_.OnRequest(pool_, 0);
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
+            Verdict::kShareUsedUp);
+}
+
+// Guards against a route whose share has no effect because the setting is 0.
+TEST_F(HedgeDecision, RouteShareWithoutTheSetting_IsHedged) {
+  HedgePolicy off({});
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.attempt.share = 0.1;
+  for (std::size_t request = 0; request < kManyRequests; ++request) {
+    off.OnRequest(pool_, 0.1);
+    retries_.OnRequest(pool_);
+    HedgePolicy::Attempt attempt = At(targets_[request % targets_.size()]);
+    attempt.share = 0.1;
+    off.OnEnded(attempt, kUsual, false, now_);
+  }
+  EXPECT_TRUE(off.Delay(route_, 0.1));
+  EXPECT_EQ(off.Decide(candidate, retries_, now_), Verdict::kAllowed);
+  EXPECT_EQ(off.Decide(MakeCandidate(), retries_, now_), Verdict::kOff);
+}
+
+// Guards against a share below 5% that is spent on requests that are not among
+// the slowest 1%.
+TEST_F(HedgeDecision, SmallRouteShare_DelayIsALaterQuantile) {
+  for (std::size_t request = 0; request < kManyRequests; ++request) {
+    policy_.OnEnded(At(targets_[0]), request % 50 == 0 ? 10 * kUsual : kUsual,
+                    false, now_);
+  }
+  EXPECT_LT(*policy_.Delay(route_, 0.05), 2 * kUsual);
+  EXPECT_GT(*policy_.Delay(route_, 0.04), 2 * kUsual);
+}
+
+// Guards against extra work beyond the limit where the routes of a pool have
+// different shares, in any window and on any number of hosts, whatever the
+// latencies are.
+TEST_F(HedgeDecision, AnySharesOfRoutes_NoWindowExceedsTheirSum) {
+  double allowed = 0;
+  EXPECT_TRUE(rc::check([this, &allowed] {
+    const std::vector<RouteName> routes{RouteName("a"), RouteName("b"),
+                                        RouteName("c")};
+    const auto shares = *rc::gen::container<std::vector<double>>(
+        routes.size(), rc::gen::element(0.0, 0.01, 0.05, 0.2, 1.0));
+    const auto hosts = *rc::gen::inRange<std::size_t>(1, 8);
+    // Host, route, target, latency in milliseconds, requests that want a
+    // hedge. Few are slow, since a pool that is slow as a whole gets no hedges.
+    using Step = std::tuple<std::size_t, std::size_t, std::size_t, int, int>;
+    const auto latencies = rc::gen::weightedOneOf<int>(
+        {{19, rc::gen::inRange(0, 11)}, {1, rc::gen::inRange(0, 3000)}});
+    const auto steps = *rc::gen::container<std::vector<Step>>(
+        400, rc::gen::tuple(rc::gen::inRange<std::size_t>(0, hosts),
+                            rc::gen::inRange<std::size_t>(0, routes.size()),
+                            rc::gen::inRange<std::size_t>(0, targets_.size()),
+                            latencies, rc::gen::inRange(0, 4)));
+    // The first route follows the setting, the others have a field.
+    const auto share_of = [&](std::size_t route) {
+      return route == 0 ? HedgePolicy::RouteShare() : shares[route];
+    };
+    std::deque<HedgePolicy> policies;
+    double max_tokens = 0;
+    RetryBudget unlimited({.unlimited = true});
+    for (std::size_t host = 0; host < hosts; ++host) {
+      HedgePolicy& policy =
+          policies.emplace_back(HedgePolicy::Options{.share = shares[0]});
+      policy.SetHosts(hosts);
+      max_tokens += policy.max_tokens();
+      for (std::size_t request = 0; request < 300; ++request) {
+        const std::size_t route = request % routes.size();
+        HedgePolicy::Attempt attempt = At(targets_[request % targets_.size()]);
+        attempt.route = &routes[route];
+        attempt.share = share_of(route);
+        policy.OnRequest(pool_, attempt.share);
+        policy.OnEnded(attempt,
+                       kUsual * static_cast<int>(90 + request % 20) / 100,
+                       false, now_);
+      }
+    }
+    MonoTime now = now_;
+    std::vector<double> deposits{0};
+    std::vector<double> hedges{0};
+    for (const auto& [host, route, target, latency, wanted] : steps) {
+      HedgePolicy& policy = policies[host];
+      HedgePolicy::Candidate candidate = MakeCandidate();
+      candidate.attempt = At(targets_[target]);
+      candidate.attempt.route = &routes[route];
+      candidate.attempt.share = share_of(route);
+      policy.OnRequest(pool_, candidate.attempt.share);
+      deposits.push_back(deposits.back() + shares[route]);
+      hedges.push_back(hedges.back());
+      for (int hedge = 0; hedge < wanted; ++hedge) {
+        if (policy.Decide(candidate, unlimited, now) != Verdict::kAllowed)
+          continue;
+        hedges.back() += 1;
+        RC_ASSERT(shares[route] > 0);
+      }
+      now += Milliseconds(latency) / 100;
+      policy.OnEnded(candidate.attempt, Milliseconds(latency), false, now);
+    }
+    allowed += hedges.back();
+    for (std::size_t from = 0; from < deposits.size(); ++from) {
+      for (std::size_t to = from + 1; to < deposits.size(); ++to) {
+        RC_ASSERT(hedges[to] - hedges[from] <=
+                  deposits[to] - deposits[from] + max_tokens + 1e-6);
+      }
+    }
+  }));
+  // Guards against a property that holds because nothing is ever hedged.
+  EXPECT_GT(allowed, 100);
+}
+
 }  // namespace
 }  // namespace camphor
--- a/unit_tests/proxy/hedging_test.cc
+++ b/unit_tests/proxy/hedging_test.cc
@@ -496,6 +496,23 @@
   EXPECT_EQ(Denied(), 0U);
 }
 
+// Guards against hedges on a route that its operator has excluded.
+TEST_P(Hedging, RouteShareIsZero_NoCopyIsSent) {
+  routes_[0].hedge_share = 0;
+  StartAndLearn();
+  ExpectNoCopy({.method = "GET", .target = "/get/test"});
+  EXPECT_EQ(Denied(), 0U);
+}
+
+// Guards against a share of a route that has no effect without the setting.
+TEST_P(Hedging, RouteHasAShareAndTheSettingIsZero_CopyIsSent) {
+  routes_[0].hedge_share = 0.2;
+  script_ = HoldFirst();
+  StartAndLearn(0);
+  ExpectResponse(200, "2");
+  EXPECT_EQ(Sent(), 1U);
+}
+
 // Guards against a copy of a request whose response is being relayed.
 TEST_P(Hedging, FirstHasBegunToRelay_NoCopyIsSent) {
   script_ = [](int) -> ScriptedResponse {
