Hedge requests at slow targets while they can meet their objective

Where the 0.95 quantile of a route lies beyond its objective minus its median, no request ever got a hedge. The delay is now the smaller of the two for requests whose target is expected to be slow.

Attempts still count as slow after the quantile, also if their hedge was sent before; one that was cancelled before isn't counted. Own averages of a target count after 20 responses, since first samples made equal targets differ by a half. The rule on slow pools is stricter for early hedges.

--- a/core/routing/hedge_policy.cc
+++ b/core/routing/hedge_policy.cc
@@ -50,6 +50,25 @@
 // of the cases, which costs a hedge only.
 constexpr double kSlowPoolShare = 0.2;
 
+// Relative latency from which a target is expected to be slow when a request is
+// sent to it. The targets of a pool differ by a factor of two to three.
+constexpr double kSlowTarget = 1.5;
+
+// The same relative to the target of an early hedge, which should be a fast
+// one. When all targets become slow, the averages of equal ones differ by a
+// half for a time.
+constexpr double kSlowerThanHedge = 2;
+
+// Share of slow attempts at other targets that forbids an early hedge: twice
+// the usual one. A pool that becomes slow shows it only when the delay of usual
+// hedges has passed, which is later.
+constexpr double kSlowPoolShareForEarly = 0.1;
+
+// Part of the median that an early hedge is sent before the last moment, since
+// the timer fires late and the request has its way to the target. Without it,
+// Decide would find that the hedge is too late.
+constexpr double kEarlierBy = 0.1;
+
 // A copy adds load, so at least this share of the targets needs a free slot.
 constexpr double kMinRoomShare = 0.5;
 
@@ -137,9 +156,9 @@
 }
 
 void HedgePolicy::OnEnded(const Attempt& attempt, Microseconds latency,
-                          bool delay_passed, MonoTime now) {
+                          bool judged, MonoTime now) {
   if (!enabled(attempt.share)) return;
-  if (!delay_passed) {
+  if (!judged) {
     const std::optional<Microseconds> delay =
         Delay(*attempt.route, attempt.share);
     FindPool(*attempt.pool)
@@ -171,6 +190,21 @@
   return Verdict::kAllowed;
 }
 
+std::optional<HedgePolicy::Delays> HedgePolicy::ChooseDelays(
+    const RouteName& route, RouteShare share, const Outlook& outlook) const {
+  const std::optional<Microseconds> slow = Delay(route, share);
+  if (!slow) return std::nullopt;
+  Delays delays{.slow = *slow, .hedge = *slow};
+  if (outlook.relative_latency < kSlowTarget || outlook.time_left.count() <= 0)
+    return delays;
+  const double median = routes_.find(route)->second.Value(kMedian);
+  const Microseconds last =
+      outlook.time_left -
+      Microseconds(static_cast<std::int64_t>(median * (1 + kEarlierBy)));
+  if (last >= kMinDelay) delays.hedge = std::min(delays.hedge, last);
+  return delays;
+}
+
 HedgePolicy::Verdict HedgePolicy::Decide(const Candidate& candidate,
                                          RetryBudget& retries, MonoTime now) {
   const Attempt& attempt = candidate.attempt;
@@ -187,7 +221,12 @@
       static_cast<double>(candidate.targets_with_room) <
           kMinRoomShare * static_cast<double>(candidate.usable_targets))
     return Verdict::kNoRoom;
-  if (IsPoolSlow(attempt, now)) return Verdict::kPoolSlow;
+  if (IsPoolSlow(attempt,
+                 candidate.early ? kSlowPoolShareForEarly : kSlowPoolShare,
+                 now))
+    return Verdict::kPoolSlow;
+  if (candidate.early && candidate.relative_latency < kSlowerThanHedge)
+    return Verdict::kTargetNotSlow;
   double& tokens = FindPool(*attempt.pool).tokens;
   if (tokens < 1) return Verdict::kShareUsedUp;
   if (!retries.TryAcquire(*attempt.pool)) return Verdict::kRetriesUsedUp;
@@ -195,7 +234,8 @@
   return Verdict::kAllowed;
 }
 
-bool HedgePolicy::IsPoolSlow(const Attempt& attempt, MonoTime now) const {
+bool HedgePolicy::IsPoolSlow(const Attempt& attempt, double max_share,
+                             MonoTime now) const {
   const auto found = pools_.find(*attempt.pool);
   if (found == pools_.end()) return true;
   const Pool& pool = found->second;
@@ -210,8 +250,7 @@
   }
   // Nothing shows that another target would be faster.
   if (others < kMinOthers) return true;
-  return static_cast<double>(slow) >=
-         kSlowPoolShare * static_cast<double>(others);
+  return static_cast<double>(slow) >= max_share * static_cast<double>(others);
 }
 
 }  // namespace camphor
--- a/core/routing/hedge_policy.h
+++ b/core/routing/hedge_policy.h
@@ -65,9 +65,10 @@
 
   /// Records the latency of a first attempt that got a good response, or that
   /// was cancelled because its hedge had one; without the latter, the learned
-  /// quantiles would fall with every hedge. `delay_passed`: OnDelayPassed was
-  /// called for it.
-  void OnEnded(const Attempt& attempt, Microseconds latency, bool delay_passed,
+  /// quantiles would fall with every hedge. `judged`: OnDelayPassed was called
+  /// for it, or it was cancelled, so that it isn't known whether it would have
+  /// been slow.
+  void OnEnded(const Attempt& attempt, Microseconds latency, bool judged,
                MonoTime now);
 
   /// Records that a first attempt is still without a response after Delay.
@@ -79,6 +80,30 @@
   std::optional<Microseconds> Delay(const RouteName& route,
                                     RouteShare share = {}) const;
 
+  /// Times from the sending of a first attempt that is without a response.
+  struct Delays {
+    Microseconds slow{0};   ///< after which it counts as slow; see Delay
+    Microseconds hedge{0};  ///< after which to ask Decide; not more than `slow`
+  };
+
+  /// What is known of a request when its first attempt is sent.
+  struct Outlook {
+    Microseconds time_left{0};    ///< until its latency objective; 0: none
+    double relative_latency = 0;  ///< expected latency at its target, relative
+                                  ///< to that of the pool; 0: unknown
+  };
+
+  /// Returns the delays of a request; std::nullopt as for Delay.
+  ///
+  /// The delay of the hedge is that after which the request counts as slow. If
+  /// its target is expected to be slow, it is at most such that a hedge can
+  /// still be expected to meet the objective. Other requests don't get this
+  /// earlier hedge: on a route that often misses its objective, far more of
+  /// them pass that delay than the share pays for, and most would have been in
+  /// time.
+  std::optional<Delays> ChooseDelays(const RouteName& route, RouteShare share,
+                                     const Outlook& outlook) const;
+
   /// What is known of a request when its delay has passed.
   struct Candidate {
     Attempt attempt{};
@@ -93,18 +118,23 @@
                                         ///< as known
     Microseconds time_left{0};          ///< until its latency objective, or its
                                         ///< deadline if there is none
+    bool early = false;                 ///< Delays::slow has not passed
+    double relative_latency = 0;  ///< expected latency at the first target,
+                                  ///< relative to that at the target of the
+                                  ///< hedge; 0: unknown; for early hedges only
   };
 
   enum class Verdict : std::uint8_t {
-    kAllowed,       ///< a token of each budget was taken
-    kOff,           ///< hedging is off for the route, or it isn't known yet
-    kUnsafe,        ///< it may not run twice, or a target died under it
-    kAttempts,      ///< the attempts limit of the route is reached
-    kTooLate,       ///< the copy can't be expected to meet the objective
-    kNoRoom,        ///< the pool is short of room
-    kPoolSlow,      ///< other targets of the pool are slow too
-    kShareUsedUp,   ///< the share of extra work is used up
-    kRetriesUsedUp  ///< the retry budget is used up
+    kAllowed,        ///< a token of each budget was taken
+    kOff,            ///< hedging is off for the route, or it isn't known yet
+    kUnsafe,         ///< it may not run twice, or a target died under it
+    kAttempts,       ///< the attempts limit of the route is reached
+    kTooLate,        ///< the copy can't be expected to meet the objective
+    kNoRoom,         ///< the pool is short of room
+    kPoolSlow,       ///< other targets of the pool are slow too
+    kTargetNotSlow,  ///< too early for a target that isn't expected to be slow
+    kShareUsedUp,    ///< the share of extra work is used up
+    kRetriesUsedUp   ///< the retry budget is used up
   };
 
   /// Returns kUnsafe or kAttempts if the request may not have a hedge at any
@@ -127,7 +157,7 @@
   double ShareOf(RouteShare share) const {
     return share.value_or(options_.share);
   }
-  bool IsPoolSlow(const Attempt& attempt, MonoTime now) const;
+  bool IsPoolSlow(const Attempt& attempt, double max_share, MonoTime now) const;
   Pool& FindPool(const PoolName& pool);
 
   Options options_;
--- a/core/routing/latency_model.cc
+++ b/core/routing/latency_model.cc
@@ -30,6 +30,7 @@
       target.slowness == 0
           ? slowness
           : target.slowness + kTargetWeight * (slowness - target.slowness);
+  ++target.slowness_samples;
   typical += kRouteWeight * (sample - typical);
 }
 
--- a/core/routing/power_of_two_balancer.cc
+++ b/core/routing/power_of_two_balancer.cc
@@ -22,6 +22,12 @@
 // Assumed latency of a target without samples.
 constexpr double kUnknownLatencyUs = 1000;
 
+// Responses until the own average of a target's latency counts as its speed. Of
+// the first one, an eighth is left in it then. With fewer, some equal targets
+// of a pool differ by half and more, and a target that looks slow gets few
+// requests that could correct it.
+constexpr std::uint32_t kMinSlownessSamples = 20;
+
 // Fraction of the latency objective that the local failure domain may use up
 // before another domain is considered.
 constexpr double kObjectiveFraction = 0.6;
@@ -515,6 +521,15 @@
       LatencyModel::ExpectedUs(latency_.TypicalUs(route), *stats)));
 }
 
+double PowerOfTwoBalancer::RelativeLatency(const TargetId& target,
+                                           MonoTime now) const {
+  const TargetStats* stats = FindStats(target);
+  if (stats == nullptr) return 1;
+  const double reported = FinishModel::RelativeService(*stats, now);
+  const bool observed = stats->slowness_samples >= kMinSlownessSamples;
+  return reported == 1 && observed ? stats->slowness : reported;
+}
+
 void PowerOfTwoBalancer::OnLeaving(const TargetId& target) {
   const auto found = stats_.find(target);
   if (found != stats_.end()) found->second.leaving = true;
--- a/core/routing/power_of_two_balancer.h
+++ b/core/routing/power_of_two_balancer.h
@@ -136,6 +136,11 @@
   Microseconds ExpectedLatency(const RouteName& route,
                                const TargetId& target) const;
 
+  /// Returns the expected latency at the target, relative to the other targets
+  /// of its pool: its speed if its host reported it recently, otherwise as
+  /// observed by this proxy in at least 20 responses; 1 if unknown.
+  double RelativeLatency(const TargetId& target, MonoTime now) const;
+
   /// Returns the statistics of a target; null if the target is unknown.
   const TargetStats* FindStats(const TargetId& target) const;
 
--- a/core/routing/target_stats.h
+++ b/core/routing/target_stats.h
@@ -11,9 +11,10 @@
 /// over what the target or its host reports. Not thread-safe.
 struct TargetStats {
   std::uint32_t in_flight = 0;  ///< requests in flight from this proxy
-  double slowness = 0;      ///< latency of successes relative to the typical
-                            ///< latency of their routes, moving average; 0: no
-                            ///< sample yet
+  double slowness = 0;  ///< latency of successes relative to the typical
+                        ///< latency of their routes, moving average; 0: no
+                        ///< sample yet
+  std::uint32_t slowness_samples = 0;  ///< that `slowness` is the average of
   double failure_rate = 0;  ///< moving average of 0 (success) and 1 (failure)
   std::uint32_t consecutive_failures = 0;  ///< failures since the last success
   std::uint32_t consecutive_refusals = 0;  ///< refusals since the last success
--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -172,10 +172,10 @@
   return true;
 }
 
-const RoutedTarget& CallerRequest::target() const {
-  return placement_routing_->pools[placement_.pool]
-      .groups[placement_.group]
-      .targets[placement_.target];
+const RoutedTarget& CallerRequest::TargetAt(const Placement& placement) const {
+  return placement_routing_->pools[placement.pool]
+      .groups[placement.group]
+      .targets[placement.target];
 }
 
 std::uint64_t CallerRequest::MakeFingerprint() const {
@@ -217,8 +217,8 @@
     context_.metrics.Count(Counter::kPoisonRefused);
     co_return ProxyError::kPoison;
   }
-  if (const std::optional<Microseconds> delay = HedgeDelay()) {
-    const auto failed = co_await HedgedAttemptAfter(*delay);
+  if (const std::optional<HedgePolicy::Delays> delays = HedgeDelays()) {
+    const auto failed = co_await HedgedAttemptAfter(*delays);
     co_return failed;
   }
   RecordSent();
--- a/proxy/caller_request.h
+++ b/proxy/caller_request.h
@@ -78,19 +78,20 @@
   void OnBegun(const RequestRun& run);
 
   // Hedging; see caller_request_hedging.cc.
-  std::optional<Microseconds> HedgeDelay() const;
+  std::optional<HedgePolicy::Delays> HedgeDelays() const;
   bool MayHedgeNow() const;
   HedgePolicy::Candidate HedgeCandidate() const;
   asio::awaitable<std::optional<ProxyError>> HedgedAttemptAfter(
-      Microseconds delay);
+      const HedgePolicy::Delays& delays);
   std::unique_ptr<RequestRun> MakeHedge(RequestControl& control);
   std::optional<Placement> PlaceHedge(MonoTime now);
   void SelectAttempt(HedgedAttempt::Kind kind);
   void OnAttemptBegun(HedgedAttempt::Kind kind, const RequestRun& run,
                       const HedgedAttempt::Outcome& outcome);
   void OnAttemptLost(HedgedAttempt::Kind kind, std::optional<unsigned> status);
-  void LearnLatency();
-  HedgePolicy::Attempt HedgeKey() const;
+  void OnSlow();
+  void LearnLatency(bool cancelled = false);
+  HedgePolicy::Attempt HedgeKey(const Placement& placement) const;
   bool MayRetry(ProxyError error);
   bool MayAbandon();
   const PoolName& CurrentPool() const;
@@ -110,7 +111,8 @@
   void Report(RequestDecision::Kind kind, std::string_view reason,
               unsigned status) const;
   const RouteRule& rule() const { return *routing_->routes[route_].rule; }
-  const RoutedTarget& target() const;
+  const RoutedTarget& target() const { return TargetAt(placement_); }
+  const RoutedTarget& TargetAt(const Placement& placement) const;
 
   ProxyContext& context_;
   Options options_;
@@ -132,9 +134,11 @@
     Placement placement{};
     MonoTime at{};
   };
-  std::array<Sent, 2> sent_{};  ///< of a hedged attempt, by kind
-  bool hedge_delay_passed_ = false;
-  bool has_hedge_ = false;  ///< a hedge was sent and has not failed
+  std::array<Sent, 2> sent_{};    ///< of a hedged attempt, by kind
+  bool counted_as_slow_ = false;  ///< its first attempt, by the hedge policy
+  bool hedge_is_early_ = false;   ///< its delay is shorter than the one after
+                                  ///< which the first attempt counts as slow
+  bool has_hedge_ = false;        ///< a hedge was sent and has not failed
   std::optional<ProxyError>
       unknown_outcome_error_;  ///< error of an earlier attempt that may have
                                ///< run
--- a/proxy/caller_request_hedging.cc
+++ b/proxy/caller_request_hedging.cc
@@ -13,20 +13,30 @@
 
 }  // namespace
 
-std::optional<Microseconds> CallerRequest::HedgeDelay() const {
+std::optional<HedgePolicy::Delays> CallerRequest::HedgeDelays() const {
   if (!context_.hedges.enabled(rule().hedge_share) || !MayHedgeNow() ||
       HedgePolicy::CheckRequest(HedgeCandidate()) !=
           HedgePolicy::Verdict::kAllowed)
     return std::nullopt;
-  const std::optional<Microseconds> delay =
-      context_.hedges.Delay(rule().name, rule().hedge_share);
-  if (!delay || *delay >= options_.control->RemainingTime())
+  const MonoTime now = std::chrono::steady_clock::now();
+  const Milliseconds objective = rule().target_latency;
+  HedgePolicy::Outlook outlook{
+      .relative_latency =
+          context_.balancer.RelativeLatency(target().info.id, now)};
+  if (objective.count() > 0) {
+    const MonoTime end =
+        std::min(options_.arrival + objective, options_.control->deadline());
+    outlook.time_left = std::chrono::duration_cast<Microseconds>(end - now);
+  }
+  const std::optional<HedgePolicy::Delays> delays =
+      context_.hedges.ChooseDelays(rule().name, rule().hedge_share, outlook);
+  if (!delays || delays->hedge >= options_.control->RemainingTime())
     return std::nullopt;
-  return delay;
+  return delays;
 }
 
 HedgePolicy::Candidate CallerRequest::HedgeCandidate() const {
-  return {.attempt = HedgeKey(),
+  return {.attempt = HedgeKey(placement_),
           .repeatable = rule().repeatable && !rule().at_most_once &&
                         options_.body->prefix_is_complete(),
           .target_died = target_deaths_ > 0 ||
@@ -47,18 +57,21 @@
 }
 
 asio::awaitable<std::optional<ProxyError>> CallerRequest::HedgedAttemptAfter(
-    Microseconds delay) {
+    const HedgePolicy::Delays& delays) {
   RecordSent();
+  hedge_is_early_ = delays.hedge < delays.slow;
   sent_.front() = {.placement = placement_, .at = sent_at_};
   HedgedAttempt attempt({.executor = context_.io->get_executor(),
                          .control = options_.control,
-                         .hedge_at = sent_at_ + delay,
+                         .hedge_at = sent_at_ + delays.hedge,
+                         .slow_at = sent_at_ + delays.slow,
                          .make_run =
                              [this](Kind kind, RequestControl& control) {
                                return kind == Kind::kPrimary
                                           ? MakeRun(control)
                                           : MakeHedge(control);
                              },
+                         .on_slow = [this] { OnSlow(); },
                          .on_begun =
                              [this](Kind kind, const RequestRun& run,
                                     const HedgedAttempt::Outcome& outcome) {
@@ -88,10 +101,8 @@
 }
 
 std::unique_ptr<RequestRun> CallerRequest::MakeHedge(RequestControl& control) {
-  const MonoTime now = std::chrono::steady_clock::now();
-  hedge_delay_passed_ = true;
-  context_.hedges.OnDelayPassed(HedgeKey(), now);
-  const std::optional<Placement> placement = PlaceHedge(now);
+  const std::optional<Placement> placement =
+      PlaceHedge(std::chrono::steady_clock::now());
   if (!placement) {
     context_.metrics.Count(Counter::kHedgesDenied);
     return nullptr;
@@ -127,6 +138,11 @@
   candidate.usable_targets = room.usable;
   candidate.targets_with_room = room.with_room;
   candidate.time_left = std::chrono::duration_cast<Microseconds>(end - now);
+  candidate.early = hedge_is_early_;
+  if (hedge_is_early_)
+    candidate.relative_latency =
+        context_.balancer.RelativeLatency(target().info.id, now) /
+        context_.balancer.RelativeLatency(TargetAt(*placement).info.id, now);
   const HedgePolicy::Verdict verdict =
       context_.hedges.Decide(candidate, context_.retries, now);
   if (verdict != HedgePolicy::Verdict::kAllowed || !options_.charge_hedge())
@@ -163,7 +179,7 @@
     ReportSample(RequestOutcome::kTimeout);
     return;
   }
-  if (kind == Kind::kPrimary) LearnLatency();
+  if (kind == Kind::kPrimary) LearnLatency(true);
   // Not a sample: that it was slower shows neither an error of its target nor
   // a fault of its version.
   const MonoTime now = std::chrono::steady_clock::now();
@@ -171,20 +187,28 @@
                 std::chrono::duration_cast<Microseconds>(now - sent_at_), now);
 }
 
-void CallerRequest::LearnLatency() {
+void CallerRequest::OnSlow() {
+  counted_as_slow_ = true;
+  // placement_ may be that of an early hedge.
+  context_.hedges.OnDelayPassed(HedgeKey(sent_.front().placement),
+                                std::chrono::steady_clock::now());
+}
+
+void CallerRequest::LearnLatency(bool cancelled) {
   if (!context_.hedges.enabled(rule().hedge_share) || !rule().repeatable ||
       !options_.body->prefix_is_complete())
     return;
   const MonoTime now = std::chrono::steady_clock::now();
   context_.hedges.OnEnded(
-      HedgeKey(), std::chrono::duration_cast<Microseconds>(now - sent_at_),
-      hedge_delay_passed_, now);
+      HedgeKey(placement_),
+      std::chrono::duration_cast<Microseconds>(now - sent_at_),
+      counted_as_slow_ || cancelled, now);
 }
 
-HedgePolicy::Attempt CallerRequest::HedgeKey() const {
+HedgePolicy::Attempt CallerRequest::HedgeKey(const Placement& placement) const {
   return {.route = &rule().name,
-          .pool = &routing_->pools[placement_.pool].spec.name,
-          .target = &target().info.id,
+          .pool = &routing_->pools[placement.pool].spec.name,
+          .target = &TargetAt(placement).info.id,
           .share = rule().hedge_share};
 }
 
--- a/proxy/hedged_attempt.h
+++ b/proxy/hedged_attempt.h
@@ -42,10 +42,13 @@
     RequestControl* control = nullptr;  ///< of the request; stops both attempts
     MonoTime hedge_at{};  ///< when to ask for the hedge, unless the primary has
                           ///< a response or has failed by then
+    MonoTime slow_at{};   ///< when to call on_slow, under the same condition
     std::function<std::unique_ptr<RequestRun>(Kind, RequestControl&)>
         make_run{};  ///< returns what runs an attempt, with the given control;
                      ///< called with kHedge at most once, and null then means
                      ///< no hedge
+    std::function<void()> on_slow{};  ///< called at slow_at, and before the
+                                      ///< hedge if that is due as well
     std::function<void(Kind, const RequestRun&, const Outcome&)>
         on_begun{};  ///< called when an attempt that was not cancelled has a
                      ///< response or has failed, before its End
--- a/unit_tests/core/routing/hedge_policy_test.cc
+++ b/unit_tests/core/routing/hedge_policy_test.cc
@@ -242,6 +242,93 @@
   EXPECT_GT(allowed, 100);
 }
 
+// Guards against a route whose quantile lies beyond its objective and whose
+// requests therefore never get a hedge.
+TEST_F(HedgeDecision, SlowTarget_DelayEndsWhileTheObjectiveCanBeMet) {
+  for (std::size_t request = 0; request < kManyRequests; ++request) {
+    policy_.OnRequest(pool_);
+    policy_.OnEnded(At(targets_[request % targets_.size()]),
+                    request % 10 == 0 ? 10 * kUsual : kUsual, false, now_);
+  }
+  const Microseconds slow = *policy_.Delay(route_);
+  ASSERT_GT(slow, 5 * kUsual);
+  const auto delays = policy_.ChooseDelays(
+      route_, {}, {.time_left = 3 * kUsual, .relative_latency = 2});
+  ASSERT_TRUE(delays);
+  EXPECT_EQ(delays->slow, slow);
+  EXPECT_LT(delays->hedge, 2 * kUsual);
+  EXPECT_GE(delays->hedge, 2 * kUsual * 9 / 10);
+  // With time enough, the quantile is the smaller one.
+  EXPECT_EQ(policy_
+                .ChooseDelays(route_, {},
+                              {.time_left = 20 * kUsual, .relative_latency = 2})
+                ->hedge,
+            slow);
+  // Decide must not find the hedge too late when it is sent on time.
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.early = true;
+  candidate.relative_latency = 2;
+  candidate.time_left = 3 * kUsual - delays->hedge;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kAllowed);
+}
+
+// Guards against a share that is spent on the many requests of a route that
+// pass the shorter delay and are in time anyway.
+TEST_F(HedgeDecision, TargetIsNotExpectedToBeSlow_DelayIsTheQuantile) {
+  Learn(policy_);
+  for (const double relative : {0.0, 1.0, 1.4}) {
+    const auto delays = policy_.ChooseDelays(
+        route_, {},
+        {.time_left = kUsual * 3 / 2, .relative_latency = relative});
+    ASSERT_TRUE(delays);
+    EXPECT_EQ(delays->hedge, *policy_.Delay(route_));
+  }
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.early = true;
+  candidate.relative_latency = 1.9;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kTargetNotSlow);
+  for (int hedge = 0; hedge < 10; ++hedge) {
+    EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
+              Verdict::kAllowed);
+  }
+}
+
+// Guards against a hedge at once where no time is left for any.
+TEST_F(HedgeDecision, ObjectiveCannotBeMet_DelayIsTheQuantile) {
+  Learn(policy_);
+  for (const Microseconds left :
+       {Microseconds(-1), Microseconds(0), kUsual / 2, kUsual}) {
+    const auto delays = policy_.ChooseDelays(
+        route_, {}, {.time_left = left, .relative_latency = 3});
+    ASSERT_TRUE(delays);
+    EXPECT_EQ(delays->hedge, delays->slow);
+  }
+}
+
+// Guards against early hedges that get past the rule on slow pools.
+TEST_F(HedgeDecision, PoolIsSlow_NoEarlyHedgeIsAllowed) {
+  Learn(policy_);
+  for (int request = 0; request < 20; ++request)
+    policy_.OnDelayPassed(At(targets_[request % targets_.size()]), now_);
+  HedgePolicy::Candidate candidate = MakeCandidate();
+  candidate.early = true;
+  candidate.relative_latency = 3;
+  EXPECT_EQ(policy_.Decide(candidate, retries_, now_), Verdict::kPoolSlow);
+}
+
+// Guards against cancelled attempts that make a slow pool look fast: until they
+// were cancelled, they hadn't taken long enough to count as slow.
+TEST_F(HedgeDecision, AttemptsAreCancelledEarly_PoolStaysSlow) {
+  Learn(policy_);
+  for (int request = 0; request < 20; ++request)
+    policy_.OnDelayPassed(At(targets_[request % targets_.size()]), now_);
+  for (std::size_t request = 0; request < 100; ++request)
+    policy_.OnEnded(At(targets_[request % targets_.size()]), kUsual, true,
+                    now_);
+  EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
+            Verdict::kPoolSlow);
+}
+
 // Guards against hedges of a route that its operator has excluded, which could
 // be paid for by the other routes of its pool.
 TEST_F(HedgeDecision, RouteShareOfZero_IsOffAndDepositsNothing) {
