--- a/proxy/caller_request.cc
+++ b/proxy/caller_request.cc
@@ -99,7 +99,7 @@
   }
   if (!std::exchange(counted_in_retry_budget_, true)) {
     context_.retries.OnRequest(CurrentPool());
-    context_.hedges.OnRequest(CurrentPool());
+    context_.hedges.OnRequest(CurrentPool(), rule().hedge_share);
   }
   const std::optional<Placement> placement = context_.balancer.Choose(
       route_, share_, tried_, std::chrono::steady_clock::now());
@@ -111,10 +111,10 @@
   return true;
 }
 
-const RoutedTarget& CallerRequest::target() const {
-  return placement_routing_->pools[placement_.pool]
-      .groups[placement_.group]
-      .targets[placement_.target];
+const RoutedTarget& CallerRequest::TargetAt(const Placement& placement) const {
+  return placement_routing_->pools[placement.pool]
+      .groups[placement.group]
+      .targets[placement.target];
 }
 
 std::uint64_t CallerRequest::MakeFingerprint() const {
@@ -144,7 +144,7 @@
   if (rule().at_most_once) {
     request.claim_key = HeaderValue(*options_.header, kIdempotencyKeyHeader);
   }
-  if (rule().repeatable && !has_copy_ &&
+  if (rule().repeatable && !has_hedge_ &&
       attempt_ - reached_no_target_ < MaxAttempts()) {
     request.abandon_after = AbandonTimeout();
     request.may_abandon = [this] { return MayAbandon(); };
@@ -160,8 +160,8 @@
     context_.metrics.Count(Counter::kPoisonRefused);
     co_return ProxyError::kPoison;
   }
-  if (const std::optional<Microseconds> delay = HedgeDelay()) {
-    const auto failed = co_await HedgedAttemptAfter(*delay);
+  if (const std::optional<HedgePolicy::Delays> delays = HedgeDelays()) {
+    const auto failed = co_await HedgedAttemptAfter(*delays);
     co_return failed;
   }
   RecordSent();
@@ -369,7 +369,7 @@
 
 bool CallerRequest::MayAbandon() {
   // A streamed body cannot be sent again. A hedge is the other attempt already.
-  if (options_.body->consumed() || has_copy_) return false;
+  if (options_.body->consumed() || has_hedge_) return false;
   // Without an attempt left, giving up this one would fail the request. A hedge
   // may have used the last one.
   if (attempt_ - reached_no_target_ >= MaxAttempts()) return false;
