--- a/core/base/buffer_account.h
+++ b/core/base/buffer_account.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <utility>
 
 #include "core/base/buffer_budget.h"
@@ -22,7 +23,7 @@
 
   struct Options {
     BufferBudget* budget = nullptr;     ///< must outlive the account
-    std::uint32_t group = 0;            ///< listener of the connection
+    std::uint32_t group = 0;            ///< kind of the connection's peer
     std::function<bool()> may_yield{};  ///< returns true while the connection
                                         ///< waits for its peer
     std::function<void(Yield)>
@@ -89,6 +90,17 @@
   /// Records that bytes were received from or sent to the peer.
   void OnProgress(std::uint64_t bytes) { moved_ += bytes; }
 
+  /// From now on, connections of this group do not yield their buffers to this
+  /// one.
+  void SpareGroup(std::uint32_t group) { spared_group_ = group; }
+
+  /// Changes the group, for a peer that has proved its identity. It then spares
+  /// no group any more.
+  void SetGroup(std::uint32_t group) {
+    options_.group = group;
+    spared_group_.reset();
+  }
+
   /// Bytes held now; 0 after the connection yielded.
   std::uint64_t held() const { return held_; }
 
@@ -101,6 +113,7 @@
   void YieldNow(Yield reason);
 
   Options options_;
+  std::optional<std::uint32_t> spared_group_{};
   std::uint64_t held_ = 0;
   std::uint64_t moved_ = 0;  ///< bytes received or sent since the connection
                              ///< was accepted
--- a/core/base/buffer_budget.cc
+++ b/core/base/buffer_budget.cc
@@ -33,7 +33,9 @@
   for (BufferAccount* const account : accounts_) {
     if (account == except || account->yielded_ || account->held_ == 0 ||
         now - account->since_ < options_.min_hold ||
-        (group != nullptr && account->options_.group != *group)) {
+        (group != nullptr && account->options_.group != *group) ||
+        (except != nullptr &&
+         except->spared_group_ == account->options_.group)) {
       continue;
     }
     const double rank = account->Rank(now);
--- a/unit_tests/core/base/buffer_budget_test.cc
+++ b/unit_tests/core/base/buffer_budget_test.cc
@@ -64,6 +64,25 @@
   EXPECT_EQ(budget_.used(), 50U);
 }
 
+// Guards against strangers that displace the connections of hosts.
+TEST_F(BufferBudgetGrow, GroupIsSpared_OthersYieldInstead) {
+  ASSERT_TRUE(third_.account->Grow(80, Time(0)));
+  ASSERT_TRUE(second_.account->Grow(10, Time(0)));
+  first_.account->SpareGroup(1);
+  EXPECT_TRUE(first_.account->Grow(20, Time(9)));
+  EXPECT_TRUE(second_.yielded);
+  EXPECT_FALSE(first_.account->Grow(20, Time(9)));
+  EXPECT_FALSE(third_.yielded);
+}
+
+TEST_F(BufferBudgetGrow, GroupChanged_NoLongerSpares) {
+  ASSERT_TRUE(third_.account->Grow(80, Time(0)));
+  first_.account->SpareGroup(1);
+  first_.account->SetGroup(1);
+  EXPECT_TRUE(first_.account->Grow(40, Time(9)));
+  EXPECT_TRUE(third_.yielded);
+}
+
 // Guards against giving bytes back twice: when a connection yields, and when
 // its buffers are destroyed.
 TEST_F(BufferBudgetGrow, AfterYield_ReleaseChangesNothing) {
