Bound what strangers hold on the forward port

Before, handshake messages sent again and again, or with their responses unread, held a place for ever. Strangers displace no host, and a request of a host whose body stops is ended at its deadline.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -96,6 +96,12 @@
   ++context_.caller_sessions;
 }
 
+bool CallerSession::HasPlace(ProxyContext& context, MonoTime now) {
+  return context.caller_sessions < context.options.limits.caller_connections ||
+         context.buffers.YieldConnection(static_cast<std::uint32_t>(kGroup),
+                                         now);
+}
+
 CallerSession::~CallerSession() { --context_.caller_sessions; }
 
 CallerLimits CallerSession::Limits() {
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "core/base/time.h"
 #include "proxy/http_session.h"
 #include "proxy/response_sequencer.h"
 
@@ -20,6 +21,10 @@
  public:
   static constexpr SessionGroup kGroup = SessionGroup::kCallers;
 
+  /// Returns true if a new connection can be accepted. Closes another one for
+  /// it if necessary.
+  static bool HasPlace(ProxyContext& context, MonoTime now);
+
   CallerSession(ProxyContext& context, tcp::socket socket);
   ~CallerSession() override;
 
--- a/proxy/forward_session.cc
+++ b/proxy/forward_session.cc
@@ -33,6 +33,13 @@
   return fallback;
 }
 
+/// Returns the address of the peer; empty if the connection is already gone.
+std::string RemoteAddress(const tcp::socket& socket) {
+  beast::error_code error;
+  const tcp::endpoint peer = socket.remote_endpoint(error);
+  return error ? std::string() : peer.address().to_string();
+}
+
 /// Reads the urgency headers set by the other host.
 Urgency ReadUrgency(const http::request_header<>& header, MonoTime arrival,
                     MonoTime deadline) {
@@ -51,13 +58,40 @@
 
 }  // namespace
 
+bool ForwardSession::HasPlace(ProxyContext& /*context*/, MonoTime /*now*/) {
+  // The places of connections without a proof are limited by
+  // ProxyContext::handshakes, those of hosts by AdmitHost().
+  return true;
+}
+
 ForwardSession::ForwardSession(ProxyContext& context, tcp::socket socket)
     : HttpSession(context, std::move(socket), kGroup),
+      handshake_limit_(
+          socket_.get_executor(),
+          [this] { AbandonHandshake(ProxyLimit::kHandshakeLate); }),
       heartbeat_(socket_.get_executor(), [this] { SendHeartbeat(); }) {
   ++context_.forward_sessions;
+  // Connections of hosts do not yield their buffers to strangers.
+  account_.SpareGroup(static_cast<std::uint32_t>(SessionGroup::kHosts));
+  const ProxyLimits& limits = context_.options.limits;
+  context_.handshakes.SetPlaces(PendingHandshakes::PlacesBeside(
+      context_.host_sessions, limits.forward_connections,
+      limits.pending_handshakes));
+  handshake_ = context_.handshakes.Take(RemoteAddress(socket_), [this] {
+    AbandonHandshake(ProxyLimit::kHandshakeDisplaced);
+  });
+  handshake_limit_.Set(limits.handshake_timeout);
+}
+
+ForwardSession::~ForwardSession() {
+  --context_.forward_sessions;
+  if (authenticated_) --context_.host_sessions;
 }
 
-ForwardSession::~ForwardSession() { --context_.forward_sessions; }
+void ForwardSession::AbandonHandshake(ProxyLimit limit) {
+  context_.OnLimit(limit);
+  Close();
+}
 
 asio::awaitable<bool> ForwardSession::Serve(
     std::unique_ptr<RequestParser> parser) {
@@ -72,6 +106,11 @@
     const bool more = co_await RejectUnauthenticated();
     co_return more;
   }
+  if (!authenticated_ && !AdmitHost()) {
+    context_.OnLimit(ProxyLimit::kConnectionsRefused);
+    const bool more = co_await WriteError({.error = ProxyError::kBuffersFull});
+    co_return more;
+  }
   if (control_value == kPingControl) {
     const bool more = co_await HandlePing();
     co_return more;
@@ -105,8 +144,12 @@
   const bool held_back =
       beast::iequals(header[http::field::expect], "100-continue");
   if (!held_back) {
-    const bool fetched =
-        co_await body.Prefetch(context_.options.limits.buffered_body_bytes);
+    bool fetched = false;
+    {
+      const RequestControl::Scope scope(control, [this] { StopReading(); });
+      fetched =
+          co_await body.Prefetch(context_.options.limits.buffered_body_bytes);
+    }
     if (!fetched) {
       if (body.out_of_buffers() || account_.yielded())
         co_await RefuseForBuffers();
@@ -238,8 +281,10 @@
 
 asio::awaitable<bool> ForwardSession::HandleHello(
     const http::request_header<>& header) {
+  const bool repeated = !server_nonce_.empty();
   client_nonce_ = HeaderValue(header, kNonceHeader);
-  if (client_nonce_.empty() || client_nonce_.size() > kMaxNonceLength) {
+  if (repeated || client_nonce_.empty() ||
+      client_nonce_.size() > kMaxNonceLength) {
     const bool more = co_await RejectUnauthenticated();
     co_return more;
   }
@@ -250,17 +295,30 @@
                MeshProof::ServerProof(context_.options.mesh_key, client_nonce_,
                                       server_nonce_));
   response.content_length(0);
-  auto [error, bytes] = co_await http::async_write(socket_, response, kAsTuple);
-  co_return !error;
+  const bool written = co_await WriteControl(response);
+  co_return written;
 }
 
 bool ForwardSession::VerifyProof(const http::request_header<>& header) {
   if (server_nonce_.empty()) return false;
   const std::string expected = MeshProof::ClientProof(
       context_.options.mesh_key, client_nonce_, server_nonce_);
-  authenticated_ =
-      MeshProof::Equal(HeaderValue(header, kProofHeader), expected);
-  return authenticated_;
+  return MeshProof::Equal(HeaderValue(header, kProofHeader), expected);
+}
+
+bool ForwardSession::AdmitHost() {
+  constexpr auto kHosts = static_cast<std::uint32_t>(SessionGroup::kHosts);
+  const MonoTime now = std::chrono::steady_clock::now();
+  if (context_.host_sessions >= context_.options.limits.forward_connections &&
+      !context_.buffers.YieldConnection(kHosts, now)) {
+    return false;
+  }
+  authenticated_ = true;
+  ++context_.host_sessions;
+  handshake_limit_.Clear();
+  handshake_ = {};
+  account_.SetGroup(kHosts);
+  return true;
 }
 
 asio::awaitable<bool> ForwardSession::RejectUnauthenticated() {
@@ -268,15 +326,23 @@
   http::response<http::empty_body> response(http::status::forbidden, 11);
   response.keep_alive(false);
   response.content_length(0);
-  co_await http::async_write(socket_, response, kAsTuple);
+  co_await WriteControl(response);
   co_return false;
 }
 
+asio::awaitable<bool> ForwardSession::WriteControl(
+    http::response<http::empty_body>& response) {
+  write_progress_.Set(context_.options.limits.body_timeout);
+  auto [error, bytes] = co_await http::async_write(socket_, response, kAsTuple);
+  write_progress_.Clear();
+  co_return !error;
+}
+
 asio::awaitable<bool> ForwardSession::HandlePing() {
   http::response<http::empty_body> response(http::status::no_content, 11);
   response.keep_alive(!context_.draining);
-  auto [error, bytes] = co_await http::async_write(socket_, response, kAsTuple);
-  co_return !error && !context_.draining;
+  const bool written = co_await WriteControl(response);
+  co_return written && !context_.draining;
 }
 
 }  // namespace camphor
--- a/proxy/proxy_context.cc
+++ b/proxy/proxy_context.cc
@@ -43,6 +43,12 @@
     case ProxyLimit::kHeaderFields:
       metrics.Count(Counter::kHeaderFieldsRefused);
       break;
+    case ProxyLimit::kHandshakeLate:
+      metrics.Count(Counter::kHandshakesLate);
+      break;
+    case ProxyLimit::kHandshakeDisplaced:
+      metrics.Count(Counter::kHandshakesDisplaced);
+      break;
   }
   if (options.on_limit) options.on_limit(limit);
 }
--- a/proxy/proxy_context.h
+++ b/proxy/proxy_context.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "core/base/buffer_budget.h"
+#include "core/base/pending_handshakes.h"
 #include "core/routing/death_tracker.h"
 #include "core/routing/hedge_policy.h"
 #include "core/routing/power_of_two_balancer.h"
@@ -52,7 +53,8 @@
   }
 
   ProxyServer::Options options;
-  BufferBudget buffers;  ///< of the sessions
+  BufferBudget buffers;          ///< of the sessions
+  PendingHandshakes handshakes;  ///< of connections to the forward listener
   std::shared_ptr<asio::io_context> io;
   ProxyMetrics metrics;
   PowerOfTwoBalancer balancer;
@@ -67,6 +69,7 @@
   std::set<ProxySession*> sessions;  ///< open sessions
   std::uint32_t caller_sessions = 0;
   std::uint32_t forward_sessions = 0;
+  std::uint32_t host_sessions = 0;  ///< of them, those of authenticated hosts
   std::uint64_t buffered_response_bytes = 0;  ///< see ResponseSequencer
   std::atomic<std::uint64_t> in_flight{0};
   bool draining = false;
@@ -77,8 +80,12 @@
   EffectiveRoutingPtr routing_;
 };
 
-/// Listener of a session, which is its group in the buffer budget.
-enum class SessionGroup : std::uint32_t { kCallers, kHosts };
+/// Kind of the peer of a session, which is its group in the buffer budget.
+enum class SessionGroup : std::uint32_t {
+  kCallers,     ///< peers of the callers' listener
+  kHosts,       ///< other hosts that have authenticated
+  kHandshakes,  ///< peers of the forward listener that have not
+};
 
 /// Returns the steady clock in microseconds, for history events. Thread-safe.
 std::int64_t HistoryTimeUs();
--- a/proxy/proxy_limit.h
+++ b/proxy/proxy_limit.h
@@ -14,6 +14,9 @@
   kConnectionsYielded,  ///< a connection was closed in favour of a new one
   kConnectionsRefused,  ///< a new connection was refused
   kHeaderFields,        ///< a request has too many header fields
+  kHandshakeLate,       ///< a connection to the forward listener was closed
+                        ///< because its peer did not authenticate in time
+  kHandshakeDisplaced,  ///< the same, in favour of a newer connection
 };
 
 /// Returns a sentence for the log. Thread-safe.
@@ -29,6 +32,11 @@
       return "new connection refused: too many are open";
     case ProxyLimit::kHeaderFields:
       return "request refused: too many header fields";
+    case ProxyLimit::kHandshakeLate:
+      return "forward connection closed: its peer did not authenticate in time";
+    case ProxyLimit::kHandshakeDisplaced:
+      return "forward connection of an unauthenticated peer closed for a newer "
+             "one";
   }
   return "";
 }
--- a/proxy/proxy_limits.h
+++ b/proxy/proxy_limits.h
@@ -16,6 +16,12 @@
   std::uint32_t caller_connections = 4096;  ///< maximum open caller connections
   std::uint32_t forward_connections =
       4096;  ///< maximum open connections from other hosts
+  std::uint32_t pending_handshakes =
+      2048;  ///< maximum open connections of peers that have not authenticated
+             ///< as a host; see PendingHandshakes::PlacesBeside
+  Milliseconds handshake_timeout{
+      15'000};  ///< for authenticating as a host; a host does so with its first
+                ///< request, or with a ping after `ping_interval`
   std::uint32_t connections_per_host =
       256;                     ///< maximum connections to one other host
   std::uint32_t attempts = 3;  ///< maximum attempts of one request
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -18,7 +18,7 @@
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99};
 constexpr double kMicrosPerSecond = 1e6;
 
-constexpr std::array<std::string_view, 35> kCounterNames = {
+constexpr std::array<std::string_view, 37> kCounterNames = {
     "caller_requests",
     "pipelined_requests",
     "forward_requests",
@@ -43,6 +43,8 @@
     "buffers_yielded",
     "connections_yielded",
     "header_fields_refused",
+    "handshakes_late",
+    "handshakes_displaced",
     "claims_granted",
     "claims_held",
     "claims_not_made",
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -47,6 +47,9 @@
     kBuffersYielded,       ///< connections that gave their buffers to others
     kConnectionsYielded,   ///< connections closed in favour of new ones
     kHeaderFieldsRefused,  ///< requests refused for their number of fields
+    kHandshakesLate,       ///< connections closed because their peer did not
+                           ///< authenticate in time
+    kHandshakesDisplaced,  ///< the same, in favour of newer connections
     kClaimsGranted,        ///< idempotency claims granted
     kClaimsHeld,           ///< requests whose key was already claimed
     kClaimsNotMade,        ///< requests refused because no claim could be made
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -45,9 +45,7 @@
   bool Listen(tcp::acceptor& acceptor, const Endpoint& endpoint,
               std::string_view what);
   template <typename Session>
-  asio::awaitable<void> Accept(tcp::acceptor& acceptor,
-                               const std::uint32_t& open,
-                               std::uint32_t max_open);
+  asio::awaitable<void> Accept(tcp::acceptor& acceptor);
   asio::awaitable<void> Maintain();
   void CloseAll();
   boost::json::object Dump();
@@ -89,9 +87,7 @@
 }
 
 template <typename Session>
-asio::awaitable<void> ProxyServer::State::Accept(tcp::acceptor& acceptor,
-                                                 const std::uint32_t& open,
-                                                 std::uint32_t max_open) {
+asio::awaitable<void> ProxyServer::State::Accept(tcp::acceptor& acceptor) {
   constexpr auto kGroup = static_cast<std::uint32_t>(Session::kGroup);
   asio::steady_timer pause(*context.io);
   while (acceptor.is_open()) {
@@ -106,7 +102,7 @@
       co_await pause.async_wait(kAsTuple);
       continue;
     }
-    if (open >= max_open && !context.buffers.YieldConnection(kGroup, Now())) {
+    if (!Session::HasPlace(context, Now())) {
       context.OnLimit(ProxyLimit::kConnectionsRefused);
       continue;
     }
@@ -189,6 +185,7 @@
           {"domain_evacuated", context.targets->IsEvacuated()},
           {"caller_connections", context.caller_sessions},
           {"forward_connections", context.forward_sessions},
+          {"pending_handshakes", context.handshakes.size()},
           {"buffered_response_bytes", context.buffered_response_bytes},
           {"buffer_bytes", context.buffers.used()},
           {"buffer_bytes_at_most", context.buffers.total()},
@@ -218,14 +215,10 @@
       FromTcpEndpoint(state.forward_acceptor.local_endpoint());
   state.work.emplace(state.context.io->get_executor());
   asio::co_spawn(*state.context.io,
-                 state.Accept<CallerSession>(state.caller_acceptor,
-                                             state.context.caller_sessions,
-                                             options.limits.caller_connections),
+                 state.Accept<CallerSession>(state.caller_acceptor),
                  asio::detached);
   asio::co_spawn(*state.context.io,
-                 state.Accept<ForwardSession>(
-                     state.forward_acceptor, state.context.forward_sessions,
-                     options.limits.forward_connections),
+                 state.Accept<ForwardSession>(state.forward_acceptor),
                  asio::detached);
   asio::co_spawn(*state.context.io, state.Maintain(), asio::detached);
   state.takes_posts = true;
--- a/unit_tests/proxy/proxy_limits_test.cc
+++ b/unit_tests/proxy/proxy_limits_test.cc
@@ -1,5 +1,7 @@
 #include <boost/asio.hpp>
+#include <list>
 #include <string>
+#include <thread>
 
 #include "unit_tests/proxy/two_hosts.h"
 
@@ -121,6 +123,66 @@
   EXPECT_EQ(Metric("h1", "strangers"), 3U);
 }
 
+// Guards against a stranger that holds a place with one handshake message after
+// another.
+TEST_F(ProxyLimitsTest, SecondHello_IsRefusedAndClosed) {
+  StartHosts();
+  const std::string hello =
+      "GET / HTTP/1.1\r\nHost: a\r\nX-Camphor-Control: hello\r\n"
+      "X-Camphor-Nonce: 1\r\n\r\n";
+  const std::string response =
+      Talk(proxies_["h1"]->forward_endpoint(), hello + hello);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200 ")) << response;
+  EXPECT_NE(response.find("HTTP/1.1 403 "), std::string::npos) << response;
+}
+
+// Guards against a stranger that stops halfway through the handshake.
+TEST_F(ProxyLimitsTest, NoProofInTime_IsClosedAndCounted) {
+  StartHosts({.handshake_timeout = Milliseconds(200)});
+  const std::string response =
+      Talk(proxies_["h1"]->forward_endpoint(),
+           "GET / HTTP/1.1\r\nHost: a\r\nX-Camphor-Control: hello\r\n"
+           "X-Camphor-Nonce: 1\r\n\r\n");
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200 ")) << response;
+  EXPECT_EQ(Metric("h1", "handshakes_late"), 1U);
+}
+
+// Guards against a time limit that closes connections of hosts: they live on
+// after it.
+TEST_F(ProxyLimitsTest, HostHasProvedItself_StaysConnected) {
+  AddTarget("h2", "t1", [](const HttpExchange& exchange) {
+    exchange.Respond({.body = "ok"});
+  });
+  StartHosts({.handshake_timeout = Milliseconds(200)});
+  for (int call = 0; call < 3; ++call) {
+    const auto response = Call({.method = "GET", .target = "/get"});
+    ASSERT_TRUE(response.has_value());
+    EXPECT_EQ(response->status, 200);
+    std::this_thread::sleep_for(Milliseconds(300));
+  }
+  EXPECT_EQ(Metric("h2", "handshakes_late"), 0U);
+}
+
+// Guards against strangers that keep hosts from connecting: with one place for
+// handshakes, each newer one displaces the one before.
+TEST_F(ProxyLimitsTest, StrangersHoldThePlaces_HostStillConnects) {
+  AddTarget("h2", "t1", [](const HttpExchange& exchange) {
+    exchange.Respond({.body = "ok"});
+  });
+  StartHosts({.forward_connections = 2});
+  const Endpoint to = proxies_["h2"]->forward_endpoint();
+  asio::io_context io;
+  std::list<tcp::socket> strangers;
+  for (int index = 0; index < 5; ++index) {
+    strangers.emplace_back(io).connect(
+        {asio::ip::make_address(to.address), to.port});
+  }
+  const auto response = Call({.method = "GET", .target = "/get"});
+  ASSERT_TRUE(response.has_value());
+  EXPECT_EQ(response->status, 200);
+  EXPECT_GE(Metric("h2", "handshakes_displaced"), 4U);
+}
+
 TEST_F(ProxyLimitsTest, PipelinedRequests_AreAnsweredInOrder) {
   AddTarget("h1", "t1", [](const HttpExchange& exchange) {
     exchange.Respond({.body = exchange.request().target});
