Bound what strangers hold on the mesh port

A peer may send or announce 16 KiB until it has authenticated; before, it could make the host hold a frame of 8 MB for each connection. Peers that have not authenticated have places of their own, and the oldest gives way, so that they can not keep hosts from connecting.

--- a/mesh/counting_stream.h
+++ b/mesh/counting_stream.h
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
+#include <optional>
 
 namespace camphor {
 
@@ -14,12 +16,21 @@
   std::atomic<std::uint64_t> received{0};  ///< bytes read from sockets
 };
 
-/// Stream wrapper that counts the bytes read and written. Internal to mesh.
+/// Stream wrapper that counts the bytes read and written, and can limit the
+/// bytes read. Internal to mesh.
 class CountingStream final : public kj::AsyncIoStream {
  public:
   /// @pre `counters` outlives this object.
   CountingStream(kj::Own<kj::AsyncIoStream> inner, ByteCounters& counters);
 
+  /// From now on, at most `bytes` can be read. A read that needs more fails at
+  /// once, so that no announced size makes this host wait for more, and calls
+  /// `on_exceeded`.
+  void LimitReceived(std::uint64_t bytes, std::function<void()> on_exceeded);
+
+  /// Ends the limit.
+  void LiftReceiveLimit();
+
   kj::Promise<size_t> tryRead(void* buffer, size_t min_bytes,
                               size_t max_bytes) override;
   kj::Promise<void> write(const void* buffer, size_t size) override;
@@ -32,6 +43,8 @@
  private:
   kj::Own<kj::AsyncIoStream> inner_;
   ByteCounters& counters_;
+  std::optional<std::uint64_t> receivable_;  ///< bytes left; nullopt: no limit
+  std::function<void()> on_exceeded_;
 };
 
 }  // namespace camphor
--- a/mesh/mesh_listener.cc
+++ b/mesh/mesh_listener.cc
@@ -3,7 +3,11 @@
 #include <capnp/message.h>
 #include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
+#include <netdb.h>
+#include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "mesh/handshake.h"
@@ -33,6 +37,9 @@
   bool authenticated = false;
   bool refused = false;
   kj::TimePoint last_used;
+  std::function<bool()> admit{};  ///< called when the proof was verified;
+                                  ///< returns false if too many hosts are
+                                  ///< connected
   HandshakeTranscript transcript{};
   Endpoint peer{};
 };
@@ -94,6 +101,8 @@
         ProofsEqual(ToString(context.getParams().getProof()),
                     ClientProof(session_->key, session_->transcript));
     if (!valid_proof) Refuse("client proof does not match the mesh key");
+    if (!session_->authenticated && !session_->admit())
+      Refuse("too many hosts are connected");
     session_->authenticated = true;
     context.getResults().setInbox(kj::heap<InboxServer>(session_));
     return kj::READY_NOW;
@@ -115,6 +124,22 @@
   return options;
 }
 
+/// Returns the IP address of the peer without its port; empty if the connection
+/// is already gone.
+std::string PeerAddress(kj::AsyncIoStream& stream) {
+  sockaddr_storage peer{};
+  kj::uint size = sizeof(peer);
+  std::array<char, NI_MAXHOST> text{};
+  const kj::Maybe<kj::Exception> failure = kj::runCatchingExceptions(
+      [&] { stream.getpeername(reinterpret_cast<sockaddr*>(&peer), &size); });
+  if (failure != nullptr ||
+      getnameinfo(reinterpret_cast<const sockaddr*>(&peer), size, text.data(),
+                  text.size(), nullptr, 0, NI_NUMERICHOST) != 0) {
+    return {};
+  }
+  return text.data();
+}
+
 }  // namespace
 
 struct MeshListener::Connection {
@@ -130,6 +155,7 @@
   capnp::TwoPartyVatNetwork network;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpc;
   bool closed = false;
+  PendingHandshakes::Place handshake{};  ///< held until authenticated
   kj::Promise<void> disconnect_watch = kj::NEVER_DONE;
 };
 
@@ -157,10 +183,7 @@
 }
 
 void MeshListener::AddConnection(kj::Own<kj::AsyncIoStream> stream) {
-  if (connections_.size() >= options_.max_connections) {
-    counters_.refused.fetch_add(1, std::memory_order_relaxed);
-    return;
-  }
+  const std::string address = PeerAddress(*stream);
   auto session = std::make_shared<PeerSession>(
       PeerSession{.key = options_.key,
                   .counters = counters_,
@@ -170,8 +193,47 @@
   auto connection = std::make_shared<Connection>(
       kj::heap<CountingStream>(kj::mv(stream), counters_.bytes),
       std::move(session));
-  WatchDisconnect(*connection);
+  Connection& added = *connection;
+  added.session->admit = [this, &added] { return AdmitHost(added); };
+  added.stream->LimitReceived(options_.max_handshake_bytes, [this] {
+    counters_.too_long.fetch_add(1, std::memory_order_relaxed);
+    OnLimit(MeshLimit::kHandshakeTooLong);
+  });
+  WatchDisconnect(added);
   connections_.push_back(std::move(connection));
+  handshakes_.SetPlaces(PendingHandshakes::PlacesBeside(
+      CountHosts(), options_.max_connections, options_.max_pending_handshakes));
+  added.handshake =
+      handshakes_.Take(address, [this, &added] { Displace(added); });
+}
+
+bool MeshListener::AdmitHost(Connection& connection) {
+  if (CountHosts() >= options_.max_connections) {
+    OnLimit(MeshLimit::kConnectionsRefused);
+    return false;
+  }
+  connection.handshake = {};
+  connection.stream->LiftReceiveLimit();
+  return true;
+}
+
+void MeshListener::Displace(const Connection& connection) {
+  counters_.displaced.fetch_add(1, std::memory_order_relaxed);
+  OnLimit(MeshLimit::kHandshakeDisplaced);
+  std::erase_if(connections_, [&](const std::shared_ptr<Connection>& open) {
+    return open.get() == &connection;
+  });
+}
+
+std::size_t MeshListener::CountHosts() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      connections_, [](const std::shared_ptr<Connection>& connection) {
+        return connection->session->authenticated;
+      }));
+}
+
+void MeshListener::OnLimit(MeshLimit limit) const {
+  if (options_.on_limit) options_.on_limit(limit);
 }
 
 void MeshListener::WatchDisconnect(Connection& watched) {
--- a/mesh/mesh_transport.cc
+++ b/mesh/mesh_transport.cc
@@ -75,10 +75,14 @@
         io.provider->getNetwork()
             .parseAddress(options.listen.address.c_str(), options.listen.port)
             .wait(io.waitScope);
-    MeshListener listener({.key = options.key,
-                           .max_connections = options.max_connections,
-                           .on_message = options.on_message},
-                          address->listen(), io.provider->getTimer(), counters);
+    MeshListener listener(
+        {.key = options.key,
+         .max_connections = options.max_connections,
+         .max_pending_handshakes = options.max_pending_handshakes,
+         .max_handshake_bytes = options.max_handshake_bytes,
+         .on_message = options.on_message,
+         .on_limit = options.on_limit},
+        address->listen(), io.provider->getTimer(), counters);
     listen_endpoint = {.address = options.listen.address,
                        .port = static_cast<std::uint16_t>(listener.port())};
     advertised_endpoint =
@@ -186,6 +190,8 @@
   return {.bytes_sent = counters.bytes.sent,
           .bytes_received = counters.bytes.received,
           .handshakes_refused = counters.refused,
+          .handshakes_displaced = counters.displaced,
+          .handshakes_too_long = counters.too_long,
           .messages_dropped = counters.dropped,
           .messages_malformed = counters.malformed,
           .bytes_by_purpose = counters.by_purpose};
--- a/mesh/mesh_transport.h
+++ b/mesh/mesh_transport.h
@@ -9,6 +9,7 @@
 
 #include "core/base/endpoint.h"
 #include "core/replication/mesh_message.h"
+#include "mesh/mesh_limit.h"
 
 namespace camphor {
 
@@ -32,12 +33,21 @@
     std::size_t max_connections =
         256;  ///< maximum connections in each direction; neighbours need about
               ///< a dozen, the others are for hosts that join
+    std::size_t max_pending_handshakes =
+        128;  ///< maximum connections of peers that have not authenticated; see
+              ///< PendingHandshakes::PlacesBeside
+    std::uint64_t max_handshake_bytes =
+        16 * 1024;  ///< a peer sends no more before it has authenticated; a
+                    ///< host sends less than 1 KiB
     std::function<void(const Endpoint&, MeshMessage)>
         on_message{};  ///< called with the sender and its message
     std::function<void(const Endpoint&, bool)>
         on_peer_state{};  ///< called with true when a peer was connected, and
                           ///< with false when connecting failed or the
                           ///< connection was lost
+    std::function<void(MeshLimit)>
+        on_limit{};  ///< called when a limit on incoming connections took
+                     ///< effect, for logging; null when disabled
   };
 
   /// Counters of the transport, for metrics and the state dump. Immutable value
@@ -48,6 +58,11 @@
     std::uint64_t handshakes_refused =
         0;  ///< because of the key, the protocol version, a malformed or
             ///< incomplete handshake, or too many connections
+    std::uint64_t handshakes_displaced =
+        0;  ///< connections closed before they authenticated, for newer ones
+    std::uint64_t handshakes_too_long =
+        0;  ///< connections closed because their peer sent or announced more
+            ///< than a handshake needs
     std::uint64_t messages_dropped =
         0;  ///< because the peer was unreachable or a limit was reached
     std::uint64_t messages_malformed =
--- a/mesh/transport_counters.h
+++ b/mesh/transport_counters.h
@@ -16,6 +16,10 @@
 struct TransportCounters {
   ByteCounters bytes{};                   ///< bytes transferred over sockets
   std::atomic<std::uint64_t> refused{0};  ///< handshakes refused
+  std::atomic<std::uint64_t> displaced{
+      0};  ///< unauthenticated connections closed in favour of newer ones
+  std::atomic<std::uint64_t> too_long{
+      0};  ///< connections closed for the length of their handshake
   std::atomic<std::uint64_t> dropped{0};  ///< messages dropped
   std::atomic<std::uint64_t> malformed{
       0};                      ///< messages that could not be decoded
--- a/unit_tests/mesh/mesh_transport_test.cc
+++ b/unit_tests/mesh/mesh_transport_test.cc
@@ -3,8 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <boost/asio.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -185,6 +187,47 @@
   EXPECT_TRUE(host.WaitReceived(2));
 }
 
+/// A stranger that connects to a mesh port and sends bytes.
+class Stranger {
+ public:
+  explicit Stranger(const Endpoint& to, const std::string& bytes = {}) {
+    socket_.connect({boost::asio::ip::make_address(to.address), to.port});
+    boost::asio::write(socket_, boost::asio::buffer(bytes));
+  }
+
+  /// Waits until the peer closes the connection.
+  void AwaitClosed() {
+    std::string received;
+    boost::system::error_code error;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(received), error);
+  }
+
+ private:
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::socket socket_{io_};
+};
+
+// Guards against strangers that hold all places: hosts still connect.
+TEST(MeshTransportSend, StrangersHoldThePlaces_IsDelivered) {
+  TestHost host("key", 0, 2);
+  std::list<Stranger> strangers;
+  for (int index = 0; index < 5; ++index)
+    strangers.emplace_back(host.endpoint());
+  TestHost other("key");
+  other.transport().Send(host.endpoint(), kHeartbeat);
+  EXPECT_TRUE(host.WaitReceived(1));
+  EXPECT_GE(host.transport().counters().handshakes_displaced, 4U);
+}
+
+// Guards against a stranger that announces a large frame and sends it slowly.
+TEST(MeshTransportSend, FrameLongerThanHandshake_IsClosedAndCounted) {
+  TestHost host("key");
+  // One segment of 65,536 words.
+  Stranger stranger(host.endpoint(), std::string("\0\0\0\0\0\0\1\0", 8));
+  stranger.AwaitClosed();
+  EXPECT_EQ(host.transport().counters().handshakes_too_long, 1U);
+}
+
 TEST(MeshTransportStart, PortInUse_FailsWithReason) {
   TestHost left("key");
   TestHost right("key", left.endpoint().port);
