Set, log and count the limits on handshakes; document them

Adds proxy.pending_handshakes, proxy.handshake_ms, mesh.pending_handshakes and mesh.handshake_bytes.

--- a/node/log/limit_log.cc
+++ b/node/log/limit_log.cc
@@ -10,11 +10,15 @@
 }
 
 void LimitLog::Write(ProxyLimit limit, MonoTime now) {
+  Write(ProxyLimitText(limit), now);
+}
+
+void LimitLog::Write(std::string_view text, MonoTime now) {
   if (!budget_.Take(1, now)) {
     ++suppressed_;
     return;
   }
-  options_.log->Log(LogLevel::kWarning, options_.part, ProxyLimitText(limit),
+  options_.log->Log(LogLevel::kWarning, options_.part, text,
                     {{"left_out", suppressed_}});
 }
 
--- a/node/log/limit_log.h
+++ b/node/log/limit_log.h
@@ -28,6 +28,9 @@
   /// Logs one use of a limit.
   void Write(ProxyLimit limit, MonoTime now);
 
+  /// Logs one use of a limit that `text` describes.
+  void Write(std::string_view text, MonoTime now);
+
  private:
   Options options_;
   TokenBucket budget_;
--- a/node/metrics/node_metrics.cc
+++ b/node/metrics/node_metrics.cc
@@ -88,6 +88,12 @@
   out.Counter("camphor_mesh_handshakes_refused_total",
               "Handshakes refused: wrong key or protocol version.",
               static_cast<double>(mesh.handshakes_refused));
+  out.Counter("camphor_mesh_handshakes_displaced_total",
+              "Connections closed before they authenticated, for newer ones.",
+              static_cast<double>(mesh.handshakes_displaced));
+  out.Counter("camphor_mesh_handshakes_too_long_total",
+              "Connections closed for the length of their handshake.",
+              static_cast<double>(mesh.handshakes_too_long));
   out.Counter("camphor_mesh_messages_dropped_total",
               "Messages dropped because the peer was unreachable.",
               static_cast<double>(mesh.messages_dropped));
--- a/node/node.cc
+++ b/node/node.cc
@@ -108,6 +108,7 @@
         limiter({.random_seed = incarnation}),
         limit_log({.log = &log, .part = "proxy"}),
         admin_limit_log({.log = &log, .part = "admin"}),
+        mesh_limit_log({.log = &log, .part = "mesh"}),
         admin(AdminOptions()),
         decisions(DecisionOptions()),
         proxy(ProxyOptions()),
@@ -132,6 +133,7 @@
                              ///< thread reads its use and stores grants
   LimitLog limit_log;        ///< used on the proxy thread
   LimitLog admin_limit_log;  ///< used on the admin thread
+  LimitLog mesh_limit_log;   ///< used on the mesh thread
   Published<TargetAddresses> addresses;
 
   // Members are destroyed in reverse order: callers before the components that
@@ -256,6 +258,8 @@
                      LimitToDescriptors(settings.proxy.caller_connections, 2),
                  .forward_connections =
                      LimitToDescriptors(settings.proxy.forward_connections, 4),
+                 .pending_handshakes = settings.proxy.pending_handshakes,
+                 .handshake_timeout = settings.proxy.handshake_timeout,
                  .retry_ratio = settings.proxy.retry_ratio,
                  .retry_burst = settings.proxy.retry_burst,
                  .hedge_share = settings.proxy.hedge_share,
@@ -287,6 +291,8 @@
   return {.listen = settings.mesh_listen,
           .advertise = settings.mesh_advertise,
           .key = settings.mesh_key,
+          .max_pending_handshakes = settings.mesh.pending_handshakes,
+          .max_handshake_bytes = settings.mesh.handshake_bytes,
           .on_message =
               [this](const Endpoint& from, MeshMessage message) {
                 // Share the message, because tasks are copied into the ring.
@@ -301,6 +307,10 @@
                 decisions.Post(Source::kMesh, [this, peer, connected] {
                   controller->OnPeerState(peer, connected, Now());
                 });
+              },
+          .on_limit =
+              [this](MeshLimit limit) {
+                mesh_limit_log.Write(MeshLimitText(limit), Now());
               }};
 }
 
--- a/node/node_report.cc
+++ b/node/node_report.cc
@@ -90,6 +90,8 @@
   return {{"bytes_sent", counters.bytes_sent},
           {"bytes_received", counters.bytes_received},
           {"handshakes_refused", counters.handshakes_refused},
+          {"handshakes_displaced", counters.handshakes_displaced},
+          {"handshakes_too_long", counters.handshakes_too_long},
           {"messages_dropped", counters.messages_dropped},
           {"bytes_by_purpose", std::move(by_purpose)}};
 }
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -14,6 +14,8 @@
 constexpr std::int64_t kMinBufferBytes = 1024 * 1024;
 constexpr std::int64_t kMaxBufferBytes = 1LL << 40;
 constexpr std::int64_t kMaxConnections = 1'000'000;
+/// Four times what a host sends.
+constexpr std::int64_t kMinHandshakeBytes = 4 * 1024;
 constexpr std::int64_t kMaxHeaderFields = 1'000'000;
 
 /// All arrivals beyond the first of each request, retries included, may be at
@@ -195,6 +197,14 @@
     admin.body_bytes = static_cast<std::uint32_t>(
         part.Integer("body_bytes", 1024, 64 * 1024 * 1024, admin.body_bytes));
   });
+  fields.Object("mesh", [&](JsonFields& part) {
+    MeshSettings& mesh = settings.mesh;
+    mesh.pending_handshakes = static_cast<std::uint32_t>(part.Integer(
+        "pending_handshakes", 1, kMaxConnections, mesh.pending_handshakes));
+    mesh.handshake_bytes = static_cast<std::uint32_t>(
+        part.Integer("handshake_bytes", kMinHandshakeBytes, 8 * 1024 * 1024,
+                     mesh.handshake_bytes));
+  });
   fields.Object("replication", [&](JsonFields& part) {
     ReadReplication(part, settings.replication);
   });
@@ -222,6 +232,11 @@
     settings.proxy.forward_connections = static_cast<std::uint32_t>(
         part.Integer("forward_connections", 1, kMaxConnections,
                      settings.proxy.forward_connections));
+    settings.proxy.pending_handshakes = static_cast<std::uint32_t>(
+        part.Integer("pending_handshakes", 1, kMaxConnections,
+                     settings.proxy.pending_handshakes));
+    settings.proxy.handshake_timeout = ReadMilliseconds(
+        part, "handshake_ms", 100, settings.proxy.handshake_timeout);
     settings.proxy.header_fields = static_cast<std::uint32_t>(part.Integer(
         "header_fields", 0, kMaxHeaderFields, settings.proxy.header_fields));
   });
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -65,6 +65,14 @@
       4 * 1024 * 1024;  ///< maximum size of a request body
 };
 
+/// Limits of the mesh listener.
+struct MeshSettings {
+  std::uint32_t pending_handshakes =
+      128;  ///< maximum connections of peers that have not authenticated
+  std::uint32_t handshake_bytes =
+      16 * 1024;  ///< a peer sends no more before it has authenticated
+};
+
 /// Timing of rollouts.
 struct RolloutSettings {
   Milliseconds evaluation_interval{
@@ -94,7 +102,11 @@
                          ///< listener
   std::uint32_t caller_connections = 4096;  ///< maximum open caller connections
   std::uint32_t forward_connections =
-      4096;                         ///< maximum open connections of other hosts
+      4096;  ///< maximum open connections of other hosts
+  std::uint32_t pending_handshakes =
+      2048;  ///< maximum connections to the forward listener of peers that have
+             ///< not authenticated; at most half of them
+  Milliseconds handshake_timeout{15'000};  ///< for authenticating there
   std::uint32_t header_fields = 0;  ///< maximum header fields of a request; 0:
                                     ///< as many as the header's size allows
 };
@@ -128,6 +140,7 @@
   TeamSettings teams{};        ///< revocation of keys
   PlatformSettings polling{};  ///< polling of the platform
   AdminSettings admin{};       ///< limits of the admin listener
+  MeshSettings mesh{};         ///< limits of the mesh listener
   RolloutSettings rollout{};   ///< timing of rollouts
   ProxySettings proxy{};       ///< debug headers, retries, connections
   ReplicatorSettings replication{};  ///< limits and periods of the mesh
--- a/unit_tests/node/settings/settings_test.cc
+++ b/unit_tests/node/settings/settings_test.cc
@@ -131,5 +131,27 @@
   EXPECT_TRUE(HasError(reader, "mesh_advertise"));
 }
 
+TEST(SettingsReaderRead, HandshakeLimits_ReadAndChecked) {
+  SettingsReader reader;
+  const auto defaults = reader.Read(kMinimalSettings);
+  ASSERT_TRUE(defaults.has_value());
+  EXPECT_EQ(defaults->mesh.handshake_bytes, 16384U);
+  EXPECT_EQ(defaults->proxy.handshake_timeout, Milliseconds(15'000));
+  const auto lowered = reader.Read(
+      With("\"mesh_key\"",
+           "\"mesh\": {\"pending_handshakes\": 7, \"handshake_bytes\": 4096}, "
+           "\"proxy\": {\"pending_handshakes\": 9, \"handshake_ms\": 100}, "
+           "\"mesh_key\""));
+  ASSERT_TRUE(lowered.has_value());
+  EXPECT_EQ(lowered->mesh.pending_handshakes, 7U);
+  EXPECT_EQ(lowered->mesh.handshake_bytes, 4096U);
+  EXPECT_EQ(lowered->proxy.pending_handshakes, 9U);
+  EXPECT_EQ(lowered->proxy.handshake_timeout, Milliseconds(100));
+  EXPECT_FALSE(reader.Read(With(
+      "\"mesh_key\"", "\"mesh\": {\"handshake_bytes\": 4095}, \"mesh_key\"")));
+  ASSERT_EQ(reader.errors().size(), 1U);
+  EXPECT_EQ(reader.errors().front().field, "mesh.handshake_bytes");
+}
+
 }  // namespace
 }  // namespace camphor
