--- a/stand_ins/http/http_connection.cc
+++ b/stand_ins/http/http_connection.cc
@@ -131,6 +131,7 @@
   if (state.Run()) return state.Fail("cannot send to");
   http::response_parser<http::string_body> parser;
   parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+  if (request.method == "HEAD") parser.skip(true);
   http::async_read(
       state.stream, state.buffer, parser,
       [&](error_code result, std::size_t) { state.error = result; });
--- a/stand_ins/http/http_server.cc
+++ b/stand_ins/http/http_server.cc
@@ -151,7 +151,10 @@
     message_.keep_alive(keep_alive_);
     const bool chunked = response->chunked;
     message_.body() = std::move(response->body);
-    if (chunked) {
+    if (exchange_->request.method == "HEAD") {
+      message_.content_length(message_.body().size());
+      message_.body().clear();
+    } else if (chunked) {
       message_.chunked(true);
     } else {
       message_.prepare_payload();
--- a/unit_tests/stand_ins/target/target_stand_in_test.cc
+++ b/unit_tests/stand_ins/target/target_stand_in_test.cc
@@ -41,6 +41,26 @@
   }
 }
 
+// Guards against a body after the response to HEAD, which the next response on
+// the connection would be mistaken for.
+TEST_F(TargetStandInTest, HeadRequest_GetsLengthWithoutBody) {
+  for (const char* chunked : {"", "1"}) {
+    HttpResponse answer = Call({.method = "HEAD",
+                                .target = "/x",
+                                .fields = {{"X-Request-Id", "r8"},
+                                           {"X-Answer-Bytes", "100"},
+                                           {"X-Answer-Chunked", chunked}}});
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.fields["content-length"], "100");
+    EXPECT_EQ(answer.body, "");
+    answer =
+        Call({.method = "GET",
+              .target = "/x",
+              .fields = {{"X-Request-Id", "r9"}, {"X-Answer-Bytes", "100"}}});
+    EXPECT_EQ(answer.body, AnswerBody("r9", 100));
+  }
+}
+
 TEST_F(TargetStandInTest, AllSlotsInUse_ShedsRequestAsNotRun) {
   std::promise<void> ended;
   std::thread first([&] {
