--- a/harness/fuzz/request_fuzzer.cc
+++ b/harness/fuzz/request_fuzzer.cc
@@ -34,7 +34,7 @@
 
 std::string RandomBytes(RandomChoice& choice, std::size_t count) {
   // Bytes on which parsers of HTTP decide are more likely than others.
-  constexpr std::string_view kDelimiters("\r\n\t :;,\"0\0aF\x7f\xff", 15);
+  constexpr std::string_view kDelimiters("\r\n\t :;,\"0\0aF\x7f\xff\0", 15);
   std::string bytes;
   while (bytes.size() < count) {
     bytes.push_back(choice.Chance(60) ? choice.OneOf(kDelimiters)
@@ -237,8 +237,7 @@
       "Transfer-Encoding: chunked, chunked",
       "Transfer-Encoding: identity",
       "Transfer-Encoding: xchunked",
-      "Transfer-Encoding: \x0b"
-      "chunked",
+      "Transfer-Encoding: \vchunked",
       "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
       "Transfer-Encoding: chunked\r\nContent-Length: 4"};
   if (choice.Chance(50)) {
@@ -433,13 +432,13 @@
     if (steps-- == 0) break;
     const std::size_t index = step.connection;
     switch (step.kind) {
-      case FuzzStep::Kind::kSend:
-        text += fmt::format(
-            "  {}: send {}\n", index,
-            Escape(std::string_view(fuzz_case.connections[index].bytes)
-                       .substr(sent[index], step.count)));
+      case FuzzStep::Kind::kSend: {
+        const std::string_view bytes = fuzz_case.connections[index].bytes;
+        text += fmt::format("  {}: send {}\n", index,
+                            Escape(bytes.substr(sent[index], step.count)));
         sent[index] += step.count;
         break;
+      }
       case FuzzStep::Kind::kPause:
         text += fmt::format("  pause {} ms\n", step.count);
         break;
--- a/harness/fuzz/response_stream.cc
+++ b/harness/fuzz/response_stream.cc
@@ -131,9 +131,9 @@
 }
 
 void ResponseStream::Report(const std::string& what) {
-  violations_.push_back(
-      fmt::format("{}, response {}: {}", what, responses_,
-                  std::string_view(bytes_).substr(0, kShownBytes)));
+  const std::string_view rest = bytes_;
+  violations_.push_back(fmt::format("{}, response {}: {}", what, responses_,
+                                    rest.substr(0, kShownBytes)));
 }
 
 }  // namespace camphor
