Answer a malformed body with 400 instead of taking it for a disconnect

A chunk that cannot be parsed in the part of a body that is read before the run broke the connection off: the caller got no response, and earlier requests on the same connection were cancelled or their responses cut off.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -285,6 +285,11 @@
     co_await WriteError({.error = ProxyError::kTooLate});
   } else if (stalled_) {
     co_await WriteError({.error = ProxyError::kSlowRequest});
+  } else if (request.body->malformed()) {
+    // Not a disconnect: earlier requests still get their responses.
+    context_.metrics.Count(Counter::kBadRequests);
+    co_await WriteError({.head_request = request.is_head(),
+                         .detail = "malformed request body"});
   } else if (!closing_) {
     OnDisconnect();
   }
--- a/proxy/inbound_body.cc
+++ b/proxy/inbound_body.cc
@@ -53,6 +53,7 @@
     if (error == http::error::need_buffer) error = {};
     too_long_ = error == http::error::body_limit;
     sender_left_ = IsDisconnect(error);
+    malformed_ = IsHttpError(error) && !sender_left_ && !too_long_;
     if (error) co_return std::nullopt;
   }
   if (size > 0) consumed_ = true;
--- a/proxy/inbound_body.h
+++ b/proxy/inbound_body.h
@@ -33,8 +33,8 @@
   explicit InboundBody(Options options);
 
   /// Reads until the body is complete or `limit` bytes are buffered. Returns
-  /// false when the sender disconnects or stalls, the body exceeds its limit or
-  /// no buffers are free.
+  /// false when the sender disconnects or stalls, the body is malformed or
+  /// exceeds its limit, or no buffers are free.
   asio::awaitable<bool> Prefetch(std::size_t limit);
 
   /// Reads a chunk after the prefix; returns 0 at the end of the body,
@@ -56,6 +56,9 @@
   /// Returns true when the body exceeds the parser's limit.
   bool too_long() const { return too_long_; }
 
+  /// Returns true when reading failed because the body is malformed.
+  bool malformed() const { return malformed_; }
+
   /// Returns true when Prefetch() failed because no buffers are free.
   bool out_of_buffers() const { return out_of_buffers_; }
 
@@ -78,6 +81,7 @@
   bool complete_ = false;
   bool consumed_ = false;
   bool too_long_ = false;
+  bool malformed_ = false;
   bool out_of_buffers_ = false;
   bool sender_left_ = false;
 };
--- a/unit_tests/proxy/pipelining_test.cc
+++ b/unit_tests/proxy/pipelining_test.cc
@@ -403,6 +403,26 @@
   EXPECT_FALSE(WasRun("/get/2"));
 }
 
+// Guards against a malformed body that is taken for a disconnect, which cuts
+// off the responses of earlier requests.
+TEST_F(PipeliningTest, MalformedBodyBehindRequest_BothGetTheirOwnAnswer) {
+  AddHoldingTarget();
+  StartHosts();
+  RawCaller caller = ConnectCaller();
+  caller.Send(Get("/get/1") +
+              "POST /get/2 HTTP/1.1\r\nHost: a\r\n"
+              "Transfer-Encoding: chunked\r\n\r\nno size\r\n");
+  ASSERT_TRUE(WaitForRuns(1));
+  Release("/get/1");
+  const std::string text = caller.ReadToEnd();
+  ASSERT_TRUE(text.starts_with("HTTP/1.1 200")) << text;
+  const std::size_t second = EndOfResponses(text, 1);
+  ASSERT_NE(second, std::string::npos) << text;
+  EXPECT_TRUE(text.substr(second).starts_with("HTTP/1.1 400")) << text;
+  EXPECT_EQ(EndOfResponses(text, 2), text.size()) << text;
+  EXPECT_FALSE(WasRun("/get/2"));
+}
+
 TEST_F(PipeliningTest, RequestAsksToClose_NothingBehindItIsRun) {
   AddHoldingTarget();
   StartHosts();
