--- a/unit_tests/platform/operator_tables_test.cc
+++ b/unit_tests/platform/operator_tables_test.cc
@@ -58,6 +58,7 @@
   const RouteRule& single_pool_route = tables->routes[1];
   EXPECT_FALSE(single_pool_route.repeatable);
   EXPECT_FALSE(single_pool_route.at_most_once);
+  EXPECT_FALSE(single_pool_route.hedge_share);
   EXPECT_EQ(single_pool_route.pool, PoolName("a"));
   EXPECT_EQ(tables->pools[0].connections_per_target, 110U);
   EXPECT_EQ(tables->limits.body_bytes, 1000U);
