--- a/core/config/table_rows.cc
+++ b/core/config/table_rows.cc
@@ -21,8 +21,10 @@
 constexpr std::int64_t kMaxWeight = 1'000'000;
 constexpr double kMaxColdRate = 1e6;
 
-// Shares are rounded to a millionth. The parser is exact for numbers of up to
-// 15 digits only, and with a longer one each host would compute another digest.
+// Shares are rounded to a millionth, so that they keep their digest however
+// often they are written and read: the parser reads numbers of up to 15 digits
+// exactly, but about one in ten of the random doubles from 0 to 1 as another
+// one.
 constexpr double kShareSteps = 1e6;
 
 RolloutSpec ReadRollout(JsonFields& fields) {
