Report used quota credit early

A team that used its rate evenly and then rose to five times as much on other hosts got up to 1.10 times its limit in a window, although all hosts were connected: each host has credit for half of the bucket, and the use of half a second went unreported. A host now also reports when an eighth of its credit is used, and compares its use with what the last period makes likely until now.

--- a/core/quota/quota_limiter.cc
+++ b/core/quota/quota_limiter.cc
@@ -23,11 +23,17 @@
 constexpr double kMinBurstSeconds = 2;
 constexpr double kMinBurst = 3;
 
-// A rise of a team's use above this multiple of the last period's, by more than
-// this many requests, is reported early. Less is noise.
+// A rise of a team's use above this multiple of what the last period's use
+// makes likely until now, by more than this many requests, is reported early.
+// Less is noise.
 constexpr double kRise = 1.5;
 constexpr double kRiseRequests = 3;
 
+// A host that has used this part of its credit reports early. All hosts with
+// demand have credit at once; what they use in half a second without a report
+// exceeded the limit by up to 9% when a team rose to five times its rate.
+constexpr double kCreditPart = 0.125;
+
 // How long an idle host that has lost contact keeps a limit.
 constexpr Seconds kLimitHold{15};
 
@@ -200,12 +206,22 @@
   return reportable;
 }
 
-std::vector<TeamHash> QuotaLimiter::UrgentTeams() const {
+std::vector<TeamHash> QuotaLimiter::UrgentTeams(MonoTime now) const {
   std::vector<TeamHash> urgent;
   for (const auto& [hash, team] : teams_) {
     const bool first = team.demand > 0 && !team.reported;
-    if (first || team.demand > kRise * team.usual + kRiseRequests)
-      urgent.push_back(hash);
+    // While the team is not limited, the use of the whole period is too late a
+    // measure: a rise would be noticed when most of the tolerance is used up.
+    // A limited team gets rates by demand, which early reports make noisier.
+    const double elapsed =
+        team.limited ? 1
+                     : std::min(1.0, DoubleSeconds(now - team.period_start) /
+                                         DoubleSeconds(kQuotaReportPeriod));
+    const bool rises =
+        team.demand > kRise * elapsed * team.usual + kRiseRequests;
+    const bool uses_credit = team.demand > 0 && !team.limited &&
+                             team.tokens < (1 - kCreditPart) * team.credit;
+    if (first || rises || uses_credit) urgent.push_back(hash);
   }
   return urgent;
 }
--- a/core/quota/quota_limiter.h
+++ b/core/quota/quota_limiter.h
@@ -78,10 +78,10 @@
   std::vector<TeamUsage> TakeUsage(const std::vector<TeamHash>& of,
                                    MonoTime now);
 
-  /// Returns the teams with something to report, and those whose use rises so
-  /// fast that the report should not wait.
+  /// Returns the teams with something to report, and those whose report should
+  /// not wait because their use rises fast or has taken much of the credit.
   std::vector<TeamHash> ReportableTeams() const;
-  std::vector<TeamHash> UrgentTeams() const;
+  std::vector<TeamHash> UrgentTeams(MonoTime now) const;
 
   /// Takes over grants. `acknowledged` are the uses that they reply to.
   void OnGrants(const QuotaGrants& grants,
--- a/core/quota/quota_manager.cc
+++ b/core/quota/quota_manager.cc
@@ -152,7 +152,7 @@
   std::vector<TeamHash> urgent;
   options_.with_limiter([&](QuotaLimiter& limiter) {
     reportable = limiter.ReportableTeams();
-    urgent = limiter.UrgentTeams();
+    urgent = limiter.UrgentTeams(now);
   });
   std::map<std::size_t, std::vector<TeamHash>> by_shard;
   for (const TeamHash team : reportable)
--- a/unit_tests/core/quota/quota_manager_test.cc
+++ b/unit_tests/core/quota/quota_manager_test.cc
@@ -49,6 +49,30 @@
   }));
 }
 
+// Guards against reports that come too late when a team that has used its rate
+// evenly rises to five times as much on other hosts.
+TEST(QuotaManager, JumpAfterEvenUse_NoWindowExceedsTheLimit) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (const double rate : {100.0, 489.0}) {
+      const std::size_t hosts = 30 + seed;
+      QuotaSimulation simulation({.hosts = hosts,
+                                  .quota = {.rate = rate, .burst = rate},
+                                  .seed = seed});
+      const auto run = [&](std::size_t first, Seconds time, double demand) {
+        std::vector<double> weights(hosts, 0.001);
+        for (std::size_t index = first; index < hosts; index += 4)
+          weights[index] = 1;
+        simulation.SetWeights(weights);
+        simulation.Run(time, demand);
+      };
+      run(0, Seconds(4), rate);
+      run(1, Seconds(2), 0.9 * rate);
+      run(2, Seconds(4), 5 * rate);
+      EXPECT_LE(simulation.worst_window(), 1) << seed << ", rate " << rate;
+    }
+  }
+}
+
 // Guards against over-admission when the allocator's process ends or restarts
 // while the team is limited.
 TEST(QuotaManager, AllocatorLostOrRestarted_NoWindowExceedsTheLimit) {
