--- a/node/node.cc
+++ b/node/node.cc
@@ -169,6 +169,7 @@
           .connections = settings.admin.connections,
           .body_bytes = settings.admin.body_bytes,
           .buffer_bytes = AdminBufferBytes(settings),
+          .timeout = settings.admin.timeout,
           .on_limit =
               [this](ProxyLimit limit) { admin_limit_log.Write(limit, Now()); },
           .handle =
--- a/node/settings/settings.cc
+++ b/node/settings/settings.cc
@@ -196,6 +196,7 @@
         part.Integer("connections", 1, 10000, admin.connections));
     admin.body_bytes = static_cast<std::uint32_t>(
         part.Integer("body_bytes", 1024, 64 * 1024 * 1024, admin.body_bytes));
+    admin.timeout = ReadMilliseconds(part, "timeout_ms", 100, admin.timeout);
   });
   fields.Object("mesh", [&](JsonFields& part) {
     MeshSettings& mesh = settings.mesh;
--- a/node/settings/settings.h
+++ b/node/settings/settings.h
@@ -63,6 +63,8 @@
   std::uint32_t connections = 128;  ///< maximum open connections
   std::uint32_t body_bytes =
       4 * 1024 * 1024;  ///< maximum size of a request body
+  Milliseconds timeout{
+      30'000};  ///< limit for reading a request or writing a response
 };
 
 /// Limits of the mesh listener.
--- a/scenario_tests/untrusted_callers/slow_drips_test.cc
+++ b/scenario_tests/untrusted_callers/slow_drips_test.cc
@@ -25,8 +25,8 @@
 /// Only ends tests that hang. The time limits below are far lower.
 constexpr Milliseconds kMaxWait{75'000};
 
-/// The longest time that a connection of the admin listener may take for a
-/// request is 30 s; the limits of the callers' listener are here.
+/// Limits of the callers' listener. That of the admin listener is
+/// `admin.timeout_ms` of the settings.
 constexpr char kTables[] = R"({
   "routes": [{"name": "served", "path_prefix": "/served", "pool": "p1",
               "repeatable": true, "timeout_ms": 2000}],
@@ -183,7 +183,9 @@
   /// platform, and from the test.
   static constexpr std::size_t kMaxOwnDescriptors = 32;
 
-  void SetUp() override { StartFleet(R"("admin": {"connections": 256})"); }
+  void SetUp() override {
+    StartFleet(R"("admin": {"connections": 256, "timeout_ms": 3000})");
+  }
 };
 
 TEST_P(SlowDripsCrowd, NeverEndsByItself_ClosedAndOthersAreServed) {
@@ -232,7 +234,8 @@
   void SetUp() override {
     StartFleet(R"("proxy": {"buffer_bytes": 4194304,
                             "caller_connections": 256},
-                  "admin": {"connections": 64, "body_bytes": 1048576})");
+                  "admin": {"connections": 64, "body_bytes": 1048576,
+                            "timeout_ms": 3000})");
   }
 };
 
--- a/unit_tests/node/settings/settings_test.cc
+++ b/unit_tests/node/settings/settings_test.cc
@@ -153,5 +153,22 @@
   EXPECT_EQ(reader.errors().front().field, "mesh.handshake_bytes");
 }
 
+// Guards against a time limit of the admin listener that cannot be lowered, or
+// is so low that no request arrives in time.
+TEST(SettingsAdmin, Timeout_IsReadAndBounded) {
+  SettingsReader reader;
+  const auto defaults = reader.Read(kMinimalSettings);
+  ASSERT_TRUE(defaults.has_value());
+  EXPECT_EQ(defaults->admin.timeout, Milliseconds(30'000));
+  const auto lowered = reader.Read(
+      With("\"mesh_key\"", "\"admin\": {\"timeout_ms\": 100}, \"mesh_key\""));
+  ASSERT_TRUE(lowered.has_value());
+  EXPECT_EQ(lowered->admin.timeout, Milliseconds(100));
+  EXPECT_FALSE(reader.Read(
+      With("\"mesh_key\"", "\"admin\": {\"timeout_ms\": 99}, \"mesh_key\"")));
+  ASSERT_EQ(reader.errors().size(), 1U);
+  EXPECT_EQ(reader.errors().front().field, "admin.timeout_ms");
+}
+
 }  // namespace
 }  // namespace camphor
