--- a/unit_tests/proxy/placement_preview_test.cc
+++ b/unit_tests/proxy/placement_preview_test.cc
@@ -5,10 +5,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <chrono>
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/routing/routing_builder.h"
@@ -144,14 +144,16 @@
     ASSERT_TRUE(target);
     for (int request = 0; request < requests; ++request) {
       const MonoTime deadline = now_ + time_limit;
-      RequestControl& control =
-          controls_.emplace_back(context_->io->get_executor(), deadline);
+      // Owned by the coroutine: its timer must not outlive the io_context.
+      auto control = std::make_shared<RequestControl>(
+          context_->io->get_executor(), deadline);
       asio::co_spawn(
           *context_->io,
-          [](std::shared_ptr<LocalTarget> local, RequestControl& with,
+          [](std::shared_ptr<LocalTarget> local,
+             std::shared_ptr<RequestControl> with,
              MonoTime until) -> asio::awaitable<void> {
-            co_await local->AcquireSlot(with, Urgency::FromDeadline(until));
-          }(target, control, deadline),
+            co_await local->AcquireSlot(*with, Urgency::FromDeadline(until));
+          }(target, std::move(control), deadline),
           asio::detached);
       context_->io->restart();  // it stops whenever it is out of work
       context_->io->poll();
@@ -168,7 +170,6 @@
   std::map<std::uint64_t, PoisonRecord> poison_;
   QuotaLimiter limiter_{{}};
   EffectiveRoutingPtr routing_;
-  std::list<RequestControl> controls_;
   std::unique_ptr<ProxyContext> context_;
 };
 
