Share the checks of HTTP syntax of the preview

camphorctl and the admin listener each had their own check of tokens, header values, visible text and the name of the Host header.

--- a/ctl/commands/preview_request.cc
+++ b/ctl/commands/preview_request.cc
@@ -2,50 +2,28 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <boost/json.hpp>
 #include <cstddef>
 #include <string_view>
 #include <utility>
 
+#include "core/base/http_syntax.h"
+
 namespace camphor {
 namespace {
 
-/// Characters of a token of HTTP besides letters and digits.
-constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
-
 /// Longer heads are refused by every host (`maxHeaderBytes`).
 constexpr std::size_t kMaxHeadBytes = 64 * 1024;
 
-bool IsToken(std::string_view text) {
-  return !text.empty() && std::ranges::all_of(text, [](unsigned char letter) {
-    return (letter >= 'a' && letter <= 'z') ||
-           (letter >= 'A' && letter <= 'Z') ||
-           (letter >= '0' && letter <= '9') ||
-           kTokenMarks.find(static_cast<char>(letter)) !=
-               std::string_view::npos;
-  });
-}
-
 /// Returns true for a path without spaces and control characters.
 bool IsPath(std::string_view text) {
-  return text.starts_with('/') &&
-         std::ranges::all_of(text, [](unsigned char letter) {
-           return letter > ' ' && letter != 127;
-         });
+  return text.starts_with('/') && IsVisibleText(text);
 }
 
 /// Returns true for a host name or address, with or without a port.
 bool IsHost(std::string_view text) {
-  return !text.empty() && std::ranges::all_of(text, [](unsigned char letter) {
-    return letter > ' ' && letter != 127 && letter != '/';
-  });
-}
-
-bool IsHeaderValue(std::string_view text) {
-  return std::ranges::all_of(text, [](unsigned char letter) {
-    return letter == '\t' || (letter >= ' ' && letter != 127);
-  });
+  return !text.empty() && IsVisibleText(text) &&
+         text.find('/') == std::string_view::npos;
 }
 
 std::string_view Trim(std::string_view text) {
@@ -55,15 +33,6 @@
   return text.substr(first, text.find_last_not_of(kSpaces) + 1 - first);
 }
 
-bool NamesHost(std::string_view name) {
-  return std::ranges::equal(
-      name, std::string_view("host"), {}, [](unsigned char letter) {
-        return letter >= 'A' && letter <= 'Z'
-                   ? static_cast<char>(letter + ('a' - 'A'))
-                   : static_cast<char>(letter);
-      });
-}
-
 struct Header {
   std::string_view name;
   std::string_view value;
@@ -75,7 +44,7 @@
   if (colon == std::string_view::npos) return std::nullopt;
   const Header header{.name = line.substr(0, colon),
                       .value = Trim(line.substr(colon + 1))};
-  if (!IsToken(header.name) || !IsHeaderValue(header.value))
+  if (!IsHttpToken(header.name) || !IsHttpFieldValue(header.value))
     return std::nullopt;
   return header;
 }
@@ -98,7 +67,7 @@
 std::optional<boost::json::object> MakePreviewBody(const CtlOptions& options,
                                                    std::string& reason) {
   const std::string method = options.method.empty() ? "GET" : options.method;
-  if (!IsToken(method)) {
+  if (!IsHttpToken(method)) {
     reason = "--method: must be a method, such as GET";
     return std::nullopt;
   }
@@ -121,7 +90,7 @@
           fmt::format("--header: number {} must be \"Name: value\"", index + 1);
       return std::nullopt;
     }
-    if (NamesHost(header->name)) {
+    if (IsHostFieldName(header->name)) {
       reason = "--header: use --host for the Host header";
       return std::nullopt;
     }
@@ -161,7 +130,7 @@
   if (first == std::string::npos || first == last) return fail(kRequestLine);
   const std::string method = line.substr(0, first);
   const std::string path = line.substr(first + 1, last - first - 1);
-  if (!IsToken(method)) return fail(kRequestLine);
+  if (!IsHttpToken(method)) return fail(kRequestLine);
   if (line.substr(last + 1) != "HTTP/1.1")
     return fail("the version must be HTTP/1.1");
   if (!IsPath(path))
@@ -173,7 +142,7 @@
     if (bytes > kMaxHeadBytes) return fail("the head is longer than 64 KiB");
     const std::optional<Header> header = SplitHeader(line);
     if (!header) return fail("must be a header, such as Name: value");
-    if (!NamesHost(header->name)) {
+    if (!IsHostFieldName(header->name)) {
       Add(*header, headers);
       continue;
     }
--- a/node/admin/preview_message.cc
+++ b/node/admin/preview_message.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "core/base/http_syntax.h"
 #include "core/rollout/rollout_view.h"
 #include "node/json/record_json.h"
 
@@ -21,40 +22,12 @@
 using Key = PlacementPreview::Key;
 using Outcome = PlacementPreview::Outcome;
 
-/// Characters of a token of HTTP besides letters and digits.
-constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 constexpr std::size_t kMaxMethodLength = 64;
 constexpr std::size_t kMaxHostLength = 255;
 constexpr std::size_t kMaxPathLength = 16 * 1024;
 
-bool IsVisible(std::string_view text) {
-  return std::ranges::all_of(
-      text, [](unsigned char letter) { return letter > ' ' && letter != 127; });
-}
-
-/// Returns true for a token of HTTP, such as a method or the name of a header.
-bool IsToken(std::string_view text) {
-  return !text.empty() && std::ranges::all_of(text, [](unsigned char letter) {
-    return (letter >= 'a' && letter <= 'z') ||
-           (letter >= 'A' && letter <= 'Z') ||
-           (letter >= '0' && letter <= '9') ||
-           kTokenMarks.find(static_cast<char>(letter)) !=
-               std::string_view::npos;
-  });
-}
-
 bool IsHeaderValue(const value& text) {
-  return text.is_string() &&
-         std::ranges::all_of(text.get_string(), [](char letter) {
-           const auto byte = static_cast<unsigned char>(letter);
-           return letter == '\t' || (byte >= ' ' && byte != 127);
-         });
-}
-
-bool IsHost(std::string_view name) {
-  return std::ranges::equal(
-      name, std::string_view("host"), {},
-      [](unsigned char letter) { return static_cast<char>(letter | 0x20U); });
+  return text.is_string() && IsHttpFieldValue(text.get_string());
 }
 
 /// Reads the headers of a request. The messages contain no values.
@@ -66,7 +39,7 @@
   }
   for (const auto& member : headers.get_object()) {
     const std::string name(member.key());
-    if (!IsToken(name)) {
+    if (!IsHttpToken(name)) {
       errors.push_back(
           {.field = "headers",
            .message = "contains a name that is not a header name"});
@@ -76,7 +49,7 @@
       errors.push_back(
           {.field = "headers." + name, .message = std::move(message)});
     };
-    if (IsHost(name)) {
+    if (IsHostFieldName(name)) {
       report("must be given as host");
       continue;
     }
@@ -505,12 +478,12 @@
       .method = fields.String("method", {}, kMaxMethodLength),
       .host = fields.String("host", {}, kMaxHostLength),
       .path = fields.String("path", {}, kMaxPathLength)};
-  if (!request.method.empty() && !IsToken(request.method))
+  if (!request.method.empty() && !IsHttpToken(request.method))
     fields.Report("method", "must be a method, such as GET");
-  if (!IsVisible(request.host))
+  if (!IsVisibleText(request.host))
     fields.Report("host", "must not contain spaces");
   if (!request.path.empty() &&
-      (!request.path.starts_with('/') || !IsVisible(request.path)))
+      (!request.path.starts_with('/') || !IsVisibleText(request.path)))
     fields.Report("path", "must start with / and must not contain spaces");
   fields.Finish();
   if (headers != nullptr) ReadHeaders(*headers, request, errors);
