Share the fixture of the crowd tests

Start, usage, the ordinary request, readiness and the check that a crowd gets closed stood in three files.

--- a/scenario_tests/untrusted_callers/host_port_crowd_test.cc
+++ b/scenario_tests/untrusted_callers/host_port_crowd_test.cc
@@ -8,15 +8,12 @@
 #include <gtest/gtest.h>
 
 #include <cstdint>
-#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 
-#include "harness/fleet.h"
-#include "harness/process_usage.h"
 #include "harness/slow_crowd.h"
-#include "stand_ins/http/http_connection.h"
+#include "scenario_tests/untrusted_callers/crowd_test.h"
 
 namespace camphor {
 namespace {
@@ -174,21 +171,17 @@
 
 /// Two hosts with a target at the first, whose ports the crowd attacks; callers
 /// call at the second.
-class HostPortTest : public testing::TestWithParam<Conduct> {
+class HostPortTest : public CrowdTest,
+                     public testing::WithParamInterface<Conduct> {
  protected:
+  HostPortTest() : CrowdTest(kMaxWait) {}
+
   void SetUp() override {
-    fleet_ = std::make_unique<Fleet>(Fleet::Options{
-        .hosts = 2, .domains = 2, .seeds = 2, .extra_settings = kSettings});
-    ASSERT_TRUE(fleet_->StartPlatform() && fleet_->StartHosts())
-        << fleet_->last_reason();
-    ASSERT_TRUE(fleet_->StartTarget({.host = "h1", .pool = "p1"}))
-        << fleet_->last_reason();
+    StartFleet(
+        {.hosts = 2, .domains = 2, .seeds = 2, .extra_settings = kSettings});
+    ASSERT_FALSE(HasFatalFailure());
     ASSERT_TRUE(IsConfigurationDelivered());
-    ASSERT_TRUE(fleet_->AwaitTarget("t1", true, kMaxWait))
-        << fleet_->last_reason();
-    ASSERT_TRUE(IsOrdinaryRequestAnswered());
-    before_ = Usage();
-    ASSERT_TRUE(before_.has_value());
+    AwaitServed("h2");
   }
 
   /// Returns the options of a crowd on the port of the first host.
@@ -199,10 +192,6 @@
     return options;
   }
 
-  std::optional<ProcessUsage> Usage() {
-    return ProcessUsage::Read(fleet_->process("h1")->pid());
-  }
-
   /// Whether the first host gets what is applied at the second one.
   bool IsConfigurationDelivered() {
     std::optional<std::uint64_t> version;
@@ -214,39 +203,6 @@
                      }) &&
            fleet_->AwaitVersion(*version, kMaxWait);
   }
-
-  bool IsOrdinaryRequestAnswered() {
-    return WaitUntil(kMaxWait, [this] {
-      const auto response =
-          HttpConnection(fleet_->caller("h2"))
-              .Call({.method = "POST",
-                     .target = "/served/2",
-                     .fields = {{"host", "h"}, {"x-request-id", "r1"}},
-                     .body = "ordinary"});
-      return response.has_value() && response->status == 200;
-    });
-  }
-
-  bool IsReadinessAnswered() {
-    return WaitUntil(kMaxWait, [this] {
-      const auto response = HttpConnection(fleet_->admin("h1"))
-                                .Call({.method = "GET",
-                                       .target = "/readyz",
-                                       .fields = {{"host", "h"}}});
-      return response.has_value() && response->status == 200;
-    });
-  }
-
-  void ExpectMemoryWithinBound() {
-    const auto after = Usage();
-    ASSERT_TRUE(fleet_->process("h1")->running() && after.has_value());
-    RecordProperty("grown_bytes",
-                   std::to_string(after->peak_bytes - before_->peak_bytes));
-    EXPECT_LE(after->peak_bytes, before_->peak_bytes + kMaxGrowth);
-  }
-
-  std::unique_ptr<Fleet> fleet_;
-  std::optional<ProcessUsage> before_;
 };
 
 using HostPortCrowd = HostPortTest;
@@ -257,24 +213,11 @@
   SlowCrowd crowd(std::move(options));
   crowd.Start();
   crowd.AwaitStarted();
-  const auto during = Usage();
-  ASSERT_TRUE(during.has_value());
-  EXPECT_LE(during->descriptors,
-            before_->descriptors + kCrowd + kMaxOwnDescriptors);
-  EXPECT_TRUE(WaitUntil(kMaxWait,
-                        [this] {
-                          const auto usage = Usage();
-                          return usage.has_value() &&
-                                 usage->descriptors <=
-                                     before_->descriptors + kMaxOwnDescriptors;
-                        }))
-      << "still open: "
-      << Usage().value_or(ProcessUsage{}).descriptors - before_->descriptors;
-  EXPECT_EQ(crowd.opened(), kCrowd);
+  ExpectCrowdGetsClosed(crowd, kCrowd, kMaxOwnDescriptors);
   EXPECT_TRUE(IsOrdinaryRequestAnswered());
   EXPECT_TRUE(IsReadinessAnswered());
   ASSERT_TRUE(IsConfigurationDelivered()) << fleet_->last_reason();
-  ExpectMemoryWithinBound();
+  ExpectMemoryWithin(kMaxGrowth);
 }
 
 using HostPortFlood = HostPortTest;
@@ -300,7 +243,7 @@
   ASSERT_TRUE(IsConfigurationDelivered()) << fleet_->last_reason();
   EXPECT_TRUE(IsOrdinaryRequestAnswered());
   EXPECT_TRUE(IsReadinessAnswered());
-  ExpectMemoryWithinBound();
+  ExpectMemoryWithin(kMaxGrowth);
 }
 
 std::string NameOf(const testing::TestParamInfo<Conduct>& info) {
--- a/scenario_tests/untrusted_callers/slow_drips_test.cc
+++ b/scenario_tests/untrusted_callers/slow_drips_test.cc
@@ -5,16 +5,13 @@
 #include <gtest/gtest.h>
 
 #include <cstdint>
-#include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
-#include "harness/fleet.h"
-#include "harness/process_usage.h"
 #include "harness/slow_crowd.h"
-#include "stand_ins/http/http_connection.h"
+#include "scenario_tests/untrusted_callers/crowd_test.h"
 
 namespace camphor {
 namespace {
@@ -106,68 +103,25 @@
 
 /// One host with a target, and its usage before the crowd came.
 class SlowDripsTest
-    : public testing::Test,
+    : public CrowdTest,
       public testing::WithParamInterface<std::tuple<Conduct, Place>> {
  protected:
-  void StartFleet(std::string settings) {
-    fleet_ = std::make_unique<Fleet>(
-        Fleet::Options{.hosts = 1,
-                       .domains = 1,
-                       .seeds = 1,
-                       .extra_settings = std::move(settings)});
-    ASSERT_TRUE(fleet_->StartPlatform() && fleet_->StartHosts())
-        << fleet_->last_reason();
-    ASSERT_TRUE(fleet_->StartTarget({.host = "h1", .pool = "p1"}))
-        << fleet_->last_reason();
+  SlowDripsTest() : CrowdTest(kMaxWait) {}
+
+  void StartHost(std::string settings) {
+    StartFleet({.hosts = 1,
+                .domains = 1,
+                .seeds = 1,
+                .extra_settings = std::move(settings)});
+    ASSERT_FALSE(HasFatalFailure());
     ASSERT_TRUE(fleet_->Apply("h1", kTables)) << fleet_->last_reason();
-    ASSERT_TRUE(fleet_->AwaitTarget("t1", true, kMaxWait))
-        << fleet_->last_reason();
-    ASSERT_TRUE(IsOrdinaryRequestAnswered());
-    before_ = Usage();
-    ASSERT_TRUE(before_.has_value());
+    AwaitServed("h1");
   }
 
   Endpoint Listener(Place place) const {
     return place == Place::kReadinessPath ? fleet_->admin("h1")
                                           : fleet_->caller("h1");
   }
-
-  std::optional<ProcessUsage> Usage() {
-    return ProcessUsage::Read(fleet_->process("h1")->pid());
-  }
-
-  bool IsOrdinaryRequestAnswered() {
-    return WaitUntil(kMaxWait, [this] {
-      const auto response =
-          HttpConnection(fleet_->caller("h1"))
-              .Call({.method = "POST",
-                     .target = "/served/2",
-                     .fields = {{"host", "h"}, {"x-request-id", "r1"}},
-                     .body = "ordinary"});
-      return response.has_value() && response->status == 200;
-    });
-  }
-
-  bool IsReadinessAnswered() {
-    return WaitUntil(kMaxWait, [this] {
-      const auto response = HttpConnection(fleet_->admin("h1"))
-                                .Call({.method = "GET",
-                                       .target = "/readyz",
-                                       .fields = {{"host", "h"}}});
-      return response.has_value() && response->status == 200;
-    });
-  }
-
-  void ExpectMemoryWithin(std::uint64_t growth) {
-    const auto after = Usage();
-    ASSERT_TRUE(fleet_->process("h1")->running() && after.has_value());
-    RecordProperty("grown_bytes",
-                   std::to_string(after->peak_bytes - before_->peak_bytes));
-    EXPECT_LE(after->peak_bytes, before_->peak_bytes + growth);
-  }
-
-  std::unique_ptr<Fleet> fleet_;
-  std::optional<ProcessUsage> before_;
 };
 
 /// The crowd stays below the limits on connections and on buffers, so that only
@@ -184,7 +138,7 @@
   static constexpr std::size_t kMaxOwnDescriptors = 32;
 
   void SetUp() override {
-    StartFleet(R"("admin": {"connections": 256, "timeout_ms": 3000})");
+    StartHost(R"("admin": {"connections": 256, "timeout_ms": 3000})");
   }
 };
 
@@ -196,20 +150,7 @@
   SlowCrowd crowd(std::move(options));
   crowd.Start();
   crowd.AwaitStarted();
-  const auto during = Usage();
-  ASSERT_TRUE(during.has_value());
-  EXPECT_LE(during->descriptors,
-            before_->descriptors + kCrowd + kMaxOwnDescriptors);
-  EXPECT_TRUE(WaitUntil(kMaxWait,
-                        [this] {
-                          const auto usage = Usage();
-                          return usage.has_value() &&
-                                 usage->descriptors <=
-                                     before_->descriptors + kMaxOwnDescriptors;
-                        }))
-      << "still open: "
-      << Usage().value_or(ProcessUsage{}).descriptors - before_->descriptors;
-  EXPECT_EQ(crowd.opened(), kCrowd);
+  ExpectCrowdGetsClosed(crowd, kCrowd, kMaxOwnDescriptors);
   EXPECT_TRUE(IsOrdinaryRequestAnswered());
   EXPECT_TRUE(IsReadinessAnswered());
   ExpectMemoryWithin(kMaxGrowth);
@@ -232,7 +173,7 @@
       kCallerConnections + kAdminConnections + 64;
 
   void SetUp() override {
-    StartFleet(R"("proxy": {"buffer_bytes": 4194304,
+    StartHost(R"("proxy": {"buffer_bytes": 4194304,
                             "caller_connections": 256},
                   "admin": {"connections": 64, "body_bytes": 1048576,
                             "timeout_ms": 3000})");
--- a/scenario_tests/untrusted_callers/untrusted_callers_test.cc
+++ b/scenario_tests/untrusted_callers/untrusted_callers_test.cc
@@ -5,15 +5,12 @@
 #include <gtest/gtest.h>
 
 #include <cstdint>
-#include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
 
 #include "harness/caller_crowd.h"
-#include "harness/fleet.h"
-#include "harness/process_usage.h"
+#include "scenario_tests/untrusted_callers/crowd_test.h"
 #include "stand_ins/http/http_connection.h"
 
 namespace camphor {
@@ -143,57 +140,22 @@
 }
 
 /// One host with a target, and its usage before the crowd came.
-class UntrustedCallersTest : public testing::Test {
+class UntrustedCallersTest : public CrowdTest {
  protected:
+  UntrustedCallersTest() : CrowdTest(kMaxWait) {}
+
   void SetUp() override {
-    fleet_ = std::make_unique<Fleet>(
-        Fleet::Options{.hosts = 1,
-                       .domains = 1,
-                       .seeds = 1,
-                       .extra_settings = R"("proxy": {"buffer_bytes": 4194304,
+    StartFleet({.hosts = 1,
+                .domains = 1,
+                .seeds = 1,
+                .extra_settings = R"("proxy": {"buffer_bytes": 4194304,
                                        "caller_connections": 256},
                              "admin": {"connections": 64,
                                        "body_bytes": 1048576})"});
-    ASSERT_TRUE(fleet_->StartPlatform() && fleet_->StartHosts())
-        << fleet_->last_reason();
-    ASSERT_TRUE(fleet_->StartTarget({.host = "h1", .pool = "p1"}))
-        << fleet_->last_reason();
+    ASSERT_FALSE(HasFatalFailure());
     ASSERT_TRUE(fleet_->Apply("h1", kTables)) << fleet_->last_reason();
-    ASSERT_TRUE(fleet_->AwaitTarget("t1", true, kMaxWait))
-        << fleet_->last_reason();
-    ASSERT_TRUE(IsOrdinaryRequestAnswered());
-    before_ = Usage();
-    ASSERT_TRUE(before_.has_value());
-  }
-
-  std::optional<ProcessUsage> Usage() {
-    return ProcessUsage::Read(fleet_->process("h1")->pid());
-  }
-
-  bool IsOrdinaryRequestAnswered() {
-    return WaitUntil(kMaxWait, [this] {
-      const auto response =
-          HttpConnection(fleet_->caller("h1"))
-              .Call({.method = "POST",
-                     .target = "/served/2",
-                     .fields = {{"host", "h"}, {"x-request-id", "r1"}},
-                     .body = "ordinary"});
-      return response.has_value() && response->status == 200;
-    });
-  }
-
-  bool IsReadinessAnswered() {
-    return WaitUntil(kMaxWait, [this] {
-      const auto response = HttpConnection(fleet_->admin("h1"))
-                                .Call({.method = "GET",
-                                       .target = "/readyz",
-                                       .fields = {{"host", "h"}}});
-      return response.has_value() && response->status == 200;
-    });
+    AwaitServed("h1");
   }
-
-  std::unique_ptr<Fleet> fleet_;
-  std::optional<ProcessUsage> before_;
 };
 
 class UntrustedCallersCrowd
