--- a/unit_tests/core/routing/hedge_policy_test.cc
+++ b/unit_tests/core/routing/hedge_policy_test.cc
@@ -42,6 +42,12 @@
     }
   }
 
+  // Requests to all targets in turn that exceed the delay.
+  void MakePoolSlow() {
+    for (int request = 0; request < 20; ++request)
+      policy_.OnDelayPassed(At(targets_[request % targets_.size()]), now_);
+  }
+
   HedgePolicy::Candidate MakeCandidate() const {
     return {.attempt = At(targets_[0]),
             .repeatable = true,
@@ -133,8 +139,7 @@
 // Guards against more load on a pool that is slow because of its load.
 TEST_F(HedgeDecision, AllTargetsExceedTheDelay_PoolIsSlow) {
   Learn(policy_);
-  for (int request = 0; request < 20; ++request)
-    policy_.OnDelayPassed(At(targets_[request % targets_.size()]), now_);
+  MakePoolSlow();
   EXPECT_EQ(policy_.Decide(MakeCandidate(), retries_, now_),
             Verdict::kPoolSlow);
 }
@@ -308,8 +313,7 @@
 // Guards against early hedges that get past the rule on slow pools.
 TEST_F(HedgeDecision, PoolIsSlow_NoEarlyHedgeIsAllowed) {
   Learn(policy_);
-  for (int request = 0; request < 20; ++request)
-    policy_.OnDelayPassed(At(targets_[request % targets_.size()]), now_);
+  MakePoolSlow();
   HedgePolicy::Candidate candidate = MakeCandidate();
   candidate.early = true;
   candidate.relative_latency = 3;
@@ -320,8 +324,7 @@
 // were cancelled, they hadn't taken long enough to count as slow.
 TEST_F(HedgeDecision, AttemptsAreCancelledEarly_PoolStaysSlow) {
   Learn(policy_);
-  for (int request = 0; request < 20; ++request)
-    policy_.OnDelayPassed(At(targets_[request % targets_.size()]), now_);
+  MakePoolSlow();
   for (std::size_t request = 0; request < 100; ++request)
     policy_.OnEnded(At(targets_[request % targets_.size()]), kUsual, true,
                     now_);
