Use a neutral header name in the fuzzer

A name of the platform stood outside of its adapter. The fleet of the fuzzer knows no key header, so the field is one like any other; the new name has the same length, so that the cases keep their split offsets.

--- a/harness/fuzz/request_fuzzer.cc
+++ b/harness/fuzz/request_fuzzer.cc
@@ -108,7 +108,7 @@
   if (kind < 90) {
     if (choice.Chance(70)) {
       parts.fields.push_back(
-          fmt::format("X-Camphorhill-Key: {}",
+          fmt::format("X-Fuzzed-Team-Key: {}",
                       choice.Chance(50) ? "fuzz-key" : "other-key"));
     }
     return kFuzzKeyedPath;
