--- a/review/6/play.cc
+++ b/review/6/play.cpp
@@ -1,5 +1,5 @@
 // Case 6: requests wait at the node of a slow server while that server leaves.
-#include <players.h>
+#include <players.hpp>
 
 using namespace players;
 
@@ -8,10 +8,9 @@
 constexpr int kDrainMs = 2500;     // bounds.drainMs
 constexpr int kDeadlineMs = 5000;  // of the clients, and timeoutMs of the route
 const std::string kBody(24 * 1024, 'x');
-constexpr int kWorkMs = 230;     // 140 ms at a server of speed 0.6
-constexpr int kSlowFactor = 8;   // srv_slow, at most 12
-constexpr int kCalmPerSecond = 20;
-constexpr int kPerSecond = 34;    // burst, at most 1.7 times as many
+constexpr int kWorkMs = 230;    // 140 ms at a server of speed 0.6
+constexpr int kSlowFactor = 8;  // srv_slow, at most 12
+constexpr int kPerSecond = 34;   // burst: 1.7 times as many
 constexpr int kSlowForMs = 900;  // until the server leaves
 // The server continues to serve for drainMs after the acknowledgement and a
 // little longer.
--- a/review/stand_ins_2/players.h
+++ b/review/stand_ins_2/players.hpp
@@ -1,8 +1,8 @@
 // Stand-ins for the cases of the second review: a server, a client, the
 // operator, and a driver that starts and ends the project's own programs.
 // Follows the users' pages; where they are silent, a sound server or client.
-#ifndef REVIEW_STAND_INS_2_PLAYERS_H_
-#define REVIEW_STAND_INS_2_PLAYERS_H_
+#ifndef REVIEW_STAND_INS_2_PLAYERS_HPP_
+#define REVIEW_STAND_INS_2_PLAYERS_HPP_
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -296,7 +296,8 @@
               (at + i < bytes.size() ? static_cast<unsigned char>(bytes[at + i])
                                      : 0U);
     for (std::size_t i = 0; i < 4; ++i)
-      out += at + i <= bytes.size() ? kLetters[group >> (18 - 6 * i) & 63] : '=';
+      out +=
+          at + i <= bytes.size() ? kLetters[group >> (18 - 6 * i) & 63] : '=';
   }
   return out;
 }
@@ -364,15 +365,14 @@
     return "{\"pool\":\"" + options_.service + "\",\"address\":\"" +
            options_.address.text() + "\",\"failure_domain\":\"" +
            options_.zone + "\",\"version\":\"" + options_.version +
-           "\",\"slots\":" + std::to_string(options_.slots) +
-           ",\"state\":\"" + (draining ? "draining" : "ready") +
+           "\",\"slots\":" + std::to_string(options_.slots) + ",\"state\":\"" +
+           (draining ? "draining" : "ready") +
            "\",\"warming_ms\":0,\"sequence\":" + std::to_string(sequence) +
            ",\"born\":" + std::to_string(born_) + "}";
   }
   int SendBeat(const std::string& body) {
-    const Message answer =
-        Call(options_.control, "POST", "/v1/targets/" + options_.id + "/report",
-             body);
+    const Message answer = Call(options_.control, "POST",
+                                "/v1/targets/" + options_.id + "/report", body);
     return answer.status();
   }
   // Reports that it is draining until that is acknowledged. Returns when.
@@ -390,9 +390,9 @@
     beating_ = false;
     draining_ = true;
     while (true) {
-      const Message answer = Call(
-          options_.control, "POST", "/v1/targets/" + options_.id + "/leave",
-          "{\"born\":" + std::to_string(born_) + "}");
+      const Message answer = Call(options_.control, "POST",
+                                  "/v1/targets/" + options_.id + "/leave",
+                                  "{\"born\":" + std::to_string(born_) + "}");
       REC("server %s deregisters: %d", options_.id.c_str(), answer.status());
       if (answer.status() / 100 == 2) return NowMs();
       Sleep(300);
@@ -475,8 +475,8 @@
     const std::string attempt = request.Field("X-Camphorhill-Attempt-Id");
     const std::string id = "X-Camphorhill-Attempt-Id: " + attempt;
     if (attempt.empty())
-      return stream.Write(Reply("400 Bad Request",
-                                {"X-Camphorhill-Not-Executed: 1"}, ""));
+      return stream.Write(
+          Reply("400 Bad Request", {"X-Camphorhill-Not-Executed: 1"}, ""));
     const std::string expected =
         request.Field("X-Camphorhill-Expected-Instance");
     if (!expected.empty() && expected != options_.id) {
@@ -505,9 +505,8 @@
                                   {id, "X-Camphorhill-Not-Executed: 1"}, ""));
       }
       ++waiting_;
-      changed_.wait_until(lock, kBegin + Ms(deadline), [&] {
-        return running_ < options_.slots || exited_;
-      });
+      changed_.wait_until(lock, kBegin + Ms(deadline),
+                          [&] { return running_ < options_.slots || exited_; });
       --waiting_;
       if (exited_) return false;
       if (running_ >= options_.slots || NowMs() >= deadline) {
@@ -600,10 +599,11 @@
   const auto stream = Stream::Connect(to, 1000);
   Message answer;
   if (stream) {
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: " + host +
-                       "\r\nX-Camphorhill-Attempt-Id: " + outcome.attempt +
-                       "\r\nX-Camphorhill-Deadline-Ms: " +
-                       std::to_string(deadline_ms) + "\r\n";
+    std::string text =
+        method + " " + path + " HTTP/1.1\r\nHost: " + host +
+        "\r\nX-Camphorhill-Attempt-Id: " + outcome.attempt +
+        "\r\nX-Camphorhill-Deadline-Ms: " + std::to_string(deadline_ms) +
+        "\r\n";
     if (!body.empty())
       text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n" + body;
@@ -634,8 +634,7 @@
   bool Start() {
     pid_ = fork();
     if (pid_ == 0) {
-      const int out =
-          open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int out = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
       std::vector<char*> args;
@@ -723,9 +722,8 @@
     host->zone = zone;
     host->service = service;
     host->ip = "127.0.0." + std::to_string(10 + number);
-    for (Address* address :
-         {&host->outbound, &host->inbound, &host->control, &host->ready,
-          &host->mesh, &host->app})
+    for (Address* address : {&host->outbound, &host->inbound, &host->control,
+                             &host->ready, &host->mesh, &host->app})
       *address = {host->ip, FreePort(host->ip)};
     std::ofstream file(folder_ + "/" + host->name + ".json");
     file << "{\n  \"host\": \"" << host->name << "\",\n"
@@ -791,4 +789,4 @@
 
 }  // namespace players
 
-#endif  // REVIEW_STAND_INS_2_PLAYERS_H_
+#endif  // REVIEW_STAND_INS_2_PLAYERS_HPP_
