--- a/review/stand_ins_2/players.hpp
+++ b/review/stand_ins_2/players.hpp
@@ -415,6 +415,9 @@
     for (std::thread& thread : threads_) thread.join();
   }
   void StopBeating() { beating_ = false; }
+  // From now on, this share of the answers has no length, and its connection is
+  // reset before the end.
+  void BreakOff(double share) { broken_share_ = share; }
   std::vector<Arrival> arrivals() {
     const std::lock_guard lock(mutex_);
     std::vector<Arrival> out;
@@ -544,6 +547,18 @@
     if (cut || gone) return false;
     const std::string signature =
         "X-Camphorhill-Response-Signature: s." + options_.id + "." + attempt;
+    broken_credit_ = broken_credit_ + broken_share_;
+    if (!late && broken_credit_ >= 1) {
+      broken_credit_ = broken_credit_ - 1;
+      REC("server %s breaks off its answer to %s", options_.id.c_str(),
+          attempt.c_str());
+      stream.Write("HTTP/1.1 200 OK\r\n" + id + "\r\n" + signature +
+                   "\r\nConnection: close\r\n\r\nran ");
+      Sleep(5);
+      const linger reset{.l_onoff = 1, .l_linger = 0};
+      setsockopt(stream.fd(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      return false;
+    }
     return stream.Write(Reply(late ? "504 Gateway Timeout" : "200 OK",
                               {id, signature, "Content-Type: text/plain"},
                               "ran " + attempt + " at " + options_.id));
@@ -557,6 +572,8 @@
   std::atomic<bool> exited_{false};
   std::atomic<bool> draining_{false};
   std::atomic<bool> beating_{true};
+  std::atomic<double> broken_share_{0};
+  std::atomic<double> broken_credit_{0};
   std::thread accept_;
   std::thread beats_;
   std::mutex mutex_;
