Show case 6 of the review without a burst of users

The late requests also come under the server's usual traffic, so that the case needs its slowness and its leaving only.

--- a/review/6/play.cpp
+++ b/review/6/play.cpp
@@ -8,10 +8,10 @@
 constexpr int kDrainMs = 2500;     // bounds.drainMs
 constexpr int kDeadlineMs = 5000;  // of the clients, and timeoutMs of the route
 const std::string kBody(24 * 1024, 'x');
-constexpr int kWorkMs = 230;    // 140 ms at a server of speed 0.6
-constexpr int kSlowFactor = 8;  // srv_slow, at most 12
-constexpr int kPerSecond = 34;   // burst: 1.7 times as many
-constexpr int kSlowForMs = 900;  // until the server leaves
+constexpr int kWorkMs = 230;         // 140 ms at a server of speed 0.6
+constexpr double kSlowFactor = 8.5;  // srv_slow, at most 12
+constexpr int kPerSecond = 20;       // its usual share of the site's uploads
+constexpr int kSlowForMs = 1350;     // until the server leaves
 // The server continues to serve for drainMs after the acknowledgement and a
 // little longer.
 constexpr int kLittleLongerMs = 700;
@@ -52,7 +52,8 @@
                  .control = orders.control,
                  .slots = 9,
                  .work_ms = [&slow](const Message&) -> std::int64_t {
-                   return slow ? kWorkMs * kSlowFactor : kWorkMs;
+                   return static_cast<std::int64_t>(slow ? kWorkMs * kSlowFactor
+                                                         : kWorkMs);
                  }});
   if (!server.Start()) return 2;
 
@@ -67,7 +68,7 @@
   Sleep(1500);
   if (served < 10) return 2;
 
-  // The server turns slow while many users come; then it leaves.
+  // The server turns slow under its usual traffic; then it leaves.
   slow = true;
   std::mutex mutex;
   std::vector<Outcome> outcomes;
