--- a/review/6/play.cpp
+++ b/review/6/play.cpp
@@ -1,20 +1,13 @@
-// Case 6: requests wait at the node of a slow server while that server leaves.
+// Case 6: the acknowledgement of a deregistration is forgotten.
 #include <players.hpp>
 
 using namespace players;
 
 namespace {
 
-constexpr int kDrainMs = 2500;     // bounds.drainMs
-constexpr int kDeadlineMs = 5000;  // of the clients, and timeoutMs of the route
-const std::string kBody(24 * 1024, 'x');
-constexpr int kWorkMs = 230;         // 140 ms at a server of speed 0.6
-constexpr double kSlowFactor = 8.5;  // srv_slow, at most 12
-constexpr int kPerSecond = 20;       // its usual share of the site's uploads
-constexpr int kSlowForMs = 1350;     // until the server leaves
-// The server continues to serve for drainMs after the acknowledgement and a
-// little longer.
-constexpr int kLittleLongerMs = 700;
+constexpr int kDrainMs = 2000;    // bounds.drainMs
+constexpr int kContactMs = 3000;  // bounds.contactMs
+constexpr int kDeadlineMs = 600;
 
 }  // namespace
 
@@ -28,94 +21,110 @@
   const bool written = WriteOperatorRow(
       deployment.store(), "config",
       R"({"version":7,"services":[{"name":"front","healthPath":"/health",)"
-      R"("maxConnections":430},{"name":"orders","healthPath":"/health",)"
-      R"("maxConnections":430}],"limits":{"maxHeaderBytes":16384,)"
+      R"("maxConnections":110},{"name":"orders","healthPath":"/health",)"
+      R"("maxConnections":110}],"limits":{"maxHeaderBytes":16384,)"
       R"("maxBodyBytes":67108864,"headerTimeoutMs":3000,)"
-      R"("idleTimeoutMs":15000},"virtualHosts":[{"host":"lists.example",)"
-      R"("pathRules":[{"name":"upload","prefix":"/upload/",)"
-      R"("kind":"upload","timeoutMs":5000,"targetLatencyMs":1500,)"
+      R"("idleTimeoutMs":15000},"virtualHosts":[{"host":"shop.example",)"
+      R"("pathRules":[{"name":"order","prefix":"/order/",)"
+      R"("kind":"non_idempotent","timeoutMs":600,"targetLatencyMs":300,)"
       R"("priority":1,"pool":"orders","maxAttempts":2}]}]})");
   if (!written) return 2;
 
   Host& front = deployment.AddHost("za", "front", deployment.store());
-  Host& orders = deployment.AddHost("zb", "orders", deployment.store());
-  Host& other = deployment.AddHost("zc", "front", deployment.store());
-  for (Host* host : {&front, &orders, &other}) deployment.StartHost(*host);
-  for (Host* host : {&front, &orders, &other})
+  Host& leaving = deployment.AddHost("zb", "orders", deployment.store());
+  Host& staying = deployment.AddHost("zc", "orders", deployment.store());
+  for (Host* host : {&front, &leaving, &staying}) deployment.StartHost(*host);
+  for (Host* host : {&front, &leaving, &staying})
     if (!deployment.AwaitReady(*host, 15000)) return 2;
 
-  std::atomic<bool> slow{false};
-  Server server({.id = "i-7f3a91c2",
-                 .service = "orders",
-                 .zone = "zb",
-                 .address = orders.app,
-                 .control = orders.control,
-                 .slots = 9,
-                 .work_ms = [&slow](const Message&) -> std::int64_t {
-                   return static_cast<std::int64_t>(slow ? kWorkMs * kSlowFactor
-                                                         : kWorkMs);
-                 }});
-  if (!server.Start()) return 2;
+  const auto options = [](const char* id, const Host& host) {
+    return Server::Options{
+        .id = id,
+        .service = "orders",
+        .zone = host.zone,
+        .address = host.app,
+        .control = host.control,
+        .work_ms = [](const Message&) -> std::int64_t { return 78; }};
+  };
+  Server first(options("i-7f3a91c2", leaving));
+  Server second(options("i-02d9e6b4", staying));
+  if (!first.Start() || !second.Start()) return 2;
 
-  // Calm traffic, for longer than contactMs.
-  int served = 0;
-  for (int i = 0; i < 20; ++i) {
-    served += Send(front.outbound, "POST", "lists.example", "/upload/calm",
-                   kDeadlineMs, kBody)
-                  .status == 200;
-    Sleep(80);
-  }
-  Sleep(1500);
-  if (served < 10) return 2;
-
-  // The server turns slow under its usual traffic; then it leaves.
-  slow = true;
+  // Clients for the whole time, 40 requests a second.
+  std::atomic<bool> stop{false};
+  std::atomic<int> served{0};
   std::mutex mutex;
-  std::vector<Outcome> outcomes;
+  std::map<int, int> statuses;
   std::vector<std::thread> clients;
-  std::int64_t acked = -1;
-  std::thread leaving([&] {
-    Sleep(kSlowForMs);
-    if (!trouble) return;
-    acked = server.ReportDraining();
-    SleepUntil(acked + kDrainMs + kLittleLongerMs);
-    server.Deregister();
-    server.Exit();
-  });
-  const std::int64_t begin = NowMs();
-  for (int i = 0; i < kPerSecond * (kSlowForMs + 500) / 1000; ++i) {
-    SleepUntil(begin + 1000 * i / kPerSecond);
-    clients.emplace_back([&, i] {
-      const Address& to = i % 2 == 0 ? front.outbound : other.outbound;
-      const Outcome outcome =
-          Send(to, "POST", "lists.example", "/upload/" + std::to_string(i),
-               kDeadlineMs, kBody);
-      const std::lock_guard lock(mutex);
-      outcomes.push_back(outcome);
+  for (int client = 0; client < 8; ++client) {
+    clients.emplace_back([&, client] {
+      Sleep(25 * client);
+      for (int i = 0; !stop; ++i) {
+        const Outcome outcome =
+            Send(front.outbound, "POST", "shop.example",
+                 "/order/" + std::to_string(client) + "-" + std::to_string(i),
+                 kDeadlineMs, "one order");
+        if (outcome.status == 200) ++served;
+        {
+          const std::lock_guard lock(mutex);
+          ++statuses[outcome.status];
+        }
+        Sleep(std::max<std::int64_t>(1, 200 - (outcome.ended - outcome.sent)));
+      }
     });
   }
+  Sleep(5000);
+  const bool runs = served > 50;
+
+  // A ping that arrives seconds late: it leaves the server before the server
+  // deregisters.
+  const std::string late_ping = first.BeatBody(false);
+  const std::int64_t ping_sent = NowMs();
+  std::int64_t outage_end = 0;
+  if (trouble) deployment.SetStore("out");
+  Sleep(300);
+  const std::int64_t acked = first.Deregister();
+  Sleep(200);
+  if (trouble) {
+    REC("host %s is killed", leaving.name.c_str());
+    leaving.process->Kill();
+    Sleep(500);
+    deployment.StartHost(leaving);
+    SleepUntil(acked + 1500);
+    deployment.SetStore("up");
+  }
+  outage_end = NowMs();
+  SleepUntil(acked + 3000);
+  REC("the ping that was sent %lld ms ago arrives: %d",
+      static_cast<long long>(NowMs() - ping_sent), first.SendBeat(late_ping));
+
+  // Machines are in touch from contactMs after the end of the disruption on.
+  const std::int64_t in_touch = outage_end + kContactMs + 200;
+  SleepUntil(acked + 8000);
+  first.Exit();
+  Sleep(1000);
+  stop = true;
   for (std::thread& client : clients) client.join();
-  leaving.join();
 
   int late = 0;
-  int late_cut = 0;
-  for (const Server::Arrival& arrival : server.arrivals()) {
-    if (acked < 0 || arrival.at <= acked + kDrainMs) continue;
+  int cut = 0;
+  for (const Server::Arrival& arrival : first.arrivals()) {
+    if (arrival.at <= std::max(acked + kDrainMs, in_touch)) continue;
     ++late;
-    const bool cut = arrival.ran && arrival.end.starts_with("cut");
-    late_cut += cut;
+    cut += arrival.ran && arrival.end.starts_with("cut");
     REC("LATE: %s reaches the server %lld ms after the acknowledgement: %s",
         arrival.attempt.c_str(), static_cast<long long>(arrival.at - acked),
         arrival.end.c_str());
   }
-  std::map<int, int> statuses;
-  for (const Outcome& outcome : outcomes) ++statuses[outcome.status];
   for (const auto& [status, count] : statuses)
-    REC("while the server was slow, %d clients got %d", count, status);
+    REC("%d clients got %d", count, status);
   REC("%d requests reached the server later than drainMs after the "
-      "acknowledgement; %d of them ran and were cut off by its end",
-      late, late_cut);
+      "acknowledgement, from machines in touch; %d of them ran and were cut "
+      "off by its end",
+      late, cut);
   deployment.Stop();
-  std::printf("late %d, cut %d\n", late, late_cut);
+  second.Exit();
+  std::printf("late %d, cut %d\n", late, cut);
+  if (!runs) return 2;
   return late > 0 ? 1 : 0;
 }
--- a/review/stand_ins_2/players.hpp
+++ b/review/stand_ins_2/players.hpp
@@ -425,6 +425,7 @@
     return out;
   }
   const Options& options() const { return options_; }
+  bool crashed() const { return crashed_; }
   std::int64_t born() const { return born_; }
 
  private:
@@ -432,7 +433,7 @@
     while (!exited_) {
       const int fd = accept4(listen_fd_, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0) {
-        if (exited_) return;
+        if (exited_ || crashed_) return;
         continue;
       }
       const std::lock_guard lock(mutex_);
@@ -459,13 +460,22 @@
       streams_.insert(&stream);
     }
     Message request;
-    while (!exited_ && stream.ReadHeader(request, NowMs() + 600000) &&
+    while (!exited_ && !crashed_ &&
+           stream.ReadHeader(request, NowMs() + 600000) &&
            stream.ReadBody(request, NowMs() + 30000)) {
       if (!Answer(stream, request)) break;
     }
     const std::lock_guard lock(mutex_);
     streams_.erase(&stream);
   }
+  // Its connections and its listener end at once.
+  void Crash() {
+    crashed_ = true;
+    beating_ = false;
+    shutdown(listen_fd_, SHUT_RDWR);
+    const std::lock_guard lock(mutex_);
+    for (Stream* stream : streams_) stream->Abort();
+  }
   static std::string Reply(const std::string& status,
                            const std::vector<std::string>& fields,
                            const std::string& body) {
@@ -521,6 +531,13 @@
       ++running_;
       arrival->ran = true;
     }
+    if (options_.crash_poison &&
+        request.first.find("/poison") != std::string::npos) {
+      REC("server %s begins to run %s and crashes", options_.id.c_str(),
+          attempt.c_str());
+      Crash();
+      return false;
+    }
     REC("server %s runs %s (%s), %s ms left", options_.id.c_str(),
         attempt.c_str(), request.first.c_str(), deadline_text.c_str());
     const std::int64_t done =
@@ -571,6 +588,7 @@
   std::atomic<std::uint64_t> sequence_{0};
   std::atomic<bool> exited_{false};
   std::atomic<bool> draining_{false};
+  std::atomic<bool> crashed_{false};
   std::atomic<bool> beating_{true};
   std::atomic<double> broken_share_{0};
   std::atomic<double> broken_credit_{0};
