Show how far the threads of a host and its accept queues are behind

A host said that it was ready and took no new connection for 4 s, and neither logs nor metrics told a queue of departed callers, a busy decisions thread and a blocked proxy thread apart.

A monitor on the proxy thread measures four times a second how late its own timer is, the accept queue of both listeners, and how many of the accepted connections their peers had closed already, and how long they had waited. The line "host is behind" has these, the age of the last tick, processor time and queued tasks of both threads, and the wait for the quotas' lock; it is written at most once a second while one of them is late. The metrics have the same. No decision changes.

--- a/node/decisions/decision_thread.h
+++ b/node/decisions/decision_thread.h
@@ -83,6 +83,11 @@
   /// Durations of the ticks. Must be called from the decisions thread.
   TickTimes tick_times() const { return ticks_.times(); }
 
+  /// Returns the estimated number of queued tasks of one source. Thread-safe.
+  std::size_t Queued(Source source) const {
+    return rings_.at(static_cast<std::size_t>(source))->depth();
+  }
+
   /// Statistics of all rings. Thread-safe; the depths are estimates.
   std::vector<RingLoad> ring_loads() const;
 
--- a/node/node.cc
+++ b/node/node.cc
@@ -21,6 +21,7 @@
 #include "node/decisions/host_controller.h"
 #include "node/decisions/published.h"
 #include "node/log/limit_log.h"
+#include "node/log/load_log.h"
 #include "node/log/request_log.h"
 #include "node/node_report.h"
 #include "node/platform_sync/platform_sync.h"
@@ -28,6 +29,7 @@
 #include "platform/operator_tables.h"
 #include "platform/platform_headers.h"
 #include "platform/rollout_report.h"
+#include "proxy/load/cpu_time.h"
 #include "proxy/proxy_server.h"
 #include "store/claim_store.h"
 
@@ -107,6 +109,7 @@
         freshness(settings.teams.revoke_within),
         request_log({.log = &log}),
         limiter({.random_seed = incarnation}),
+        load_log({.log = &log}),
         limit_log({.log = &log, .part = "proxy"}),
         admin_limit_log({.log = &log, .part = "admin"}),
         mesh_limit_log({.log = &log, .part = "mesh"}),
@@ -133,6 +136,10 @@
   std::mutex limiter_mutex;  ///< guards `limiter`
   QuotaLimiter limiter;      ///< admits on the proxy thread; the decisions
                              ///< thread reads its use and stores grants
+  Microseconds longest_limiter_wait{0};  ///< used on the proxy thread; see
+                                         ///< LoadLog::Decisions
+  std::atomic<Microseconds::rep> decisions_cpu{0};  ///< processor time
+  LoadLog load_log;          ///< used on the proxy thread
   LimitLog limit_log;        ///< used on the proxy thread
   LimitLog admin_limit_log;  ///< used on the admin thread
   LimitLog mesh_limit_log;   ///< used on the mesh thread
@@ -161,6 +168,7 @@
 
   void OnTick();
   void OnIdle();
+  void OnLoad(const LoopLoad& load);
   NodeReport Report();
   bool Fail(std::string_view part, const std::string& reason);
 };
@@ -206,8 +214,13 @@
           },
       .admit = [this](const TeamSpec& team) -> std::optional<Milliseconds> {
         if (team.requests_per_second <= 0) return std::nullopt;
+        const MonoTime asked = Now();
         const std::lock_guard lock(limiter_mutex);
-        return limiter.Admit(team.name, Now());
+        const MonoTime locked = Now();
+        longest_limiter_wait =
+            std::max(longest_limiter_wait,
+                     std::chrono::duration_cast<Microseconds>(locked - asked));
+        return limiter.Admit(team.name, locked);
       },
       .preview_admit =
           [this](const TeamSpec& team) {
@@ -259,6 +272,7 @@
           [this](const RequestDecision& decision) {
             request_log.Write(decision, Now());
           },
+      .on_load = [this](const LoopLoad& load) { OnLoad(load); },
       .on_limit = [this](ProxyLimit limit) { limit_log.Write(limit, Now()); },
       .caller_pool = settings.caller_pool,
       .debug_headers = settings.proxy.debug_headers,
@@ -425,6 +439,7 @@
   const WallTime wall_now = WallNow();
   controller->Tick(now, BootNow(), wall_now);
   sync->Tick(now, wall_now);
+  decisions_cpu = ThreadCpuTime().count();
 }
 
 void Node::State::OnIdle() {
@@ -441,6 +456,21 @@
            {"took_ms", static_cast<std::uint64_t>(took)}});
 }
 
+void Node::State::OnLoad(const LoopLoad& load) {
+  const MonoTime now = Now();
+  const MonoTime::rep last = last_tick.load();
+  if (last == 0) return;  // the decisions thread has not started
+  const MonoTime ticked{MonoTime::duration(last)};
+  load_log.Write(
+      load,
+      {.tick_age = std::chrono::duration_cast<Microseconds>(now - ticked),
+       .thread_cpu = Microseconds(decisions_cpu.load()),
+       .proxy_tasks = decisions.Queued(Source::kProxy),
+       .mesh_tasks = decisions.Queued(Source::kMesh),
+       .limiter_wait = std::exchange(longest_limiter_wait, Microseconds(0))},
+      now);
+}
+
 NodeReport Node::State::Report() {
   return NodeReport(
       {.settings = settings,
--- a/proxy/http_session.cc
+++ b/proxy/http_session.cc
@@ -1,6 +1,5 @@
 #include "proxy/http_session.h"
 
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -13,6 +12,7 @@
 #include <utility>
 
 #include "proxy/header_names.h"
+#include "proxy/load/socket_state.h"
 #include "proxy/read_error.h"
 
 namespace camphor {
@@ -324,9 +324,7 @@
 }
 
 bool HttpSession::IsPeerClosed() {
-  pollfd state{.fd = socket_.native_handle(), .events = POLLRDHUP};
-  return poll(&state, 1, 0) > 0 &&
-         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  return IsClosedByPeer(socket_.native_handle());
 }
 
 void HttpSession::WatchBodySender(const InboundBody& body) {
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -18,6 +18,7 @@
 #include "proxy/caller_session.h"
 #include "proxy/forward_session.h"
 #include "proxy/host_pools.h"
+#include "proxy/load/loop_monitor.h"
 #include "proxy/local_targets.h"
 #include "proxy/proxy_context.h"
 
@@ -40,7 +41,9 @@
       : context(std::move(options)),
         caller_acceptor(*context.io),
         forward_acceptor(*context.io),
-        maintenance(*context.io) {}
+        maintenance(*context.io),
+        monitor(caller_acceptor, forward_acceptor,
+                {.on_load = context.options.on_load}) {}
 
   bool Listen(tcp::acceptor& acceptor, const Endpoint& endpoint,
               std::string_view what);
@@ -54,6 +57,7 @@
   tcp::acceptor caller_acceptor;
   tcp::acceptor forward_acceptor;
   asio::steady_timer maintenance;
+  LoopMonitor monitor;
   std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
       work;
   std::thread thread;
@@ -102,6 +106,7 @@
       co_await pause.async_wait(kAsTuple);
       continue;
     }
+    monitor.OnAccepted(acceptor, socket);
     if (!Session::HasPlace(context, Now())) {
       context.OnLimit(ProxyLimit::kConnectionsRefused);
       continue;
@@ -134,6 +139,7 @@
   caller_acceptor.close(ignored);
   forward_acceptor.close(ignored);
   maintenance.cancel();
+  monitor.Stop();
   // Closing a session can remove it from the set, so iterate over a copy.
   const std::vector<ProxySession*> sessions(context.sessions.begin(),
                                             context.sessions.end());
@@ -221,6 +227,7 @@
                  state.Accept<ForwardSession>(state.forward_acceptor),
                  asio::detached);
   asio::co_spawn(*state.context.io, state.Maintain(), asio::detached);
+  asio::co_spawn(*state.context.io, state.monitor.Run(), asio::detached);
   state.takes_posts = true;
   state.thread = std::thread([&state] { state.context.io->run(); });
   return true;
@@ -303,7 +310,7 @@
 }
 
 std::string ProxyServer::MetricsText() const {
-  return state_->context.metrics.Text();
+  return state_->context.metrics.Text() + state_->monitor.Text();
 }
 
 const std::string& ProxyServer::last_reason() const {
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -15,6 +15,7 @@
 #include "core/routing/effective_routing.h"
 #include "core/routing/request_sample.h"
 #include "proxy/header_vocabulary.h"
+#include "proxy/load/loop_load.h"
 #include "proxy/placement_preview.h"
 #include "proxy/proxy_limit.h"
 #include "proxy/proxy_limits.h"
@@ -85,6 +86,9 @@
     std::function<void(const RequestDecision&)>
         on_decision{};  ///< called with each decision on a request, for
                         ///< logging; null when disabled
+    std::function<void(const LoopLoad&)>
+        on_load{};  ///< called a few times a second with how far the proxy
+                    ///< thread is behind; null when disabled
     std::function<void(ProxyLimit)>
         on_limit{};  ///< called when a limit took effect, for logging; null
                      ///< when disabled
