Accept all connections that wait, and close those that were given up

Cause: both listeners accepted one connection in each turn of the loop, in the order of arrival.

A caller that only closes its sending side was given up at the first send before; now it is if it does so before it is accepted.

--- a/proxy/load/loop_monitor.cc
+++ b/proxy/load/loop_monitor.cc
@@ -56,12 +56,12 @@
   timer_.cancel();
 }
 
-void LoopMonitor::OnAccepted(const tcp::acceptor& listener,
-                             tcp::socket& socket) {
+void LoopMonitor::OnAccepted(const tcp::acceptor& listener, tcp::socket& socket,
+                             bool abandoned) {
   ListenerLoad& load =
       &listener == &callers_ ? current_.callers : current_.hosts;
   ++load.accepted;
-  if (IsClosedByPeer(socket.native_handle())) ++load.abandoned;
+  if (abandoned) ++load.abandoned;
   if (const auto waited = TimeSinceData(socket.native_handle()))
     load.longest_wait = std::max(load.longest_wait, *waited);
 }
@@ -102,10 +102,9 @@
                  "camphor_proxy_thread_cpu_seconds_total {:.6f}\n",
                  ToSeconds(last_.lag), ToSeconds(peak_lag_),
                  ToSeconds(last_.thread_cpu));
-  AppendByListener(text, "camphor_proxy_accept_queue_connections", "gauge",
-                   last_, [](const ListenerLoad& load) {
-                     return load.queued.value_or(0);
-                   });
+  AppendByListener(
+      text, "camphor_proxy_accept_queue_connections", "gauge", last_,
+      [](const ListenerLoad& load) { return load.queued.value_or(0); });
   AppendByListener(text, "camphor_proxy_accepted_total", "counter", last_,
                    [](const ListenerLoad& load) { return load.accepted; });
   AppendByListener(text, "camphor_proxy_abandoned_total", "counter", last_,
--- a/proxy/load/loop_monitor.h
+++ b/proxy/load/loop_monitor.h
@@ -31,8 +31,10 @@
   asio::awaitable<void> Run();
   void Stop();
 
-  /// Records a connection that was just accepted on one of the listeners.
-  void OnAccepted(const tcp::acceptor& listener, tcp::socket& socket);
+  /// Records a connection that was just accepted on one of the listeners, and
+  /// whether its peer had closed it already.
+  void OnAccepted(const tcp::acceptor& listener, tcp::socket& socket,
+                  bool abandoned);
 
   /// Returns the last measurement. Thread-safe.
   LoopLoad load() const;
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -18,7 +18,9 @@
 #include "proxy/caller_session.h"
 #include "proxy/forward_session.h"
 #include "proxy/host_pools.h"
+#include "proxy/load/accept_queue.h"
 #include "proxy/load/loop_monitor.h"
+#include "proxy/load/socket_state.h"
 #include "proxy/local_targets.h"
 #include "proxy/proxy_context.h"
 
@@ -49,6 +51,8 @@
               std::string_view what);
   template <typename Session>
   asio::awaitable<void> Accept(tcp::acceptor& acceptor);
+  template <typename Session>
+  void Admit(const tcp::acceptor& acceptor, tcp::socket socket);
   asio::awaitable<void> Maintain();
   void CloseAll();
   boost::json::object Dump();
@@ -83,6 +87,7 @@
   if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   if (!error) acceptor.bind(*address, error);
   if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) acceptor.non_blocking(true, error);
   if (!error) return true;
   last_reason =
       fmt::format("{}: {}: {}", what, endpoint.ToString(), error.message());
@@ -97,29 +102,35 @@
   while (acceptor.is_open()) {
     auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
     if (!acceptor.is_open()) break;
-    if (error) {
-      // For example out of file descriptors: close a connection that waits for
-      // its peer, or wait until others close.
-      if (error == asio::error::no_descriptors)
-        context.buffers.YieldConnection(kGroup, Now());
-      pause.expires_after(kAcceptRetryDelay);
-      co_await pause.async_wait(kAsTuple);
-      continue;
-    }
-    monitor.OnAccepted(acceptor, socket);
-    if (!Session::HasPlace(context, Now())) {
-      context.OnLimit(ProxyLimit::kConnectionsRefused);
-      continue;
-    }
-    auto session = std::make_shared<Session>(context, std::move(socket));
-    if (!session->Admit()) {
-      context.OnLimit(ProxyLimit::kBuffersRefused);
-      continue;
+    if (!error) {
+      error =
+          AcceptWaiting(acceptor, std::move(socket), [&](tcp::socket accepted) {
+            Admit<Session>(acceptor, std::move(accepted));
+          });
     }
-    asio::co_spawn(*context.io, RunSession(std::move(session)), asio::detached);
+    if (!error) continue;
+    // For example out of file descriptors: close a connection that waits for
+    // its peer, or wait until others close.
+    if (error == asio::error::no_descriptors)
+      context.buffers.YieldConnection(kGroup, Now());
+    pause.expires_after(kAcceptRetryDelay);
+    co_await pause.async_wait(kAsTuple);
   }
 }
 
+template <typename Session>
+void ProxyServer::State::Admit(const tcp::acceptor& acceptor,
+                               tcp::socket socket) {
+  const bool abandoned = IsClosedByPeer(socket.native_handle());
+  monitor.OnAccepted(acceptor, socket, abandoned);
+  if (abandoned) return;
+  if (!Session::HasPlace(context, Now()))
+    return context.OnLimit(ProxyLimit::kConnectionsRefused);
+  auto session = std::make_shared<Session>(context, std::move(socket));
+  if (!session->Admit()) return context.OnLimit(ProxyLimit::kBuffersRefused);
+  asio::co_spawn(*context.io, RunSession(std::move(session)), asio::detached);
+}
+
 asio::awaitable<void> ProxyServer::State::Maintain() {
   while (!context.stopping) {
     context.targets->Maintain();
--- a/unit_tests/proxy/load/loop_monitor_test.cc
+++ b/unit_tests/proxy/load/loop_monitor_test.cc
@@ -78,7 +78,7 @@
 TEST_F(LoopMonitorMeasure, ClosedBeforeAccept_CountedAsAbandoned) {
   Connect(callers_).close();
   tcp::socket accepted = callers_.accept();
-  monitor_.OnAccepted(callers_, accepted);
+  monitor_.OnAccepted(callers_, accepted, true);
   const LoopLoad load = Measure();
   EXPECT_EQ(load.callers.accepted, 1U);
   EXPECT_EQ(load.callers.abandoned, 1U);
@@ -89,7 +89,7 @@
   const tcp::socket caller = Connect(hosts_);
   std::this_thread::sleep_for(Milliseconds(100));
   tcp::socket accepted = hosts_.accept();
-  monitor_.OnAccepted(hosts_, accepted);
+  monitor_.OnAccepted(hosts_, accepted, false);
   const LoopLoad load = Measure();
   EXPECT_EQ(load.hosts.abandoned, 0U);
   EXPECT_GE(load.hosts.longest_wait, Milliseconds(80));
