Pause between failed connects to another host

Cause: a host that is behind answers no handshake within 500 ms and loses its open connections by late pings. Every other host then connects again each second, and with each request that it places there: the connects grow with the number of hosts and keep it behind. The mesh side pauses its connects; this side did not.

Connects to targets are as before.

--- a/proxy/connection_pool.cc
+++ b/proxy/connection_pool.cc
@@ -52,7 +52,10 @@
 
 ConnectionPool::ConnectionPool(Options options)
     : options_(std::move(options)),
-      last_used_(std::chrono::steady_clock::now()) {}
+      last_used_(std::chrono::steady_clock::now()),
+      random_(std::random_device()()) {
+  if (options_.reconnect) reconnect_.emplace(*options_.reconnect);
+}
 
 asio::awaitable<ConnectionPool::Acquired> ConnectionPool::Acquire() {
   last_used_ = std::chrono::steady_clock::now();
@@ -94,6 +97,34 @@
 }
 
 asio::awaitable<ConnectionPool::Acquired> ConnectionPool::Connect() {
+  // A host that is behind must not be kept there by the connects of all others:
+  // after a failure only one tries at a time, after a pause.
+  if (!reconnect_) {
+    Acquired unpaused = co_await ConnectOnce();
+    co_return unpaused;
+  }
+  const bool alone = failing_;
+  if (alone &&
+      (connecting_alone_ || std::chrono::steady_clock::now() < next_connect_)) {
+    Acquired paused;
+    paused.failure = Failure::kPaused;
+    co_return paused;
+  }
+  connecting_alone_ = alone;
+  Acquired acquired = co_await ConnectOnce();
+  if (alone) connecting_alone_ = false;
+  if (acquired.lease) {
+    failing_ = false;
+    reconnect_->Reset();
+  } else if (acquired.failure != Failure::kFull && (alone || !failing_)) {
+    failing_ = true;
+    next_connect_ =
+        std::chrono::steady_clock::now() + reconnect_->Next(random_);
+  }
+  co_return acquired;
+}
+
+asio::awaitable<ConnectionPool::Acquired> ConnectionPool::ConnectOnce() {
   Acquired acquired;
   if (open_ >= options_.max_connections) {
     acquired.failure = Failure::kFull;
--- a/proxy/connection_pool.h
+++ b/proxy/connection_pool.h
@@ -5,9 +5,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
+#include "core/base/backoff.h"
 #include "core/base/endpoint.h"
 #include "core/base/time.h"
 #include "proxy/connection.h"
@@ -27,7 +30,9 @@
     std::uint32_t warm = 1;  ///< minimum number of connections kept open
     Milliseconds connect_timeout{500};  ///< connect timeout
     Milliseconds ping_interval{
-        2000};               ///< ping interval of idle connections to hosts
+        2000};  ///< ping interval of idle connections to hosts
+    std::optional<Backoff::Options>
+        reconnect{};  ///< pauses after failed connects; std::nullopt: none
     std::string mesh_key{};  ///< non-empty: the endpoint is another host, and
                              ///< both ends prove that they hold this key
     std::function<void()>
@@ -43,6 +48,7 @@
     kFull,      ///< connection limit reached
     kRefused,   ///< connect failed
     kTimeout,   ///< connect timed out
+    kPaused,    ///< connecting failed a moment ago
     kBadProof,  ///< the peer failed to prove that it holds the mesh key
   };
 
@@ -101,6 +107,7 @@
 
  private:
   asio::awaitable<Acquired> Connect();
+  asio::awaitable<Acquired> ConnectOnce();
   asio::awaitable<bool> Authenticate(Connection& connection);
   asio::awaitable<bool> Ping(Connection& connection);
   void ReturnIdle(std::unique_ptr<Connection> connection);
@@ -115,6 +122,11 @@
                                  ///< decays by a tenth per Maintain
   MonoTime last_used_{};
   bool closed_ = false;
+  std::optional<Backoff> reconnect_;
+  std::minstd_rand random_;
+  bool failing_ = false;           ///< the last connect failed
+  bool connecting_alone_ = false;  ///< while failing_: a connect is running
+  MonoTime next_connect_{};        ///< while failing_: not before
 };
 
 }  // namespace camphor
--- a/proxy/host_pools.cc
+++ b/proxy/host_pools.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Seconds kUnusedPoolTimeout{60};
+constexpr Backoff::Options kReconnect{.initial_delay = Milliseconds(200),
+                                      .max_delay = Milliseconds(5000)};
 
 asio::awaitable<void> MaintainPool(std::shared_ptr<ConnectionPool> pool) {
   co_await pool->Maintain();
@@ -28,6 +30,7 @@
         .warm = 1,
         .connect_timeout = limits.connect_timeout,
         .ping_interval = limits.ping_interval,
+        .reconnect = kReconnect,
         .mesh_key = context_.options.mesh_key,
         .on_connect =
             [this] {
