Limit the new connections that a turn of the proxy thread begins

What callers saw: after a burst of callers that give up and come again a host of little processor time served none of the usual load, for as long as it lasted.

Cause: the thread began to serve whatever had been accepted, in order of arrival, however long a turn of its loop took. Once a turn is longer than the callers' patience, each response comes too late, all work is wasted, and the repetitions keep it so (metastable failure).

Change: AcceptLoop takes what waits for half of the longest turn (50 ms), and begins to serve only so many in a turn, halved by each long turn and raised by one by each short one; the newest first, since their callers wait longest. One that has waited 250 ms is refused at once: a request that has arrived gets 503 overloaded, not run, with Retry-After; other hosts see the close and try another target. While the thread has time all are served in order.

--- a/ctl/explain/cause_text.cc
+++ b/ctl/explain/cause_text.cc
@@ -13,7 +13,7 @@
 constexpr std::uint64_t kMicrosecondsPerMs = 1000;
 
 /// Sentence for each reason code of a request log line.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 33>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 34>
     kReasonSentences = {{
         {"bad_request", "the request was malformed"},
         {"header_too_long", "its header exceeded the configured limit"},
@@ -32,6 +32,8 @@
         {"buffers_full",
          "its host had no buffers left, and the connection waited for its "
          "caller"},
+        {"overloaded",
+         "its host had too little processor time to serve all new connections"},
         {"link_full",
          "the link of the target's host had no room for its body, and no other "
          "target could be tried"},
--- a/harness/load/impatient_callers.cc
+++ b/harness/load/impatient_callers.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <charconv>
 #include <chrono>
@@ -22,6 +23,21 @@
 
 MonoTime Now() { return std::chrono::steady_clock::now(); }
 
+/// Gives a socket one of many source addresses, because the ports of a single
+/// one would soon be used up by connections that wait for their end.
+void BindSource(int socket) {
+  static std::atomic<std::uint32_t> next{0};
+  constexpr std::uint32_t kFirst = 0x7F4D0001;  // 127.77.0.1
+  constexpr std::uint32_t kAddresses = 250;
+  const int port_at_connect = 1;
+  setsockopt(socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &port_at_connect,
+             sizeof(port_at_connect));
+  sockaddr_in source{};
+  source.sin_family = AF_INET;
+  source.sin_addr.s_addr = htonl(kFirst + next++ % kAddresses);
+  bind(socket, reinterpret_cast<const sockaddr*>(&source), sizeof(source));
+}
+
 /// Returns the status of the response that begins with `head`; 0 if it is none.
 unsigned ParseStatus(std::string_view head) {
   unsigned status = 0;
@@ -94,6 +110,7 @@
   caller.socket =
       socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (caller.socket < 0) return false;
+  BindSource(caller.socket);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(options_.to.port);
--- a/proxy/attempt_rules.cc
+++ b/proxy/attempt_rules.cc
@@ -29,6 +29,7 @@
     case ProxyError::kTooLate:
     case ProxyError::kConnectFailed:
     case ProxyError::kBuffersFull:
+    case ProxyError::kOverloaded:
     case ProxyError::kLinkFull:
     case ProxyError::kDraining:
       return RequestOutcome::kRefused;
@@ -56,6 +57,7 @@
     case ProxyError::kConnectFailed:
     case ProxyError::kSuspectBusy:
     case ProxyError::kBuffersFull:
+    case ProxyError::kOverloaded:
     case ProxyError::kLinkFull:
     case ProxyError::kDraining:
     case ProxyError::kTargetBroke:
--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -27,6 +27,11 @@
 constexpr std::uint64_t kHeaderCopies = 3;
 /// Buffer for the response, and frames of the coroutines.
 constexpr std::uint64_t kRunBytes = 24 * 1024;
+/// Read of a request that is refused unseen. Closing with unread bytes would
+/// reset the connection and could lose the response.
+constexpr std::size_t kRefusedBytes = 16 * 1024;
+/// Time in which a host that is behind may catch up.
+constexpr Milliseconds kOverloadRetryAfter{250};
 /// Buffer for a body that is streamed.
 constexpr std::uint64_t kStreamBytes = 16 * 1024;
 
@@ -79,6 +84,26 @@
                                          now);
 }
 
+void CallerSession::Refuse(ProxyContext& context, tcp::socket socket) {
+  std::array<char, kRefusedBytes> request;
+  beast::error_code error;
+  socket.non_blocking(true, error);
+  const std::size_t received = socket.read_some(asio::buffer(request), error);
+  if (error || received == 0) return;
+  http::response<http::string_body> response = MakeErrorResponse(
+      ProxyError::kOverloaded,
+      {.retry_after =
+           std::max(context.options.limits.retry_after, kOverloadRetryAfter),
+       .fractional_retry_after =
+           context.options.vocabulary.fractional_retry_after});
+  response.keep_alive(false);
+  std::ostringstream text;
+  text << response;
+  // A new connection takes a short response at once.
+  socket.write_some(asio::buffer(text.str()), error);
+  socket.shutdown(tcp::socket::shutdown_send, error);
+}
+
 CallerSession::~CallerSession() { --context_.caller_sessions; }
 
 CallerLimits CallerSession::Limits() {
--- a/proxy/caller_session.h
+++ b/proxy/caller_session.h
@@ -25,6 +25,10 @@
   /// it if necessary.
   static bool HasPlace(ProxyContext& context, MonoTime now);
 
+  /// Refuses a connection that is not served: a request that has arrived gets
+  /// an error response that it was not run, and the connection is closed.
+  static void Refuse(ProxyContext& context, tcp::socket socket);
+
   CallerSession(ProxyContext& context, tcp::socket socket);
   ~CallerSession() override;
 
--- a/proxy/error_response.cc
+++ b/proxy/error_response.cc
@@ -57,6 +57,8 @@
      "another suspected poison request is running on the target", true},
     {status::service_unavailable, "buffers_full",
      "the buffers of this host are full", true},
+    {status::service_unavailable, "overloaded",
+     "this host is behind with its requests", true},
     {status::service_unavailable, "link_full",
      "the link of the target's host has no room for the request body", true},
     {status::service_unavailable, "draining", "this host is draining", true},
--- a/proxy/error_response.h
+++ b/proxy/error_response.h
@@ -33,6 +33,7 @@
   kConnectFailed,  ///< connecting to the target failed
   kSuspectBusy,    ///< another suspect request is running on the target
   kBuffersFull,    ///< this host has no buffers for it
+  kOverloaded,     ///< this host has too little processor time
   kLinkFull,       ///< the link of the target's host has no room for its body
   kDraining,       ///< this host is draining
   kClaimNotMade,   ///< the idempotency key could not be claimed
--- a/proxy/forward_session.h
+++ b/proxy/forward_session.h
@@ -25,6 +25,10 @@
   /// CallerSession::HasPlace.
   static bool HasPlace(ProxyContext& context, MonoTime now);
 
+  /// Refuses a connection that is not served: the other host learns at once
+  /// that its request was not received.
+  static void Refuse(ProxyContext& /*context*/, tcp::socket /*socket*/) {}
+
   ForwardSession(ProxyContext& context, tcp::socket socket);
   ~ForwardSession() override;
 
--- a/proxy/proxy_context.cc
+++ b/proxy/proxy_context.cc
@@ -40,6 +40,9 @@
     case ProxyLimit::kConnectionsRefused:
       metrics.Count(Counter::kConnectionsRefused);
       break;
+    case ProxyLimit::kOverloaded:
+      metrics.Count(Counter::kOverloadRefused);
+      break;
     case ProxyLimit::kHeaderFields:
       metrics.Count(Counter::kHeaderFieldsRefused);
       break;
--- a/proxy/proxy_limit.h
+++ b/proxy/proxy_limit.h
@@ -13,6 +13,8 @@
   kBuffersYielded,      ///< a connection had to give its buffers to others
   kConnectionsYielded,  ///< a connection was closed in favour of a new one
   kConnectionsRefused,  ///< a new connection was refused
+  kOverloaded,          ///< a new connection was refused because the thread has
+                        ///< too little processor time
   kHeaderFields,        ///< a request has too many header fields
   kHandshakeLate,       ///< a connection to the forward listener was closed
                         ///< because its peer did not authenticate in time
@@ -30,6 +32,8 @@
       return "connection that waited for its peer closed for a new one";
     case ProxyLimit::kConnectionsRefused:
       return "new connection refused: too many are open";
+    case ProxyLimit::kOverloaded:
+      return "new connection refused: the host is behind";
     case ProxyLimit::kHeaderFields:
       return "request refused: too many header fields";
     case ProxyLimit::kHandshakeLate:
--- a/proxy/proxy_metrics.cc
+++ b/proxy/proxy_metrics.cc
@@ -18,7 +18,7 @@
 constexpr std::array kQuantiles = {0.5, 0.9, 0.99};
 constexpr double kMicrosPerSecond = 1e6;
 
-constexpr std::array<std::string_view, 37> kCounterNames = {
+constexpr std::array<std::string_view, 38> kCounterNames = {
     "caller_requests",
     "pipelined_requests",
     "forward_requests",
@@ -39,6 +39,7 @@
     "strangers",
     "slow_callers",
     "connections_refused",
+    "overload_refused",
     "buffers_refused",
     "buffers_yielded",
     "connections_yielded",
--- a/proxy/proxy_metrics.h
+++ b/proxy/proxy_metrics.h
@@ -42,6 +42,7 @@
     kSlowCallers,  ///< connections on which the sender exceeded a read or write
                    ///< timeout
     kConnectionsRefused,   ///< connections refused over the limit
+    kOverloadRefused,      ///< connections refused because the host is behind
     kBuffersRefused,       ///< requests and connections refused for lack of
                            ///< buffers
     kBuffersYielded,       ///< connections that gave their buffers to others
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -18,9 +18,8 @@
 #include "proxy/caller_session.h"
 #include "proxy/forward_session.h"
 #include "proxy/host_pools.h"
-#include "proxy/load/accept_queue.h"
+#include "proxy/load/accept_loop.h"
 #include "proxy/load/loop_monitor.h"
-#include "proxy/load/socket_state.h"
 #include "proxy/local_targets.h"
 #include "proxy/proxy_context.h"
 
@@ -28,7 +27,6 @@
 namespace {
 
 constexpr Seconds kMaintenanceInterval{1};
-constexpr Milliseconds kAcceptRetryDelay{20};
 
 MonoTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -45,14 +43,16 @@
         forward_acceptor(*context.io),
         maintenance(*context.io),
         monitor(caller_acceptor, forward_acceptor,
-                {.on_load = context.options.on_load}) {}
+                {.on_load = context.options.on_load}),
+        caller_accepts(AcceptOptions<CallerSession>(caller_acceptor)),
+        forward_accepts(AcceptOptions<ForwardSession>(forward_acceptor)) {}
 
   bool Listen(tcp::acceptor& acceptor, const Endpoint& endpoint,
               std::string_view what);
   template <typename Session>
-  asio::awaitable<void> Accept(tcp::acceptor& acceptor);
+  AcceptLoop::Options AcceptOptions(tcp::acceptor& acceptor);
   template <typename Session>
-  void Admit(const tcp::acceptor& acceptor, tcp::socket socket);
+  void Serve(tcp::socket socket);
   asio::awaitable<void> Maintain();
   void CloseAll();
   boost::json::object Dump();
@@ -62,6 +62,8 @@
   tcp::acceptor forward_acceptor;
   asio::steady_timer maintenance;
   LoopMonitor monitor;
+  AcceptLoop caller_accepts;
+  AcceptLoop forward_accepts;
   std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
       work;
   std::thread thread;
@@ -96,34 +98,29 @@
 }
 
 template <typename Session>
-asio::awaitable<void> ProxyServer::State::Accept(tcp::acceptor& acceptor) {
-  constexpr auto kGroup = static_cast<std::uint32_t>(Session::kGroup);
-  asio::steady_timer pause(*context.io);
-  while (acceptor.is_open()) {
-    auto [error, socket] = co_await acceptor.async_accept(kAsTuple);
-    if (!acceptor.is_open()) break;
-    if (!error) {
-      error =
-          AcceptWaiting(acceptor, std::move(socket), [&](tcp::socket accepted) {
-            Admit<Session>(acceptor, std::move(accepted));
-          });
-    }
-    if (!error) continue;
-    // For example out of file descriptors: close a connection that waits for
-    // its peer, or wait until others close.
-    if (error == asio::error::no_descriptors)
-      context.buffers.YieldConnection(kGroup, Now());
-    pause.expires_after(kAcceptRetryDelay);
-    co_await pause.async_wait(kAsTuple);
-  }
+AcceptLoop::Options ProxyServer::State::AcceptOptions(tcp::acceptor& acceptor) {
+  return {.acceptor = &acceptor,
+          .serve =
+              [this](tcp::socket socket) { Serve<Session>(std::move(socket)); },
+          .refuse =
+              [this](tcp::socket socket) {
+                context.OnLimit(ProxyLimit::kOverloaded);
+                Session::Refuse(context, std::move(socket));
+              },
+          .on_accepted =
+              [this, &acceptor](tcp::socket& socket, bool abandoned) {
+                monitor.OnAccepted(acceptor, socket, abandoned);
+              },
+          .on_no_descriptors =
+              [this] {
+                context.buffers.YieldConnection(
+                    static_cast<std::uint32_t>(Session::kGroup), Now());
+              }};
 }
 
 template <typename Session>
-void ProxyServer::State::Admit(const tcp::acceptor& acceptor,
-                               tcp::socket socket) {
-  const bool abandoned = IsClosedByPeer(socket.native_handle());
-  monitor.OnAccepted(acceptor, socket, abandoned);
-  if (abandoned) return;
+void ProxyServer::State::Serve(tcp::socket socket) {
+  if (context.stopping) return;
   if (!Session::HasPlace(context, Now()))
     return context.OnLimit(ProxyLimit::kConnectionsRefused);
   auto session = std::make_shared<Session>(context, std::move(socket));
@@ -231,11 +228,8 @@
   state.forward_endpoint =
       FromTcpEndpoint(state.forward_acceptor.local_endpoint());
   state.work.emplace(state.context.io->get_executor());
-  asio::co_spawn(*state.context.io,
-                 state.Accept<CallerSession>(state.caller_acceptor),
-                 asio::detached);
-  asio::co_spawn(*state.context.io,
-                 state.Accept<ForwardSession>(state.forward_acceptor),
+  asio::co_spawn(*state.context.io, state.caller_accepts.Run(), asio::detached);
+  asio::co_spawn(*state.context.io, state.forward_accepts.Run(),
                  asio::detached);
   asio::co_spawn(*state.context.io, state.Maintain(), asio::detached);
   asio::co_spawn(*state.context.io, state.monitor.Run(), asio::detached);
