Take all connections that wait on the admin listener at once

The same cause as on the proxy's listeners: one connection in each turn of the loop. The admin thread uses AcceptLoop too, with two differences: what a target says counts also if it has closed the connection since, and nobody is refused before the listener's own timeout.

Test: AdminServerHandle.ConnectionsWaitBehindOne_AllAreHandled, a guard: it was not run on the code before, where the thread has little else to do.

--- a/node/admin/admin_server.cc
+++ b/node/admin/admin_server.cc
@@ -15,6 +15,7 @@
 
 #include "core/base/buffer_account.h"
 #include "core/base/buffer_budget.h"
+#include "proxy/load/accept_loop.h"
 
 namespace camphor {
 namespace {
@@ -35,7 +36,6 @@
 constexpr std::uint64_t kSessionBytes = 8 * 1024;
 /// What the library allocates for each header field besides its text.
 constexpr std::uint64_t kFieldBytes = 96;
-constexpr Milliseconds kAcceptRetryDelay{20};
 
 MonoTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -83,12 +83,12 @@
   BufferBudget buffers;
   asio::io_context context{1};
   std::deque<Tcp::acceptor> acceptors;
+  std::deque<AcceptLoop> accept_loops;
   std::thread thread;
   Endpoint endpoint;
   std::string last_reason;
 
-  void Accept(Tcp::acceptor& acceptor);
-  void AcceptLater(Tcp::acceptor& acceptor);
+  AcceptLoop::Options AcceptOptions(Tcp::acceptor& acceptor);
   void Admit(Tcp::socket socket);
   void OnLimit(ProxyLimit limit) const {
     if (options.on_limit) options.on_limit(limit);
@@ -287,28 +287,19 @@
   BufferAccount::Charge charge_;  ///< for the request, then for the response
 };
 
-void AdminServer::State::Accept(Tcp::acceptor& acceptor) {
-  acceptor.async_accept(
-      [this, &acceptor](const beast::error_code& error, Tcp::socket socket) {
-        if (!acceptor.is_open()) return;
-        if (error) {
-          // For example out of file descriptors: close a connection that waits
-          // for its peer, and retry later instead of at once.
-          if (error == asio::error::no_descriptors)
-            buffers.YieldConnection(0, Now());
-          return AcceptLater(acceptor);
-        }
-        Admit(std::move(socket));
-        Accept(acceptor);
-      });
-}
-
-void AdminServer::State::AcceptLater(Tcp::acceptor& acceptor) {
-  const auto pause =
-      std::make_shared<asio::steady_timer>(context, kAcceptRetryDelay);
-  pause->async_wait([this, &acceptor, pause](const beast::error_code&) {
-    if (acceptor.is_open()) Accept(acceptor);
-  });
+AcceptLoop::Options AdminServer::State::AcceptOptions(Tcp::acceptor& acceptor) {
+  // Operators and targets are served late rather than refused, and what a
+  // target says counts also if it has left since.
+  return {.acceptor = &acceptor,
+          .serve = [this](Tcp::socket socket) { Admit(std::move(socket)); },
+          .refuse =
+              [this](const Tcp::socket&) {
+                ++refused;
+                OnLimit(ProxyLimit::kOverloaded);
+              },
+          .on_no_descriptors = [this] { buffers.YieldConnection(0, Now()); },
+          .closes_abandoned = false,
+          .longest_wait = options.timeout};
 }
 
 void AdminServer::State::Admit(Tcp::socket socket) {
@@ -331,6 +322,7 @@
   if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
   if (!error) acceptor.bind(listen, error);
   if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) acceptor.non_blocking(true, error);
   if (!error) return true;
   last_reason = "cannot listen on " + on.ToString() + ": " + error.message();
   return false;
@@ -349,7 +341,11 @@
   const auto bound = state.acceptors.front().local_endpoint();
   state.endpoint = {.address = bound.address().to_string(),
                     .port = bound.port()};
-  for (Tcp::acceptor& acceptor : state.acceptors) state.Accept(acceptor);
+  for (Tcp::acceptor& acceptor : state.acceptors) {
+    AcceptLoop& loop =
+        state.accept_loops.emplace_back(state.AcceptOptions(acceptor));
+    asio::co_spawn(state.context, loop.Run(), asio::detached);
+  }
   state.thread = std::thread([&state] { state.context.run(); });
   return true;
 }
--- a/proxy/load/accept_loop.cc
+++ b/proxy/load/accept_loop.cc
@@ -70,7 +70,7 @@
 void AcceptLoop::Add(tcp::socket socket) {
   const bool abandoned = IsClosedByPeer(socket.native_handle());
   if (options_.on_accepted) options_.on_accepted(socket, abandoned);
-  if (abandoned) return;
+  if (abandoned && options_.closes_abandoned) return;
   if (pending_.size() >= options_.most_pending) RefuseOldest();
   pending_.push_back({std::move(socket), Now()});
 }
@@ -85,7 +85,8 @@
   for (unsigned begun = 0; begun < limit_.limit() && !pending_.empty();) {
     tcp::socket socket = std::move(pending_.back().socket);
     pending_.pop_back();
-    if (IsClosedByPeer(socket.native_handle())) continue;
+    if (options_.closes_abandoned && IsClosedByPeer(socket.native_handle()))
+      continue;
     options_.serve(std::move(socket));
     ++begun;
   }
--- a/proxy/load/accept_loop.h
+++ b/proxy/load/accept_loop.h
@@ -30,6 +30,8 @@
                         ///< its peer has closed it already; may be null
     std::function<void()> on_no_descriptors{};  ///< called when no descriptor
                                                 ///< is left; may be null
+    bool closes_abandoned = true;  ///< connections that their peers have closed
+                                   ///< are not served
     Milliseconds longest_wait{250};  ///< after which a connection is refused
     std::size_t most_pending = 256;  ///< connections that wait to be served; a
                                      ///< further one displaces the oldest
--- a/unit_tests/node/admin/admin_server_test.cc
+++ b/unit_tests/node/admin/admin_server_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <future>
 #include <string>
 #include <thread>
@@ -48,6 +50,40 @@
   EXPECT_EQ(answer->body, "PUT /v1/a b text");
 }
 
+// Guards against a thread that falls behind its listener: it must take what
+// waits at once, also from targets that have ended since.
+TEST_F(AdminServerHandle, ConnectionsWaitBehindOne_AllAreHandled) {
+  constexpr unsigned kWaiting = 100;
+  std::atomic<unsigned> handled = 0;
+  std::promise<void> release;
+  std::shared_future<void> released = release.get_future().share();
+  AdminServer server(
+      {.listen = {.address = "127.0.0.1"},
+       .connections = 2 * kWaiting,
+       .handle = [&](const AdminRequest&, const AdminRespond& respond) {
+         released.wait();
+         ++handled;
+         respond({.body = "done"});
+       }});
+  ASSERT_TRUE(server.Start());
+  const std::string request = "POST /v1/x HTTP/1.1\r\nHost: h\r\n\r\n";
+  asio::io_context context;
+  for (unsigned index = 0; index <= kWaiting; ++index) {
+    Tcp::socket socket(context);
+    socket.connect({asio::ip::make_address(server.endpoint().address),
+                    server.endpoint().port});
+    asio::write(socket, asio::buffer(request));
+  }
+  release.set_value();
+  const auto answer = HttpConnection(server.endpoint())
+                          .Call({.method = "GET", .target = "/v1/y"});
+  ASSERT_TRUE(answer.has_value());
+  const MonoTime end = std::chrono::steady_clock::now() + Seconds(5);
+  while (handled < kWaiting + 2 && std::chrono::steady_clock::now() < end)
+    std::this_thread::sleep_for(Milliseconds(5));
+  EXPECT_EQ(handled, kWaiting + 2);
+}
+
 // Guards against a session that is destroyed on the thread that drops the
 // callback of its request while the server's thread changes the same buffers.
 TEST_F(AdminServerRespond, CallbackDropped_SessionEndsOnServerThread) {
