Say not ready while the proxy thread has no turn

Readiness is answered by a thread of its own and knew nothing of the proxy: a host whose proxy thread was stuck said that it was ready. Now it is not ready while that thread has had no turn for 2 s, so that callers go elsewhere; a thread that is late but goes on stays ready, and refuses what it cannot serve.

Test: AbandonedConnections.ThreadIsStuckAndGoesOn_ResponsiveOnlyThen; the state did not exist before.

--- a/node/node.cc
+++ b/node/node.cc
@@ -403,34 +403,35 @@
 }
 
 AdminApi::Options Node::State::ApiOptions() {
-  return {.settings = settings,
-          .log = &log,
-          .decisions = &decisions,
-          .controller = controller.get(),
-          .accept =
-              [this](const ConfigEdit& edit,
-                     std::function<void(const AcceptResult&)> done) {
-                sync->Accept(edit, std::move(done));
-              },
-          .await_departures_stored =
-              [this](std::function<void(bool)> done) {
-                sync->AwaitDeparturesStored(std::move(done));
-              },
-          .status = [this] { return Report().Status(); },
-          .dump = [this] { return Report().Dump(); },
-          .preview =
-              [this](PreviewRequest request,
-                     std::function<void(const PlacementPreview&)> done) {
-                return proxy.Preview(std::move(request), std::move(done));
-              },
-          .metrics = [this] { return Report().Metrics(); },
-          .alive =
-              [this] {
-                const MonoTime ticked(MonoTime::duration(last_tick.load()));
-                return Now() - ticked < kMaxTickGap;
-              },
-          .ready = [this] { return ready && !draining; },
-          .drain = options.drain_requested};
+  return {
+      .settings = settings,
+      .log = &log,
+      .decisions = &decisions,
+      .controller = controller.get(),
+      .accept =
+          [this](const ConfigEdit& edit,
+                 std::function<void(const AcceptResult&)> done) {
+            sync->Accept(edit, std::move(done));
+          },
+      .await_departures_stored =
+          [this](std::function<void(bool)> done) {
+            sync->AwaitDeparturesStored(std::move(done));
+          },
+      .status = [this] { return Report().Status(); },
+      .dump = [this] { return Report().Dump(); },
+      .preview =
+          [this](PreviewRequest request,
+                 std::function<void(const PlacementPreview&)> done) {
+            return proxy.Preview(std::move(request), std::move(done));
+          },
+      .metrics = [this] { return Report().Metrics(); },
+      .alive =
+          [this] {
+            const MonoTime ticked(MonoTime::duration(last_tick.load()));
+            return Now() - ticked < kMaxTickGap;
+          },
+      .ready = [this] { return ready && !draining && proxy.IsResponsive(); },
+      .drain = options.drain_requested};
 }
 
 void Node::State::OnTick() {
--- a/proxy/load/loop_monitor.cc
+++ b/proxy/load/loop_monitor.cc
@@ -39,7 +39,8 @@
     : callers_(callers),
       hosts_(hosts),
       options_(std::move(options)),
-      timer_(callers.get_executor()) {}
+      timer_(callers.get_executor()),
+      measured_at_(std::chrono::steady_clock::now().time_since_epoch()) {}
 
 asio::awaitable<void> LoopMonitor::Run() {
   while (!stopped_) {
@@ -67,6 +68,7 @@
 }
 
 void LoopMonitor::Measure(Microseconds lag) {
+  measured_at_ = std::chrono::steady_clock::now().time_since_epoch();
   current_.lag = lag;
   current_.thread_cpu = ThreadCpuTime();
   // The acceptors close when the proxy drains.
--- a/proxy/load/loop_monitor.h
+++ b/proxy/load/loop_monitor.h
@@ -1,6 +1,7 @@
 #ifndef CAMPHORHILL_PROXY_LOOP_MONITOR_H_
 #define CAMPHORHILL_PROXY_LOOP_MONITOR_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -36,6 +37,10 @@
   void OnAccepted(const tcp::acceptor& listener, tcp::socket& socket,
                   bool abandoned);
 
+  /// Returns the time of the last measurement, or of the construction.
+  /// Thread-safe.
+  MonoTime measured_at() const { return MonoTime(measured_at_.load()); }
+
   /// Returns the last measurement. Thread-safe.
   LoopLoad load() const;
 
@@ -52,6 +57,7 @@
   bool stopped_ = false;
   LoopLoad current_;  ///< of the running interval
 
+  std::atomic<MonoTime::duration> measured_at_;
   mutable std::mutex mutex_;
   LoopLoad last_;             ///< guarded by mutex_
   Microseconds peak_lag_{0};  ///< since the start; guarded by mutex_
--- a/proxy/proxy_server.cc
+++ b/proxy/proxy_server.cc
@@ -27,6 +27,8 @@
 namespace {
 
 constexpr Seconds kMaintenanceInterval{1};
+/// A thread without a turn for this long takes no connections.
+constexpr Seconds kMaxLoopGap{2};
 
 MonoTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -279,6 +281,10 @@
   return true;
 }
 
+bool ProxyServer::IsResponsive() const {
+  return Now() - state_->monitor.measured_at() < kMaxLoopGap;
+}
+
 Endpoint ProxyServer::caller_endpoint() const {
   return state_->caller_endpoint;
 }
--- a/proxy/proxy_server.h
+++ b/proxy/proxy_server.h
@@ -127,6 +127,10 @@
   /// in between. Must be called from the thread that calls Stop.
   bool StopIfIdle();
 
+  /// Returns true while the thread takes new connections: it has had a turn
+  /// within the last two seconds. Thread-safe.
+  bool IsResponsive() const;
+
   /// Bound addresses. Thread-safe. @pre Start returned true.
   Endpoint caller_endpoint() const;
   Endpoint forward_endpoint() const;
--- a/unit_tests/proxy/abandoned_connections_test.cc
+++ b/unit_tests/proxy/abandoned_connections_test.cc
@@ -35,6 +35,7 @@
     TwoHosts::SetUp();
     accepts_keys_ = [this] {
       std::this_thread::sleep_for(blocked_ ? kPatience : kRequestTime);
+      while (stuck_) std::this_thread::sleep_for(kRequestTime);
       return true;
     };
     AddTarget("h1", "t1", [](const HttpExchange& exchange) {
@@ -86,6 +87,7 @@
 
   boost::asio::io_context io_;
   std::atomic<bool> blocked_ = false;
+  std::atomic<bool> stuck_ = false;
   std::atomic<bool> stopping_ = false;
   std::vector<std::thread> busy_;
 };
@@ -104,6 +106,18 @@
   EXPECT_LT(AnsweredAfter(hosts, kHello), kContact);
 }
 
+// Guards against a host that says it is ready while its proxy is stuck.
+TEST_F(AbandonedConnections, ThreadIsStuckAndGoesOn_ResponsiveOnlyThen) {
+  ProxyServer& proxy = *proxies_.at("h1");
+  EXPECT_TRUE(proxy.IsResponsive());
+  stuck_ = true;
+  std::this_thread::sleep_for(Milliseconds(2600));
+  EXPECT_FALSE(proxy.IsResponsive());
+  stuck_ = false;
+  std::this_thread::sleep_for(Milliseconds(800));
+  EXPECT_TRUE(proxy.IsResponsive());
+}
+
 TEST_F(AbandonedConnections, CallersWaitInTheQueue_AllAreServed) {
   const Endpoint callers = proxies_.at("h1")->caller_endpoint();
   constexpr unsigned kWaiting = 100;
