Let the cost of a quota report not grow with the number of hosts

What callers saw: the host that takes no new connection was always the one that allocates the quotas of all teams.

Cause: for each team of a report the allocator went three times over all hosts, so that its work grew with the square of their number, and each team that stays limited was notified to all hosts by a message of its own.

Change: the sums over the hosts are taken by Tick(), a report adds its own change; teams whose notification is due within a second go along with one that is due.

--- a/core/quota/quota_allocator.cc
+++ b/core/quota/quota_allocator.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 #include <utility>
 
 namespace camphor {
@@ -176,6 +177,8 @@
     team.refilled = now;
     team.level = Ceiling(team.quota) * part_;
     team.steady = 0;
+    team.demand = 0;
+    team.reserved = 0;
     team.arrivals = 0;
     team.limited = false;
   }
@@ -214,10 +217,20 @@
   host.incarnation = incarnation;
   host.admitted = usage.admitted;
   host.reported = now;
-  DropSilentHosts(team, now);
+  // The sums over all hosts are taken by Tick() only, so that the cost of a
+  // report does not grow with their number.
+  team.demand = std::max(0.0, team.demand + host.demand - known);
+  team.newest = now;
+}
+
+void QuotaAllocator::SumHosts(Team& team, MonoTime now) {
   team.demand = 0;
-  for (const auto& [endpoint, use] : team.hosts)
+  team.reserved = 0;
+  for (const auto& [endpoint, use] : team.hosts) {
     team.demand += CurrentDemand(use, now);
+    if (!use.idle && now - use.reported > kSilentAfter)
+      team.reserved += use.demand;
+  }
 }
 
 double QuotaAllocator::CurrentDemand(const HostUse& use, MonoTime now) {
@@ -230,12 +243,8 @@
   if (now <= team.refilled) return;
   const DoubleSeconds elapsed = now - team.refilled;
   team.refilled = now;
-  // Hosts that may be cut off are using their shares without reporting.
-  double reserved = 0;
-  for (const auto& [endpoint, use] : team.hosts)
-    if (!use.idle && now - use.reported > kSilentAfter) reserved += use.demand;
   const double reporting =
-      reserved > 0 ? std::max(0.0, 1 - reserved / team.demand) : 1;
+      team.reserved > 0 ? std::max(0.0, 1 - team.reserved / team.demand) : 1;
   team.arrivals *= std::exp(-elapsed / kDemandTime);
   team.level = std::min(
       Ceiling(team.quota) * part_,
@@ -273,7 +282,7 @@
   team.notify = true;
 }
 
-bool QuotaAllocator::IsLearning(const Team& team, MonoTime now) const {
+bool QuotaAllocator::IsLearning(const Team& team, MonoTime now) {
   return team.limited && team.first_use - team.owned_since < 2 * kQuotaWindow &&
          now - team.first_use < kLearningTime;
 }
@@ -318,12 +327,11 @@
 void QuotaAllocator::Tick(MonoTime now) {
   for (auto& [hash, team] : teams_) {
     if (!team.owned || !team.used) continue;
+    DropSilentHosts(team, now);
+    SumHosts(team, now);
     Refill(team, now);
     UpdateLimited(team, now);
-    MonoTime newest{};
-    for (const auto& [endpoint, use] : team.hosts)
-      newest = std::max(newest, use.reported);
-    if (now - newest <= kIdleRetention || team.limited) continue;
+    if (now - team.newest <= kIdleRetention || team.limited) continue;
     team.used = false;
     team.hosts.clear();
   }
@@ -331,19 +339,27 @@
 }
 
 void QuotaAllocator::Notify(MonoTime now) {
+  const auto is_due = [now](const Team& team) {
+    const auto silence = now - team.notified;
+    return team.owned && team.used &&
+           ((team.notify && silence >= kNotifyPeriod) ||
+            (team.limited && silence >= kNotifyAgain &&
+             !IsLearning(team, now)));
+  };
+  // A message to every host costs more than a few more teams in it.
+  const auto is_due_soon = [now](const Team& team) {
+    return team.owned && team.used && team.limited &&
+           now - team.notified >= kNotifyAgain / 2 && !IsLearning(team, now);
+  };
+  const auto teams = std::views::values(teams_);
+  if (std::ranges::none_of(teams, is_due)) return;
   std::vector<std::pair<TeamHash, const Team*>> changed;
   for (auto& [hash, team] : teams_) {
-    if (!team.owned || !team.used) continue;
-    const auto silence = now - team.notified;
-    const bool due =
-        (team.notify && silence >= kNotifyPeriod) ||
-        (team.limited && silence >= kNotifyAgain && !IsLearning(team, now));
-    if (!due) continue;
+    if (!is_due(team) && !is_due_soon(team)) continue;
     team.notify = false;
     team.notified = now;
     changed.emplace_back(hash, &team);
   }
-  if (changed.empty()) return;
   for (const Endpoint& host : hosts_) {
     QuotaGrants grants{
         .lease_ms = static_cast<std::uint32_t>(kQuotaNoticeLease.count())};
--- a/core/quota/quota_allocator.h
+++ b/core/quota/quota_allocator.h
@@ -94,6 +94,9 @@
     bool notify = false;
     MonoTime notified{};
     double demand = 0;    ///< sum over the hosts, to divide the rate by
+    double reserved = 0;  ///< of it, that of hosts that may be cut off: they
+                          ///< use their shares without reporting
+    MonoTime newest{};    ///< time of the last report of any host
     double arrivals = 0;  ///< requests per second of all hosts, averaged
     std::map<Endpoint, HostUse> hosts{};
   };
@@ -103,7 +106,8 @@
   void Refill(Team& team, MonoTime now) const;
   void UpdateLimited(Team& team, MonoTime now) const;
   void DropSilentHosts(Team& team, MonoTime now) const;
-  bool IsLearning(const Team& team, MonoTime now) const;
+  static void SumHosts(Team& team, MonoTime now);
+  static bool IsLearning(const Team& team, MonoTime now);
   void Notify(MonoTime now);
   static double CurrentDemand(const HostUse& use, MonoTime now);
   static bool IsSteady(const Team& team, MonoTime now);
