--- a/node/log/load_log.cc
+++ b/node/log/load_log.cc
@@ -46,6 +46,7 @@
   options_.log->Log(
       LogLevel::kWarning, "node", "host is behind",
       {{"proxy_lag_ms", InMilliseconds(load.lag)},
+       {"process_cpu_ms", InMilliseconds(load.process_cpu)},
        {"proxy_cpu_ms", InMilliseconds(load.thread_cpu)},
        {"limiter_wait_us",
         static_cast<std::uint64_t>(decisions.limiter_wait.count())},
--- a/proxy/load/loop_load.h
+++ b/proxy/load/loop_load.h
@@ -29,8 +29,9 @@
 struct LoopLoad {
   Microseconds lag{0};         ///< by which the timer of the interval was late
   Microseconds thread_cpu{0};  ///< processor time of the thread since the start
-  ListenerLoad callers{};      ///< listener for callers
-  ListenerLoad hosts{};        ///< listener for other hosts' proxies
+  Microseconds process_cpu{0};  ///< the same of all threads
+  ListenerLoad callers{};       ///< listener for callers
+  ListenerLoad hosts{};         ///< listener for other hosts' proxies
 
   auto operator<=>(const LoopLoad&) const = default;
 };
--- a/proxy/load/loop_monitor.cc
+++ b/proxy/load/loop_monitor.cc
@@ -71,6 +71,7 @@
   measured_at_ = std::chrono::steady_clock::now().time_since_epoch();
   current_.lag = lag;
   current_.thread_cpu = ThreadCpuTime();
+  current_.process_cpu = ProcessCpuTime();
   // The acceptors close when the proxy drains.
   current_.callers.queued = callers_.is_open()
                                 ? AcceptQueueLength(callers_.native_handle())
