--- a/core/quota/quota_allocator.cc
+++ b/core/quota/quota_allocator.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 #include <utility>
 
 namespace camphor {
@@ -351,8 +350,9 @@
     return team.owned && team.used && team.limited &&
            now - team.notified >= kNotifyAgain / 2 && !IsLearning(team, now);
   };
-  const auto teams = std::views::values(teams_);
-  if (std::ranges::none_of(teams, is_due)) return;
+  const bool any_due = std::ranges::any_of(
+      teams_, [&](const auto& entry) { return is_due(entry.second); });
+  if (!any_due) return;
   std::vector<std::pair<TeamHash, const Team*>> changed;
   for (auto& [hash, team] : teams_) {
     if (!is_due(team) && !is_due_soon(team)) continue;
--- a/harness/load/impatient_callers.cc
+++ b/harness/load/impatient_callers.cc
@@ -35,7 +35,9 @@
   sockaddr_in source{};
   source.sin_family = AF_INET;
   source.sin_addr.s_addr = htonl(kFirst + next++ % kAddresses);
-  bind(socket, reinterpret_cast<const sockaddr*>(&source), sizeof(source));
+  // Without it the system chooses an address.
+  (void)bind(socket, reinterpret_cast<const sockaddr*>(&source),
+             sizeof(source));
 }
 
 /// Returns the status of the response that begins with `head`; 0 if it is none.
--- a/unit_tests/proxy/connection_pool_test.cc
+++ b/unit_tests/proxy/connection_pool_test.cc
@@ -58,7 +58,7 @@
 
   /// Closes the listener, so that connects are refused.
   tcp::endpoint Refuse() {
-    const tcp::endpoint endpoint = listener_.local_endpoint();
+    tcp::endpoint endpoint = listener_.local_endpoint();
     listener_.close();
     return endpoint;
   }
