Send no body in the refusal of a HEAD request

A refused connection got an error with a body whatever its method; the body behind the response to HEAD is no answer. Found while reading the change, seen by no caller. Tests: RefusedConnection.*; HeadRequestArrived_* covers this, the others the refusal itself.

--- a/proxy/caller_session.cc
+++ b/proxy/caller_session.cc
@@ -97,6 +97,9 @@
        .fractional_retry_after =
            context.options.vocabulary.fractional_retry_after});
   response.keep_alive(false);
+  const bool head_request =
+      std::string_view(request.data(), received).starts_with("HEAD ");
+  if (head_request) response.body().clear();
   std::ostringstream text;
   text << response;
   // A new connection takes a short response at once.
--- a/proxy/connection_pool.cc
+++ b/proxy/connection_pool.cc
@@ -110,7 +110,7 @@
     paused.failure = Failure::kPaused;
     co_return paused;
   }
-  connecting_alone_ = alone;
+  if (alone) connecting_alone_ = true;
   Acquired acquired = co_await ConnectOnce();
   if (alone) connecting_alone_ = false;
   if (acquired.lease) {
