Bound what new connections allocate in one turn

Found by HostPortFlood.ReplacesClosedOnes_*/ForwardHalfHeader, which failed once in the whole run of the tests and 2 of 3 times after: a flood on the forward port grew the process by up to 20 MB where 16 MiB are the bound. A turn began up to 256 connections, whose buffers are given back only in later turns. The bound of the test stays.

Change: a turn begins 16 connections at the most, in order while its turns are short, so that the order without load is the old one; the time of a turn includes what was begun.

--- a/proxy/load/accept_loop.cc
+++ b/proxy/load/accept_loop.cc
@@ -26,9 +26,10 @@
     beast::error_code error;
     if (pending_.empty()) error = co_await AcceptFirst();
     if (!error) error = AcceptWaiting();
+    const MonoTime begin = Now();
     ServeSome();
+    co_await AwaitTurn(begin);
     if (error) co_await Pause(error);
-    co_await AwaitTurn();
   }
   ServeAll();
 }
@@ -61,8 +62,7 @@
   co_await pause.async_wait(kAsTuple);
 }
 
-asio::awaitable<void> AcceptLoop::AwaitTurn() {
-  const MonoTime begin = Now();
+asio::awaitable<void> AcceptLoop::AwaitTurn(MonoTime begin) {
   co_await asio::post(options_.acceptor->get_executor(), asio::use_awaitable);
   limit_.OnTurn(std::chrono::duration_cast<Microseconds>(Now() - begin));
 }
@@ -81,10 +81,8 @@
 }
 
 void AcceptLoop::ServeSome() {
-  if (pending_.size() <= limit_.limit()) return ServeAll();
   for (unsigned begun = 0; begun < limit_.limit() && !pending_.empty();) {
-    tcp::socket socket = std::move(pending_.back().socket);
-    pending_.pop_back();
+    tcp::socket socket = TakeNext();
     if (options_.closes_abandoned && IsClosedByPeer(socket.native_handle()))
       continue;
     options_.serve(std::move(socket));
@@ -97,6 +95,18 @@
     RefuseOldest();
 }
 
+tcp::socket AcceptLoop::TakeNext() {
+  const bool newest = limit_.is_behind();
+  tcp::socket socket =
+      std::move(newest ? pending_.back().socket : pending_.front().socket);
+  if (newest) {
+    pending_.pop_back();
+  } else {
+    pending_.pop_front();
+  }
+  return socket;
+}
+
 void AcceptLoop::ServeAll() {
   for (Pending& pending : pending_) options_.serve(std::move(pending.socket));
   pending_.clear();
--- a/proxy/load/accept_loop.h
+++ b/proxy/load/accept_loop.h
@@ -15,10 +15,11 @@
 ///
 /// Each turn of the loop takes all connections that wait, so that the queue of
 /// the operating system does not outlive its callers, and closes those that
-/// their peers have given up. While the thread has time, all others are served
-/// at once. While its turns are long, only some are begun in each turn, the
-/// newest first, whose callers will wait longest; those that have waited too
-/// long are refused at once. Must be used from the thread of the acceptor.
+/// their peers have given up. Of the others a limited number is begun in each
+/// turn: in order while the thread has time; while its turns are long, fewer,
+/// and the newest first, whose callers will wait longest. Those that have
+/// waited too long are refused at once. Must be used from the thread of the
+/// acceptor.
 class AcceptLoop {
  public:
   struct Options {
@@ -54,9 +55,10 @@
   asio::awaitable<beast::error_code> AcceptFirst();
   beast::error_code AcceptWaiting();
   asio::awaitable<void> Pause(beast::error_code error);
-  asio::awaitable<void> AwaitTurn();
+  asio::awaitable<void> AwaitTurn(MonoTime begin);
   void Add(tcp::socket socket);
   void RefuseOldest();
+  tcp::socket TakeNext();
   void ServeSome();
   void ServeAll();
 
--- a/proxy/load/batch_limit.h
+++ b/proxy/load/batch_limit.h
@@ -11,7 +11,8 @@
 class BatchLimit {
  public:
   struct Options {
-    unsigned most = 256;            ///< limit of a thread that has time
+    unsigned most = 16;             ///< limit of a thread that has time; bounds
+                                    ///< what new connections allocate at once
     Milliseconds longest_turn{50};  ///< a longer turn halves the limit
   };
 
@@ -25,6 +26,9 @@
   /// Connections that may begin to be served in the next turn, at least 1.
   unsigned limit() const { return limit_; }
 
+  /// Returns true if the turns have been too long lately.
+  bool is_behind() const { return limit_ < options_.most; }
+
  private:
   Options options_;
   unsigned limit_;
