--- a/proxy/connection_pool.cc
+++ b/proxy/connection_pool.cc
@@ -99,10 +99,6 @@
 asio::awaitable<ConnectionPool::Acquired> ConnectionPool::Connect() {
   // A host that is behind must not be kept there by the connects of all others:
   // after a failure only one tries at a time, after a pause.
-  if (!reconnect_) {
-    Acquired unpaused = co_await ConnectOnce();
-    co_return unpaused;
-  }
   const bool alone = failing_;
   if (alone &&
       (connecting_alone_ || std::chrono::steady_clock::now() < next_connect_)) {
@@ -115,8 +111,9 @@
   if (alone) connecting_alone_ = false;
   if (acquired.lease) {
     failing_ = false;
-    reconnect_->Reset();
-  } else if (acquired.failure != Failure::kFull && (alone || !failing_)) {
+    if (reconnect_) reconnect_->Reset();
+  } else if (reconnect_ && acquired.failure != Failure::kFull &&
+             (alone || !failing_)) {
     failing_ = true;
     next_connect_ =
         std::chrono::steady_clock::now() + reconnect_->Next(random_);
--- a/proxy/load/loop_load.h
+++ b/proxy/load/loop_load.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_PROXY_LOOP_LOAD_H_
-#define CAMPHORHILL_PROXY_LOOP_LOAD_H_
+#ifndef CAMPHORHILL_PROXY_LOAD_LOOP_LOAD_H_
+#define CAMPHORHILL_PROXY_LOAD_LOOP_LOAD_H_
 
 #include <compare>
 #include <cstdint>
@@ -38,4 +38,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_PROXY_LOOP_LOAD_H_
+#endif  // CAMPHORHILL_PROXY_LOAD_LOOP_LOAD_H_
--- a/proxy/load/loop_monitor.cc
+++ b/proxy/load/loop_monitor.cc
@@ -89,11 +89,6 @@
   current_.hosts.longest_wait = Milliseconds(0);
 }
 
-LoopLoad LoopMonitor::load() const {
-  const std::scoped_lock lock(mutex_);
-  return last_;
-}
-
 std::string LoopMonitor::Text() const {
   const std::scoped_lock lock(mutex_);
   std::string text;
--- a/proxy/load/loop_monitor.h
+++ b/proxy/load/loop_monitor.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_PROXY_LOOP_MONITOR_H_
-#define CAMPHORHILL_PROXY_LOOP_MONITOR_H_
+#ifndef CAMPHORHILL_PROXY_LOAD_LOOP_MONITOR_H_
+#define CAMPHORHILL_PROXY_LOAD_LOOP_MONITOR_H_
 
 #include <atomic>
 #include <cstdint>
@@ -41,9 +41,6 @@
   /// Thread-safe.
   MonoTime measured_at() const { return MonoTime(measured_at_.load()); }
 
-  /// Returns the last measurement. Thread-safe.
-  LoopLoad load() const;
-
   /// Returns the metrics in the Prometheus text format. Thread-safe.
   std::string Text() const;
 
@@ -65,4 +62,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_PROXY_LOOP_MONITOR_H_
+#endif  // CAMPHORHILL_PROXY_LOAD_LOOP_MONITOR_H_
--- a/proxy/load/socket_state.h
+++ b/proxy/load/socket_state.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHILL_PROXY_SOCKET_STATE_H_
-#define CAMPHORHILL_PROXY_SOCKET_STATE_H_
+#ifndef CAMPHORHILL_PROXY_LOAD_SOCKET_STATE_H_
+#define CAMPHORHILL_PROXY_LOAD_SOCKET_STATE_H_
 
 #include <cstdint>
 #include <optional>
@@ -25,4 +25,4 @@
 
 }  // namespace camphor
 
-#endif  // CAMPHORHILL_PROXY_SOCKET_STATE_H_
+#endif  // CAMPHORHILL_PROXY_LOAD_SOCKET_STATE_H_
--- a/scenario_tests/little_processor/crowded_host_test.cc
+++ b/scenario_tests/little_processor/crowded_host_test.cc
@@ -114,19 +114,12 @@
     return served / std::chrono::duration<double>(kTime).count();
   }
 
-  bool IsServed() {
-    const auto response = HttpConnection(fleet_->caller("h1"))
-                              .Call({.method = "GET",
-                                     .target = "/served/2",
-                                     .fields = {{"host", "h"}}});
-    return response.has_value() && response->status == 200;
-  }
+  bool IsServed() { return IsOk(fleet_->caller("h1"), "/served/2"); }
+  bool IsReady() { return IsOk(fleet_->admin("h1"), "/readyz"); }
 
-  bool IsReady() {
-    const auto response = HttpConnection(fleet_->admin("h1"))
-                              .Call({.method = "GET",
-                                     .target = "/readyz",
-                                     .fields = {{"host", "h"}}});
+  static bool IsOk(const Endpoint& endpoint, const std::string& target) {
+    const auto response = HttpConnection(endpoint).Call(
+        {.method = "GET", .target = target, .fields = {{"host", "h"}}});
     return response.has_value() && response->status == 200;
   }
 
